--- /dev/null
+++ b/programs/dockrock_node.cpp
@@ -0,0 +1,82 @@
+// dockrock-node: the one daemon, edge or core by its settings. docs/design.md section 1.
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace {
+
+using namespace dockrock;
+
+auto read_settings(int argument_count, char** arguments, NodeSettings& settings, bool& check_only) -> Problems {
+    auto command = TCLAP::CmdLine("dockrock-node: a router node of a dockrock fleet. With a data folder it is a core node and holds control state.", ' ', "0.1.0");
+    auto file = TCLAP::ValueArg<std::string>("s", "settings", "settings file (JSON); flags go before it", false, "", "FILE", command);
+    auto check = TCLAP::SwitchArg("", "check-settings", "check the settings, print every problem, start nothing", command);
+    auto control_address = TCLAP::ValueArg<std::string>("", "control-address", "IP:port for other nodes", false, "", "IP:PORT", command);
+    auto http_address = TCLAP::ValueArg<std::string>("", "http-address", "IP:port for callers and operators", false, "", "IP:PORT", command);
+    auto area = TCLAP::ValueArg<std::string>("", "area", "the area (zone) this machine stands in", false, "", "NAME", command);
+    auto seed = TCLAP::MultiArg<std::string>("", "seed", "control address of another node; give three", false, "IP:PORT", command);
+    auto folder = TCLAP::ValueArg<std::string>("", "data-folder", "folder on a disk; makes this a core node", false, "", "FOLDER", command);
+    auto platform = TCLAP::ValueArg<std::string>("", "platform", "address of the platform's replica list", false, "", "IP:PORT", command);
+    auto fleet = TCLAP::ValueArg<std::string>("", "fleet", "name of the fleet", false, "", "NAME", command);
+    auto cores = TCLAP::ValueArg<int>("", "core-count", "how many core nodes the fleet has", false, 0, "COUNT", command);
+    auto workers = TCLAP::ValueArg<int>("", "workers", "worker threads", false, 0, "COUNT", command);
+    auto log_file = TCLAP::ValueArg<std::string>("", "log-file", "JSON-line log; standard error where left out", false, "", "FILE", command);
+    auto log_level = TCLAP::ValueArg<std::string>("", "log-level", "debug, information, warning or failure", false, "", "LEVEL", command);
+    auto stop_limit = TCLAP::ValueArg<int>("", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
+    auto no_resting = TCLAP::SwitchArg("", "no-resting", "this node is never rested", command);
+    command.parse(argument_count, arguments);
+    check_only = check.getValue();
+    auto problems = file.isSet() ? read_settings_file(file.getValue(), settings) : Problems{};
+    if (control_address.isSet()) settings.control_address = control_address.getValue();
+    if (http_address.isSet()) settings.http_address = http_address.getValue();
+    if (area.isSet()) settings.area = area.getValue();
+    if (seed.isSet()) settings.seeds = seed.getValue();
+    if (folder.isSet()) settings.data_folder = folder.getValue();
+    if (platform.isSet()) settings.platform_address = platform.getValue();
+    if (fleet.isSet()) settings.fleet = fleet.getValue();
+    if (cores.isSet()) settings.core_count = cores.getValue();
+    if (workers.isSet()) settings.workers = workers.getValue();
+    if (log_file.isSet()) settings.log_file = log_file.getValue();
+    if (log_level.isSet()) settings.log_level = log_level.getValue();
+    if (stop_limit.isSet()) settings.stop_limit_milliseconds = stop_limit.getValue();
+    if (no_resting.isSet()) settings.resting = false;
+    for (auto& problem : check_settings(settings)) problems.push_back(std::move(problem));
+    return problems;
+}
+
+}  // namespace
+
+auto main(int argument_count, char** arguments) -> int {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
+    NodeSettings settings;
+    auto check_only = false;
+    auto const problems = read_settings(argument_count, arguments, settings, check_only);
+    for (auto const& problem : problems) std::cerr << problem.path << ": " << problem.what << "\n";
+    if (!problems.empty()) return 2;
+    if (check_only) {
+        std::cout << "the settings are good\n";
+        return 0;
+    }
+    dockrock::start_log(settings.log_file, settings.http_address, dockrock::level_of(settings.log_level));
+    auto const node = std::make_unique<dockrock::Node>();
+    node->settings = settings;
+    return dockrock::leaf::try_handle_all(
+        [&]() -> dockrock::leaf::result<int> {
+            BOOST_LEAF_CHECK(node->start());
+            return node->run();
+        },
+        [](dockrock::StartFailure const& failure) {
+            dockrock::write_log(dockrock::Level::failure, "start-failed", {{"what", failure.what}});
+            std::cerr << failure.what << "\n";
+            return 1;
+        },
+        [] {
+            std::cerr << "start failed\n";
+            return 1;
+        });
+}
--- /dev/null
+++ b/source/connection/http_client.cpp
@@ -0,0 +1,78 @@
+#include "connection/http_client.hpp"
+
+#include <charconv>
+
+namespace dockrock {
+
+auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint> {
+    auto const colon = address.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    boost::system::error_code failure;
+    auto const host = asio::ip::make_address(address.substr(0, colon), failure);
+    auto port = 0;
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (failure || port < 1 || port > 65'535) return std::nullopt;
+    return tcp::endpoint(host, static_cast<std::uint16_t>(port));
+}
+
+auto make_request(HttpCall const& call, std::string const& address) -> http::request<http::string_body> {
+    auto request = http::request<http::string_body>(call.method, call.target, 11);
+    request.set(http::field::host, address);
+    if (!call.body.empty()) request.set(http::field::content_type, call.content_type);
+    for (auto const& [name, value] : call.headers) request.set(name, value);
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+auto HttpConnection::close() -> void {
+    boost::system::error_code ignored;
+    stream.socket().close(ignored);
+    buffer.clear();
+    open = false;
+}
+
+auto HttpConnection::call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer> {
+    HttpAnswer answer;
+    auto const endpoint = endpoint_of(address);
+    if (!endpoint) co_return answer;
+    stream.expires_after(std::chrono::microseconds(limit));
+    if (!open) {
+        auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple);
+        if (failure) {
+            close();
+            co_return answer;
+        }
+        stream.socket().set_option(tcp::no_delay(true));
+        open = true;
+    }
+    auto const request = make_request(wanted, address);
+    answer.sent = true;
+    if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) {
+        close();
+        co_return answer;
+    }
+    auto parser = http::response_parser<http::string_body>();
+    parser.body_limit(16U << 20U);
+    if (auto const [failure, size] = co_await http::async_read(stream, buffer, parser, use_tuple); failure) {
+        close();
+        co_return answer;
+    }
+    auto const& message = parser.get();
+    answer.status = message.result_int();
+    answer.content_type = std::string(message[http::field::content_type]);
+    answer.etag = std::string(message[http::field::etag]);
+    answer.body = parser.get().body();
+    if (!message.keep_alive()) close();
+    else stream.expires_never();
+    co_return answer;
+}
+
+auto http_call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer> {
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    auto answer = co_await connection.call(std::move(address), std::move(wanted), limit);
+    connection.close();
+    co_return answer;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/connection/http_client.hpp
@@ -0,0 +1,51 @@
+#pragma once
+// HTTP/1.1 calls to back ends, through Beast. docs/design.md section 9.7.
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast.hpp>
+#include <optional>
+#include <string>
+
+#include "process/machine/words.hpp"
+
+namespace dockrock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+inline constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+struct HttpCall {
+    http::verb method = http::verb::get;
+    std::string target;
+    std::string body;
+    std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+struct HttpAnswer {
+    int status = 0;      // 0: no answer
+    std::string body;
+    std::string content_type;
+    std::string etag;
+    bool sent = false;   // anything may have been written
+};
+
+auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint>;
+auto make_request(HttpCall const& call, std::string const& address) -> http::request<http::string_body>;
+
+// One connection kept for several calls; reopened where it was lost.
+struct HttpConnection {
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool open = false;
+    explicit HttpConnection(asio::any_io_executor executor) : stream(std::move(executor)) {}
+    auto call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer>;
+    auto close() -> void;
+};
+
+auto http_call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer>;
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/connection/session.cpp
@@ -0,0 +1,264 @@
+#include "connection/session.hpp"
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+
+namespace dockrock {
+
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+auto wait_for(std::chrono::milliseconds length) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, length);
+    co_await timer.async_wait(use_tuple);
+}
+
+auto serve_socket(Node& node, tcp::socket socket) -> awaitable<void> {
+    auto session = Session{node, std::move(socket), {}};
+    co_await session.serve();
+}
+
+}  // namespace
+
+auto Node::accept_loop() -> awaitable<void> {
+    while (!finished) {
+        auto [failure, socket] = co_await acceptor->async_accept(asio::make_strand(context), use_tuple);
+        if (failure) {
+            co_await wait_for(std::chrono::milliseconds(20));
+            continue;
+        }
+        auto const executor = socket.get_executor();
+        asio::co_spawn(executor, serve_socket(*this, std::move(socket)), asio::detached);
+    }
+}
+
+auto Session::serve() -> awaitable<void> {
+    socket.set_option(tcp::no_delay(true));
+    while (!node.finished) {
+        if (buffer.size() == 0) {  // idle between tickets; a resting or stopping node lets go sooner
+            auto const quick = node.stopping || node.resting_now;
+            auto const idle = co_await (socket.async_wait(tcp::socket::wait_read, use_tuple) || wait_for(std::chrono::milliseconds(quick ? 200 : 2'000)));
+            if (idle.index() == 1) {
+                if (node.stopping || node.resting_now) co_return;
+                continue;
+            }
+        }
+        auto parser = http::request_parser<http::string_body>();
+        parser.body_limit(17U << 20U);
+        parser.header_limit(16U << 10U);
+        auto const read = co_await (http::async_read(socket, buffer, parser, use_tuple) || wait_for(std::chrono::seconds(10)));
+        auto request = HttpRequest(http::verb::get, "/", 11);
+        request.keep_alive(false);
+        if (read.index() == 1) {
+            co_await answer(request, 408, fields("error", "the request did not arrive in time", "outcome", "shed"));
+            co_return;
+        }
+        auto const failure = std::get<0>(std::get<0>(read));
+        if (failure == http::error::body_limit || failure == http::error::header_limit) {
+            co_await answer(request, failure == http::error::body_limit ? 413 : 431, fields("error", "the request is too large", "outcome", "shed"));
+            co_return;
+        }
+        if (failure && failure.category() == beast::http::make_error_code(http::error::bad_method).category() && failure != http::error::end_of_stream && failure != http::error::partial_message) {
+            co_await answer(request, 400, fields("error", "not HTTP/1.1", "outcome", "shed"));
+            co_return;
+        }
+        if (failure) co_return;
+        request = parser.release();
+        auto const target = std::string_view(request.target().data(), request.target().size());
+        auto const own = target.starts_with("/control/") || target == "/health" || target == "/ready" || target == "/metrics";
+        auto const usable = own ? co_await handle_control(request) : co_await handle_ticket(request);
+        if (!usable || !request.keep_alive()) break;
+    }
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+auto Session::answer_text(HttpRequest const& request, int status, std::string body, std::string type, Headers headers) -> awaitable<bool> {
+    auto response = HttpResponse(static_cast<http::status>(status), 11);
+    response.set(http::field::content_type, type);
+    for (auto const& [name, value] : headers) response.set(name, value);
+    response.keep_alive(request.keep_alive() && !node.stopping && !node.resting_now);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    auto const written = co_await (http::async_write(socket, response, use_tuple) || wait_for(std::chrono::seconds(10)));
+    if (written.index() == 1) co_return false;
+    co_return !std::get<0>(std::get<0>(written)) && response.keep_alive();
+}
+
+auto Session::answer(HttpRequest const& request, int status, json::object body, Headers headers) -> awaitable<bool> {
+    co_return co_await answer_text(request, status, json::serialize(body), "application/json", std::move(headers));
+}
+
+auto Session::shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool> {
+    ++node.counters.shed;
+    co_return co_await answer(request, 503, fields("outcome", "shed", "reason", reason, "retry_after_seconds", retry_after), retry_header(std::to_string(retry_after)));
+}
+
+auto Session::unknown(HttpRequest const& request, std::string reason) -> awaitable<bool> {
+    ++node.counters.unknown;
+    co_return co_await answer(request, 502, fields("outcome", "unknown", "reason", reason));
+}
+
+// The rules are run as a oneTBB task against the snapshot of this moment.
+auto Session::interpret_now(HttpRequest const& request) -> awaitable<std::pair<Verdict, SnapshotPointer>> {
+    auto arrival = Arrival{std::string(request.method_string()), std::string(request.target()), "", request.body(), std::string(request["Tenant"]), clock_now()};
+    auto const credentials = std::string_view(request[http::field::authorization].data(), request[http::field::authorization].size());
+    if (credentials.starts_with("Bearer ")) arrival.key = std::string(credentials.substr(7));
+    auto const executor = co_await asio::this_coro::executor;
+    co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(std::pair<Verdict, SnapshotPointer>)>(
+        [&](auto handler) {
+            auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
+            node.ticket_work->try_put([this, arrival, executor, shared] {
+                auto const current = node.snapshot.load();
+                auto result = std::pair(interpret(*current->rules, arrival), current);
+                asio::post(executor, [shared, result = std::move(result)]() mutable { std::move (*shared)(std::move(result)); });
+            });
+        },
+        asio::use_awaitable);
+}
+
+auto Session::handle_ticket(HttpRequest const& request) -> awaitable<bool> {
+    ++node.counters.tickets;
+    auto [verdict, current] = co_await interpret_now(request);
+    node.last_ticket = clock_now();
+    if (verdict.kind == Verdict::Kind::answer) {
+        ++node.counters.refused;
+        auto body = fields("outcome", "shed", "error", verdict.reason);
+        if (!verdict.problems.empty()) body["problems"] = write_problems(verdict.problems);
+        auto headers = Headers();
+        if (verdict.status == 503) headers.emplace_back("Retry-After", "1");
+        co_return co_await answer(request, verdict.status, std::move(body), std::move(headers));
+    }
+    if (node.stopping) co_return co_await shed(request, "stopping", 1);
+    ++node.open_tickets;
+    auto const usable = verdict.kind == Verdict::Kind::forward ? co_await forward_application(request, std::move(verdict))
+                                                               : co_await run_ticket(request, std::move(verdict), current->rules->sequence);
+    --node.open_tickets;
+    co_return usable;
+}
+
+auto Session::forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool> {
+    auto const current = node.snapshot.load();
+    auto const age = node.proof_age(clock_now());
+    if (age > proof_limit) co_return co_await shed(request, "not-fresh", 1);
+    if (!current->list.application) co_return co_await shed(request, "no-application", 5);
+    auto call = HttpCall{request.method(), verdict.forward_path, request.body(), std::string(request[http::field::content_type])};
+    call.headers.emplace_back("Tenant", verdict.ticket.tenant_path);
+    auto const result = co_await http_call(current->list.application->address, std::move(call), 5 * one_second);
+    if (result.status == 0 && !result.sent) co_return co_await shed(request, "application-unreachable", 1);
+    if (result.status == 0) co_return co_await unknown(request, "application-broke");
+    ++node.counters.answered;
+    co_return co_await answer_text(request, result.status, result.body, result.content_type.empty() ? "application/octet-stream" : result.content_type);
+}
+
+auto Session::wait_for_slot(std::shared_ptr<Slot> slot, std::uint64_t ticket) -> awaitable<bool> {
+    (void)ticket;
+    while (!slot->ready) {
+        auto const event = co_await (slot->signal.async_wait(use_tuple) || socket.async_wait(tcp::socket::wait_read, use_tuple));
+        if (event.index() == 0 || slot->ready) continue;
+        auto peeked = char{};
+        boost::system::error_code failure;
+        socket.non_blocking(true, failure);
+        auto const size = socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, failure);
+        if (failure == asio::error::would_block) continue;
+        if (failure || size == 0) co_return false;  // the caller went away
+        co_await slot->signal.async_wait(use_tuple);  // more sent early: read after this ticket
+    }
+    co_return true;
+}
+
+auto Session::run_ticket(HttpRequest const& request, Verdict verdict, Sequence sequence) -> awaitable<bool> {
+    auto ticket = std::move(verdict.ticket);
+    ticket.number = node.next_ticket++;
+    if (ticket.body.run_once && !ticket.body.identity.empty()) {
+        auto guard = std::unique_lock(node.granting_lock);
+        auto const fresh = node.remember_identity(ticket.tenant_path + "\n" + ticket.body.identity);
+        guard.unlock();
+        if (!fresh) co_return co_await answer(request, 409, fields("outcome", "shed", "error", "a ticket of this identity was taken before"));
+    }
+    auto again = std::string{};  // replica that said it did not run the last try
+    auto charged = false;
+    auto failure_reason = std::string{};
+    for (auto try_number = 1;; ++try_number) {
+        auto const executor = co_await asio::this_coro::executor;
+        auto const slot = std::make_shared<Slot>(executor);
+        {
+            auto const guard = std::lock_guard(node.granting_lock);
+            node.slots[ticket.number] = slot;
+            Decisions decisions;
+            if (charged) node.granting.enter_again(ticket, again, clock_now(), decisions);
+            else node.granting.enter(ticket, clock_now(), decisions);
+            node.dispatch(decisions);
+            node.run_match(clock_now());
+        }
+        auto const present = co_await wait_for_slot(slot, ticket.number);
+        auto placed = std::optional<Placement>{};
+        auto given_up = std::optional<Shed>{};
+        {
+            auto const guard = std::lock_guard(node.granting_lock);
+            node.slots.erase(ticket.number);
+            node.granting.withdraw(ticket.number);
+            placed = slot->placement;
+            given_up = slot->shed;
+            if (!present && placed) node.granting.burden.release(placed->replica, ticket.number);
+        }
+        if (!present) {
+            ++node.counters.callers_gone;
+            co_return false;
+        }
+        if (given_up) co_return co_await shed(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]), given_up->retry_after);
+        auto const release = [&] {
+            auto const guard = std::lock_guard(node.granting_lock);
+            node.granting.burden.release(placed->replica, ticket.number);
+        };
+        // Last checks right before the try is sent: rules, freshness, drain (design 8.3, 8.4).
+        auto const current = node.snapshot.load();
+        if (current->rules->sequence != sequence) {
+            auto [later, rules] = co_await interpret_now(request);
+            sequence = rules->rules->sequence;
+            if (later.kind != Verdict::Kind::enter) {
+                release();
+                ++node.counters.refused;
+                co_return co_await answer(request, later.status, fields("outcome", "shed", "error", later.reason));
+            }
+            if (later.ticket.chain != ticket.chain || later.ticket.wall_domain != ticket.wall_domain) {
+                release();
+                later.ticket.number = ticket.number;
+                later.ticket.arrived_at = ticket.arrived_at;
+                later.ticket.deadline = ticket.deadline;
+                ticket = std::move(later.ticket);
+                charged = false;
+                continue;
+            }
+        }
+        auto const listed = std::find_if(current->list.replicas.begin(), current->list.replicas.end(), [&](auto const& entry) { return entry.name == placed->replica; });
+        if (listed == current->list.replicas.end() || listed->drain || node.proof_age(clock_now()) > proof_limit) {
+            release();
+            charged = false;  // nothing was sent: no extra try
+            continue;
+        }
+        ++node.counters.tries;
+        auto const sent_at = clock_now();
+        auto const result = co_await run_try(*this, ticket, *placed, try_number, request.keep_alive());
+        {
+            auto const guard = std::lock_guard(node.granting_lock);
+            auto const now = clock_now();
+            node.granting.finished(placed->replica, ticket, now - sent_at, now, result.end == TryEnd::answered);
+            if (result.end == TryEnd::not_sent) node.granting.burden.report_failed(placed->replica, now);
+            if (node.granting.waiting_count() > 0) node.run_match(now);
+        }
+        if (result.end == TryEnd::answered) ++node.counters.answered;
+        if (result.end == TryEnd::broken_after) ++node.counters.broken;
+        if (result.end == TryEnd::caller_gone) ++node.counters.callers_gone;
+        if (result.end == TryEnd::answered || result.end == TryEnd::broken_after || result.end == TryEnd::caller_gone) co_return result.usable;
+        if (result.end == TryEnd::did_not_run) ++node.counters.did_not_run;
+        if (result.end == TryEnd::not_sent) ++node.counters.connect_failures;
+        if (result.end == TryEnd::unknown_before && ticket.body.run_once) co_return co_await unknown(request, result.reason);
+        if (result.reason == "seen") co_return co_await answer(request, 409, fields("outcome", "shed", "error", "a ticket of this identity was taken before"));
+        again = placed->replica;
+        charged = true;
+    }
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/connection/session.hpp
@@ -0,0 +1,45 @@
+#pragma once
+// One client connection and the tickets on it. docs/design.md sections 9.1, 10.
+#include "process/node.hpp"
+#include "ticket/interpreter.hpp"
+
+namespace dockrock {
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+inline auto retry_header(std::string seconds) -> Headers { return Headers(1, std::pair(std::string("Retry-After"), std::move(seconds))); }
+
+struct Session {
+    Node& node;
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+
+    auto serve() -> awaitable<void>;
+    // Whether the connection can be used further.
+    auto answer(HttpRequest const& request, int status, json::object body, Headers headers = Headers()) -> awaitable<bool>;
+    auto answer_text(HttpRequest const& request, int status, std::string body, std::string type, Headers headers = Headers()) -> awaitable<bool>;
+    auto handle_control(HttpRequest const& request) -> awaitable<bool>;
+    auto handle_ticket(HttpRequest const& request) -> awaitable<bool>;
+    auto forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool>;
+    auto run_ticket(HttpRequest const& request, Verdict verdict, Sequence sequence) -> awaitable<bool>;
+    auto shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool>;
+    auto unknown(HttpRequest const& request, std::string reason) -> awaitable<bool>;
+    auto interpret_now(HttpRequest const& request) -> awaitable<std::pair<Verdict, SnapshotPointer>>;
+    auto make_node_call(Call call) -> awaitable<CallDone>;
+    // Waits for a placement or a shedding; neither: the caller went away.
+    auto wait_for_slot(std::shared_ptr<Slot> slot, std::uint64_t ticket) -> awaitable<bool>;
+};
+
+enum class TryEnd : int { answered, did_not_run, not_sent, unknown_before, broken_after, caller_gone };
+struct TryResult {
+    TryEnd end = TryEnd::unknown_before;
+    std::string reason;
+    bool usable = false;  // the caller's connection
+};
+
+// Sends one try to its replica and relays the pieces (design 10).
+auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive) -> awaitable<TryResult>;
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/connection/ticket_run.cpp
@@ -0,0 +1,149 @@
+// One try: sent once, its pieces relayed in order. docs/design.md section 10.
+#include "connection/session.hpp"
+#include "process/clock.hpp"
+
+namespace dockrock {
+
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+auto wait_until(Microseconds limit) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(std::max<Microseconds>(0, limit)));
+    co_await timer.async_wait(use_tuple);
+}
+
+auto run_body(Ticket const& ticket, Placement const& placement) -> std::string {
+    json::array chain;
+    for (auto item : ticket.chain) chain.push_back(json::string(chain_text(item)));
+    json::array tokens;
+    for (auto const& part : ticket.body.prefix) tokens.push_back(part.tokens);
+    return json::serialize(json::object{
+        {"identity", ticket.body.identity.empty() ? std::to_string(ticket.number) : ticket.tenant_path + "/" + ticket.body.identity},
+        {"run_once", ticket.body.run_once}, {"model", ticket.body.model}, {"kind", ticket.body.kind}, {"rank", ticket.rank},
+        {"weights", placement.weights}, {"incarnation", placement.incarnation}, {"wall", ticket.wall_domain}, {"tenant", ticket.tenant_path},
+        {"chain", std::move(chain)}, {"chain_tokens", std::move(tokens)}, {"prompt_tokens", ticket.prompt_tokens},
+        {"max_tokens", ticket.body.max_tokens}, {"slots", ticket.body.slots}, {"prompt", ticket.body.prompt},
+        {"fetch_source", placement.fetch.source}, {"fetch_tokens", placement.fetch.tokens}, {"fetch_limit_microseconds", placement.fetch.limit}});
+}
+
+// Checks the numbering of the pieces as they pass: nothing lost, nothing twice.
+struct PieceReader {
+    std::string rest;
+    std::uint64_t next = 0;
+    bool done = false;
+    bool wrong = false;
+
+    auto take(std::string_view bytes) -> std::string {
+        rest.append(bytes);
+        std::string whole;
+        for (auto end = rest.find('\n'); end != std::string::npos && !wrong && !done; end = rest.find('\n')) {
+            auto const line = rest.substr(0, end + 1);
+            rest.erase(0, end + 1);
+            auto const parsed = parse_json(line);
+            if (!parsed || !parsed->is_object()) {
+                wrong = true;
+                break;
+            }
+            auto const& object = parsed->as_object();
+            if (auto const* piece = object.if_contains("piece"); piece != nullptr) {
+                if (!piece->is_int64() || static_cast<std::uint64_t>(piece->as_int64()) != next) wrong = true;
+                else ++next;
+            } else if (auto const* count = object.if_contains("pieces"); count != nullptr) {
+                if (!count->is_int64() || static_cast<std::uint64_t>(count->as_int64()) != next) wrong = true;
+                else done = true;
+            } else {
+                wrong = true;
+            }
+            if (!wrong) whole += line;
+        }
+        return whole;
+    }
+};
+
+}  // namespace
+
+auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive) -> awaitable<TryResult> {
+    auto& node = session.node;
+    auto const endpoint = endpoint_of(placement.address);
+    if (!endpoint) co_return TryResult{TryEnd::not_sent, "bad-address"};
+    auto stream = beast::tcp_stream(co_await asio::this_coro::executor);
+    stream.expires_after(std::chrono::milliseconds(500));
+    if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure) co_return TryResult{TryEnd::not_sent, "unreachable"};
+    stream.socket().set_option(tcp::no_delay(true));
+    auto const request = make_request({http::verb::post, "/run", run_body(ticket, placement)}, placement.address);
+    // From here on the replica may have it: whatever breaks is not known to
+    // have run or not (design 10.2).
+    auto const patience = std::max<Microseconds>(ticket.deadline - clock_now(), one_second) + 2 * one_second;
+    stream.expires_after(std::chrono::microseconds(patience));
+    if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) co_return TryResult{TryEnd::unknown_before, "replica-broke-while-sending"};
+    auto buffer = beast::flat_buffer();
+    auto parser = http::response_parser<http::string_body>();
+    parser.body_limit(boost::none);
+    if (auto const [failure, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple); failure) co_return TryResult{TryEnd::unknown_before, "replica-broke-before-first-piece"};
+    if (parser.get().result_int() != 200) {
+        co_await http::async_read(stream, buffer, parser, use_tuple);
+        auto const parsed = parse_json(parser.get().body());
+        auto const* ran = parsed && parsed->is_object() ? parsed->as_object().if_contains("ran") : nullptr;
+        auto const* reason = parsed && parsed->is_object() ? parsed->as_object().if_contains("reason") : nullptr;
+        auto const did_not_run = parser.get().result_int() == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
+        auto const text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "replica-error";
+        co_return TryResult{did_not_run ? TryEnd::did_not_run : TryEnd::unknown_before, text};
+    }
+    {
+        auto const number = [&](char const* name) { return std::strtoll(std::string(parser.get()[name]).c_str(), nullptr, 10); };
+        auto const fetched = number("Fetched-Tokens");
+        auto const took = number("Fetch-Microseconds");
+        node.counters.kept_tokens += static_cast<std::uint64_t>(std::max(0LL, number("Kept-Tokens")));
+        node.counters.prefix_tokens += static_cast<std::uint64_t>(ticket.prefix_tokens);
+        if (took > 0) {  // measured link speed, for the fetch planner (design 9.7)
+            auto const guard = std::lock_guard(node.granting_lock);
+            auto const rate = static_cast<double>(fetched) * 1'000'000.0 / static_cast<double>(took);
+            auto& known = node.granting.fetch_rate;
+            known = known == 0.0 ? rate : known * 0.8 + rate * 0.2;
+            node.counters.fetched_tokens += static_cast<std::uint64_t>(fetched);
+            ++node.counters.fetches;
+        }
+    }
+    auto head_sent = false;
+    auto reader = PieceReader{};
+    auto const stay = keep_alive && !node.stopping && !node.resting_now;
+    while (!reader.done && !reader.wrong) {
+        auto failure = boost::system::error_code{};
+        if (parser.is_done()) break;
+        std::tie(failure, std::ignore) = co_await http::async_read_some(stream, buffer, parser, use_tuple);
+        auto const whole = reader.take(parser.get().body());
+        parser.get().body().clear();
+        if (!whole.empty() && !reader.wrong) {
+            if (!head_sent) {
+                auto head = http::response<http::empty_body>(http::status::ok, 11);
+                head.set(http::field::content_type, "application/x-ndjson");
+                head.set("Dockrock-Replica", placement.replica);
+                head.set("Dockrock-Try", std::to_string(try_number));
+                head.set("Dockrock-Weights", placement.weights);
+                head.keep_alive(stay);
+                head.chunked(true);
+                auto serializer = http::response_serializer<http::empty_body>(head);
+                auto const written = co_await (http::async_write_header(session.socket, serializer, use_tuple) || wait_until(10 * one_second));
+                if (written.index() == 1 || std::get<0>(std::get<0>(written))) co_return TryResult{TryEnd::caller_gone, "caller-gone"};
+                head_sent = true;
+            }
+            // A caller that takes nothing for ten seconds is let go; closing
+            // the replica's connection cancels the run.
+            auto const written = co_await (asio::async_write(session.socket, http::make_chunk(asio::buffer(whole)), use_tuple) || wait_until(10 * one_second));
+            if (written.index() == 1 || std::get<0>(std::get<0>(written))) co_return TryResult{TryEnd::caller_gone, "caller-gone"};
+        }
+        if (failure) break;
+    }
+    if (reader.done) {
+        auto const [failure, size] = co_await asio::async_write(session.socket, http::make_chunk_last(), use_tuple);
+        co_return TryResult{TryEnd::answered, "", !failure && stay};
+    }
+    if (!head_sent) co_return TryResult{TryEnd::unknown_before, "replica-broke-before-first-piece"};
+    // Visibly incomplete: a final error piece and no last chunk (design 10.3).
+    auto const note = json::serialize(fields("error", "the answer broke", "outcome", "unknown", "pieces_sent", reader.next)) + "\n";
+    co_await asio::async_write(session.socket, http::make_chunk(asio::buffer(note)), use_tuple);
+    co_return TryResult{TryEnd::broken_after, "replica-broke", false};
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/precompiled_core.hpp
@@ -0,0 +1,13 @@
+#pragma once
+#include <algorithm>
+#include <boost/hana.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
--- /dev/null
+++ b/source/process/clock.hpp
@@ -0,0 +1,15 @@
+#pragma once
+// A clock that counts suspension and knows no wall-clock jumps. docs/design.md 5.3.
+#include <time.h>
+
+#include "process/machine/words.hpp"
+
+namespace dockrock {
+
+inline auto clock_now() -> Microseconds {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return static_cast<Microseconds>(time.tv_sec) * one_second + time.tv_nsec / 1'000;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/log.hpp
@@ -0,0 +1,15 @@
+#pragma once
+// JSON-line logs through Boost.Log. Keys and bodies are never given to it.
+// docs/design.md section 13.
+#include <boost/json.hpp>
+#include <string>
+
+namespace dockrock {
+
+enum class Level : int { debug, information, warning, failure };
+
+auto start_log(std::string const& file, std::string const& node, Level least) -> void;
+auto write_log(Level level, std::string_view event, boost::json::object fields = {}) -> void;
+auto level_of(std::string_view name) -> Level;
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/control.cpp
@@ -0,0 +1,209 @@
+// The node's control side: routing of events to its machines. docs/design.md section 5 and 9.
+#include "process/machine/control.hpp"
+
+namespace dockrock {
+
+auto Control::start(ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
+                    std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void {
+    settings = given;
+    random.state = seed;
+    membership.self = Member{identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
+    membership.seeds = given.seeds;
+    for (auto index = std::size_t{0}; index < part_count; ++index) {
+        auto& part = parts[index];
+        part.index = static_cast<int>(index);
+        part.core_count = given.core_count;
+        part.primary_heard = part.understudy_heard = part.owner_since = now;
+        if (had_state) part.vote_from = now + part.times.grantor_term;
+    }
+    for (auto const& saved_part : saved_parts) {
+        if (saved_part.part < 0 || saved_part.part >= static_cast<int>(part_count)) continue;
+        auto& part = parts[static_cast<std::size_t>(saved_part.part)];
+        part.votes = saved_part.votes;
+        if (saved_part.copy) {
+            part.copy = *saved_part.copy;
+            part.synced = part.copy.sequence;
+        }
+    }
+    membership.self.knows_fleet = knows_fleet();
+    blank_since = now;
+}
+
+auto Control::knows_fleet() const -> bool {
+    for (auto const& part : parts)
+        if (part.votes.decided.epoch > 0) return true;
+    for (auto const& item : news)
+        if (item.record.epoch > 0) return true;
+    return false;
+}
+
+auto Control::best_record(int part) const -> Record const& {
+    auto const index = static_cast<std::size_t>(part);
+    return news[index].record.epoch > parts[index].votes.decided.epoch ? news[index].record : parts[index].votes.decided;
+}
+
+auto Control::drain(Context& context, ControlOutput& output) -> void {
+    for (auto& save : context.saves) output.saves.push_back(std::move(save));
+    context.saves.clear();
+    for (auto& done : context.done) {
+        if (done.origin == membership.self.control_address) finish_call(done.token, done.status, std::move(done.body), std::move(done.etag), output);
+        else output.sends.push_back({done.origin, CallAnswer{done.token, done.status, std::move(done.body), std::move(done.etag)}});
+    }
+    context.done.clear();
+    for (auto& send : context.sends) {
+        if (send.identity == membership.self.identity) loopback.push_back(std::move(send));
+        else if (auto address = membership.address_of(send.identity); !address.empty()) output.sends.push_back({std::move(address), std::move(send.message)});
+    }
+    context.sends.clear();
+}
+
+auto Control::with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void {
+    auto context = Context{now, membership.self.identity, random, [this] { return membership.alive_members(true); },
+                           [this](std::string const& identity) { return membership.alive(identity); }, {}, {}, {}};
+    work(context);
+    drain(context, output);
+    while (!loopback.empty()) {  // a node is also a voter to itself, by the same messages
+        auto pending = std::move(loopback);
+        loopback.clear();
+        for (auto const& item : pending) deliver(now, membership.self.identity, membership.self.control_address, item.message, output);
+    }
+}
+
+auto Control::deliver(Microseconds now, std::string const& from, std::string const& address, Message const& message, ControlOutput& output) -> void {
+    std::visit(
+        [&](auto const& body) {
+            using Body = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<Body, Probe> || std::is_same_v<Body, ProbeAnswer>) {
+                membership.on(body, from, address, now, output.sends);
+            } else if constexpr (std::is_same_v<Body, ProbeFor>) {
+                membership.on(body, address, now, output.sends);
+            } else if constexpr (std::is_same_v<Body, NewsAsk>) {
+                if (body.part >= 0 && body.part < static_cast<int>(part_count)) answer_news(now, address, body, output, true);
+            } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
+                if (body.part >= 0 && body.part < static_cast<int>(part_count)) take_news(now, body, output);
+            } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
+                output.digests.emplace_back(from, body);
+            } else if constexpr (std::is_same_v<Body, CallForward>) {
+                if (body.call.part < 0 || body.call.part >= static_cast<int>(part_count)) return;
+                auto const& record = best_record(body.call.part);
+                auto& part = parts[static_cast<std::size_t>(body.call.part)];
+                if (part.is_owner(membership.self.identity) || body.hops >= 2 || record.primary == membership.self.identity) {
+                    with_parts(now, output, [&](Context& context) { part.call(context, body.origin, body.token, body.call); });
+                } else if (auto const owner = membership.address_of(record.primary); !owner.empty()) {
+                    output.sends.push_back({owner, CallForward{body.token, body.hops + 1, body.origin, body.call}});
+                }
+            } else if constexpr (std::is_same_v<Body, CallAnswer>) {
+                finish_call(body.token, body.status, body.body, body.etag, output);
+            } else {
+                if (!settings.core || body.part < 0 || body.part >= static_cast<int>(part_count)) return;
+                with_parts(now, output, [&](Context& context) { parts[static_cast<std::size_t>(body.part)].on(context, from, body); });
+            }
+        },
+        message);
+}
+
+auto Control::receive(Microseconds now, std::string const& from, std::string const& address, Message const& message) -> ControlOutput {
+    ControlOutput output;
+    membership.heard_from(from, now);
+    deliver(now, from, address, message, output);
+    publish(now, output);
+    return output;
+}
+
+auto Control::saved(Microseconds now, std::uint64_t token, bool ok) -> ControlOutput {
+    ControlOutput output;
+    with_parts(now, output, [&](Context& context) {
+        for (auto& part : parts) part.saved(context, token, ok);
+    });
+    publish(now, output);
+    return output;
+}
+
+auto Control::tick(Microseconds now) -> ControlOutput {
+    ControlOutput output;
+    membership.self.knows_fleet = knows_fleet();
+    membership.tick(now, random, output.sends);
+    if (settings.core) {
+        with_parts(now, output, [&](Context& context) {
+            form(now, context);
+            for (auto& part : parts) part.tick(context);
+        });
+    }
+    publish(now, output);
+    ask_news(now, output);
+    tick_calls(now, output);
+    auto waiting = std::move(waiting_asks);
+    waiting_asks.clear();
+    for (auto const& item : waiting) {
+        if (now - item.since >= times.hold_limit) answer_news(now, item.address, item.ask, output, false);
+        else waiting_asks.push_back(item);
+    }
+    return output;
+}
+
+// First forming (design 5.7): only among blank core nodes, and only where
+// nobody reachable knows a fleet.
+auto Control::form(Microseconds now, Context& context) -> void {
+    auto const members = membership.alive_members(false);
+    auto const somebody_knows = std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
+    auto const& first = parts[0].votes.decided;
+    if (somebody_knows && first.epoch == 0 && first.voters.empty()) {
+        blank_since = now;
+        return;
+    }
+    if (first.epoch == 0 && first.voters.empty()) {
+        auto cores = membership.alive_members(true);
+        std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) { return left.control_address < right.control_address; });
+        if (cores.size() < majority_of(settings.core_count) || cores.front().identity != membership.self.identity) {
+            blank_since = now;
+            return;
+        }
+        auto const patience = cores.size() >= settings.core_count ? one_second / 2 : 4 * one_second;
+        if (now - blank_since < patience) return;
+        Record blank;
+        for (auto const& member : cores) blank.voters.push_back(member.identity);
+        for (auto& part : parts) part.learn(context, blank);
+    }
+    if (now - last_forming < 700 * one_millisecond + static_cast<Microseconds>(random.below(400'000))) return;
+    last_forming = now;
+    for (auto& part : parts) {
+        auto const& record = part.votes.decided;
+        if (record.epoch != 0 || record.voters.empty() || part.proposal) continue;
+        auto const count = record.voters.size();
+        auto wanted = record;
+        auto const place = static_cast<std::size_t>(part.index) % count;
+        wanted.primary = record.voters[place];
+        wanted.understudy = record.voters[(place + 1) % count];
+        auto const* primary = membership.find(wanted.primary);
+        for (auto step = count - 1; step > 0 && primary != nullptr; --step) {  // pairs lie in different areas
+            auto const* other = membership.find(record.voters[(place + step) % count]);
+            if (other != nullptr && other->area != primary->area) wanted.understudy = other->identity;
+        }
+        part.propose(context, wanted);
+    }
+}
+
+auto Control::hand_over(Microseconds now, bool& pending) -> ControlOutput {
+    ControlOutput output;
+    with_parts(now, output, [&](Context& context) {
+        for (auto& part : parts) pending = part.hand_over(context) || pending;
+    });
+    return output;
+}
+
+auto Control::leave() -> ControlOutput {
+    ControlOutput output;
+    membership.self.state = static_cast<int>(MemberState::dead);
+    for (auto const& member : membership.alive_members(false))
+        if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, Probe{0, {membership.self, membership.self, membership.self}}});
+    return output;
+}
+
+auto Control::digest(std::string const& body, std::uint64_t number) -> ControlOutput {
+    ControlOutput output;
+    for (auto const& member : membership.alive_members(false))
+        if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, BurdenDigest{number, body}});
+    return output;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/control.hpp
@@ -0,0 +1,120 @@
+#pragma once
+// One node's control side whole: membership, parts, news and operator calls.
+// docs/design.md sections 4 to 8.
+#include <array>
+
+#include "process/machine/membership.hpp"
+#include "process/machine/part.hpp"
+
+namespace dockrock {
+
+inline constexpr auto part_names = std::to_array<std::string_view>({"configuration", "service-0", "service-1", "service-2", "resting"});
+inline constexpr auto part_count = part_names.size();
+inline constexpr auto configuration_part = 0;
+inline constexpr auto resting_part = 4;
+inline constexpr auto service_parts = 3;
+
+// The part that holds a service, by hash of its name (design 5).
+inline auto part_of_service(std::string_view service) -> int { return 1 + static_cast<int>(hash_text(service) % service_parts); }
+
+struct ControlSettings {
+    std::string control_address;
+    std::string http_address;
+    std::string area;
+    std::vector<std::string> seeds;
+    bool core = false;
+    std::size_t core_count = 4;
+};
+
+struct NewsTimes {
+    Microseconds hold_limit = 300 * one_millisecond;
+    Microseconds ask_limit = 500 * one_millisecond;
+    Microseconds proof_limit = 1'500 * one_millisecond;   // older: no new entry is granted
+    Microseconds shed_limit = 4 * one_second;             // older: tickets are shed at once
+    Microseconds list_interval = 300 * one_millisecond;
+    Microseconds list_fallback = 1'200 * one_millisecond;
+    Microseconds call_limit = 4 * one_second;
+    Microseconds call_unsent_limit = 2'500 * one_millisecond;
+    Microseconds call_resend = 700 * one_millisecond;
+};
+
+// What a node holds of a part as news (design 8).
+struct PartNews {
+    Record record;
+    Copy copy;
+    Microseconds proven_at = -3'600 * one_second;
+    std::uint64_t live_number = 0;
+    std::string live;
+    Microseconds live_at = -3'600 * one_second;
+    std::uint64_t ask_token = 0;
+    Microseconds asked_at = 0;
+    std::string asked_whom;
+    int unanswered = 0;
+};
+
+struct ControlOutput {
+    AddressedMessages sends;
+    std::vector<Save> saves;
+    std::vector<CallDone> results;                             // for calls made at this node
+    std::vector<std::pair<std::string, BurdenDigest>> digests;  // from other admitting nodes
+    bool news = false;                                         // something a snapshot is made of changed
+};
+
+struct Control {
+    ControlSettings settings;
+    NewsTimes times;
+    Random random;
+    Membership membership;
+    std::array<Part, part_count> parts;
+    std::array<PartNews, part_count> news;
+    struct WaitingAsk {
+        std::string address;
+        NewsAsk ask;
+        Microseconds since = 0;
+    };
+    std::vector<WaitingAsk> waiting_asks;
+    struct PendingCall {
+        Call call;
+        Microseconds since = 0;
+        Microseconds sent_at = 0;
+        int outstanding = 0;  // sends whose fate is not known
+        std::uint64_t local_token = 0;
+    };
+    std::map<std::uint64_t, PendingCall> calls;
+    Microseconds blank_since = 0;
+    Microseconds last_list_read = -3'600 * one_second;
+    Microseconds last_forming = 0;
+    std::vector<IdentifiedMessage> loopback;
+
+    auto start(ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
+               std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
+    auto tick(Microseconds now) -> ControlOutput;
+    auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message) -> ControlOutput;
+    auto saved(Microseconds now, std::uint64_t token, bool ok) -> ControlOutput;
+    auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
+    auto list_read(Microseconds now, std::string const& text) -> ControlOutput;
+    auto wants_list(Microseconds now) const -> bool;
+    auto digest(std::string const& body, std::uint64_t number) -> ControlOutput;
+
+    auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
+    auto leave() -> ControlOutput;
+    auto owns(int part, Microseconds now) const -> bool { return parts[static_cast<std::size_t>(part)].licensed(membership.self.identity, now); }
+    auto proof_age(int part, Microseconds now) const -> Microseconds { return now - news[static_cast<std::size_t>(part)].proven_at; }
+    auto knows_fleet() const -> bool;
+    auto best_record(int part) const -> Record const&;
+
+   private:
+    auto with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void;
+    auto deliver(Microseconds now, std::string const& from, std::string const& address, Message const& message, ControlOutput& output) -> void;
+    auto drain(Context& context, ControlOutput& output) -> void;
+    auto publish(Microseconds now, ControlOutput& output) -> void;
+    auto ask_news(Microseconds now, ControlOutput& output) -> void;
+    auto answer_news(Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
+    auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
+    auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output) -> void;
+    auto tick_calls(Microseconds now, ControlOutput& output) -> void;
+    auto form(Microseconds now, Context& context) -> void;
+};
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/membership.cpp
@@ -0,0 +1,195 @@
+#include "process/machine/membership.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr auto state_alive = static_cast<int>(MemberState::alive);
+constexpr auto state_suspect = static_cast<int>(MemberState::suspect);
+constexpr auto state_dead = static_cast<int>(MemberState::dead);
+}  // namespace
+
+auto Membership::find(std::string const& identity) const -> Member const* {
+    if (identity == self.identity) return &self;
+    auto const found = known.find(identity);
+    return found == known.end() ? nullptr : &found->second.member;
+}
+
+auto Membership::alive(std::string const& identity) const -> bool {
+    auto const* member = find(identity);
+    return member != nullptr && member->state == state_alive;
+}
+
+auto Membership::address_of(std::string const& identity) const -> std::string {
+    auto const* member = find(identity);
+    return member == nullptr ? "" : member->control_address;
+}
+
+auto Membership::alive_members(bool core_only) const -> std::vector<Member> {
+    std::vector<Member> members;
+    if (!core_only || self.core) members.push_back(self);
+    for (auto const& [identity, entry] : known)
+        if (entry.member.state == state_alive && (!core_only || entry.member.core)) members.push_back(entry.member);
+    return members;
+}
+
+auto Membership::heard_from(std::string const& identity, Microseconds now) -> void {
+    auto const found = known.find(identity);
+    if (found == known.end()) return;
+    auto& entry = found->second;
+    if (entry.member.state == state_suspect) {  // our own ears outrank a rumour of suspicion
+        entry.member.state = state_alive;
+        entry.changed_at = now;
+    }
+    for (auto place = pending.begin(); place != pending.end();)
+        place = place->second.identity == identity ? pending.erase(place) : std::next(place);
+}
+
+auto Membership::learn(Member const& told, Microseconds now) -> void {
+    if (told.identity.empty()) return;
+    if (told.identity == self.identity) {
+        if (told.state != state_alive && told.incarnation >= self.incarnation) self.incarnation = told.incarnation + 1;
+        return;
+    }
+    auto [place, fresh] = known.try_emplace(told.identity);
+    auto& entry = place->second;
+    auto const newer = fresh || told.incarnation > entry.member.incarnation ||
+                       (told.incarnation == entry.member.incarnation && told.state > entry.member.state);
+    if (newer) {
+        entry = KnownMember{told, now, 0};
+        remembered_addresses[told.control_address] = told.area;
+    }
+    if (!newer || told.state != state_alive) return;
+    for (auto& [identity, other] : known) {  // a node that came back under a new identity
+        if (identity == told.identity || other.member.control_address != told.control_address) continue;
+        if (other.member.state == state_dead || other.member.incarnation > told.incarnation) continue;
+        other.member.state = state_dead;
+        other.changed_at = now;
+        other.times_told = 0;
+    }
+}
+
+auto Membership::rumours(std::size_t most) -> std::vector<Member> {
+    std::vector<KnownMember*> entries;
+    for (auto& [identity, entry] : known) entries.push_back(&entry);
+    std::stable_sort(entries.begin(), entries.end(), [](auto* left, auto* right) { return left->times_told < right->times_told; });
+    std::vector<Member> told{self};
+    for (auto* entry : entries) {
+        if (told.size() > most) break;
+        ++entry->times_told;
+        told.push_back(entry->member);
+    }
+    return told;
+}
+
+auto Membership::everyone() const -> std::vector<Member> {
+    std::vector<Member> told{self};
+    for (auto const& [identity, entry] : known) told.push_back(entry.member);
+    return told;
+}
+
+auto Membership::judge_pending(Microseconds now, Random& random, AddressedMessages& out) -> void {
+    for (auto place = pending.begin(); place != pending.end();) {
+        auto& [token, waiting] = *place;
+        auto const found = known.find(waiting.identity);
+        if (found == known.end() || found->second.member.state == state_dead) {
+            place = pending.erase(place);
+            continue;
+        }
+        if (!waiting.asked_others && now - waiting.sent_at > times.probe_limit) {
+            waiting.asked_others = true;
+            auto helpers = alive_members(false);
+            std::erase_if(helpers, [&](auto const& member) { return member.identity == self.identity || member.identity == waiting.identity; });
+            for (auto count = 0; count < 2 && !helpers.empty(); ++count) {
+                auto const chosen = random.below(helpers.size());
+                out.push_back({helpers[chosen].control_address, ProbeFor{token, found->second.member.control_address}});
+                helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(chosen));
+            }
+        }
+        if (now - waiting.sent_at > 3 * times.probe_limit) {
+            if (found->second.member.state == state_alive) {
+                found->second.member.state = state_suspect;
+                found->second.changed_at = now;
+                found->second.times_told = 0;
+            }
+            place = pending.erase(place);
+            continue;
+        }
+        ++place;
+    }
+}
+
+auto Membership::tick(Microseconds now, Random& random, AddressedMessages& out) -> void {
+    if (last_tick != 0 && now - last_tick > times.frozen_gap) {
+        // We were frozen: our own timers accuse nobody (design 4).
+        pending.clear();
+        relayed.clear();
+        for (auto& [identity, entry] : known)
+            if (entry.member.state == state_suspect) entry.changed_at = now;
+    }
+    last_tick = now;
+    judge_pending(now, random, out);
+    for (auto place = known.begin(); place != known.end();) {
+        auto& entry = place->second;
+        if (entry.member.state == state_suspect && now - entry.changed_at > times.suspicion_limit) {
+            entry.member.state = state_dead;
+            entry.changed_at = now;
+            entry.times_told = 0;
+        }
+        if (entry.member.state == state_dead && now - entry.changed_at > times.forget_limit) place = known.erase(place);
+        else ++place;
+    }
+    std::erase_if(relayed, [&](auto const& item) { return now - item.second.sent_at > 4 * times.probe_limit; });
+    if (now - last_seed > (known.empty() ? one_second / 4 : 2 * one_second)) {
+        // Seeds are first contacts only; everyone met is remembered as well.
+        last_seed = now;
+        std::set<std::string> addresses(seeds.begin(), seeds.end());
+        for (auto const& [address, area] : remembered_addresses) addresses.insert(address);
+        addresses.erase(self.control_address);
+        for (auto const& member : alive_members(false)) addresses.erase(member.control_address);
+        auto count = 0;
+        for (auto const& address : addresses)
+            if (known.empty() || (random.below(addresses.size()) < 4 && ++count <= 4)) out.push_back({address, Probe{0, rumours(4)}});
+    }
+    if (now - last_probe < times.probe_interval) return;
+    last_probe = now;
+    while (!probe_order.empty() && !known.contains(probe_order.back())) probe_order.pop_back();
+    if (probe_order.empty()) {
+        for (auto const& [identity, entry] : known) probe_order.push_back(identity);
+        for (auto index = probe_order.size(); index > 1; --index) std::swap(probe_order[index - 1], probe_order[random.below(index)]);
+    }
+    if (probe_order.empty()) return;
+    auto const target = probe_order.back();
+    probe_order.pop_back();
+    auto const& member = known.at(target).member;
+    auto const token = next_token++;
+    if (member.state != state_dead) pending[token] = {target, now, false};
+    out.push_back({member.control_address, Probe{token, rumours(6)}});
+}
+
+auto Membership::on(Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void {
+    auto const stranger = !known.contains(from);
+    for (auto const& member : probe.members) learn(member, now);
+    heard_from(from, now);
+    auto const* asker = find(from);
+    auto const thinks_little = stranger || probe.members.size() < 3;
+    out.push_back({asker != nullptr ? asker->control_address : address, ProbeAnswer{probe.token, thinks_little ? everyone() : rumours(6)}});
+}
+
+auto Membership::on(ProbeAnswer const& answer, std::string const& from, std::string const&, Microseconds now, AddressedMessages& out) -> void {
+    for (auto const& member : answer.members) learn(member, now);
+    heard_from(from, now);
+    if (auto const found = relayed.find(answer.token); found != relayed.end()) {
+        out.push_back({found->second.address, ProbeAnswer{found->second.token, answer.members}});
+        relayed.erase(found);
+        return;
+    }
+    pending.erase(answer.token);
+}
+
+auto Membership::on(ProbeFor const& ask, std::string const& address, Microseconds now, AddressedMessages& out) -> void {
+    auto const token = next_token++;
+    relayed[token] = {ask.token, address, now};
+    out.push_back({ask.target, Probe{token, rumours(4)}});
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/membership.hpp
@@ -0,0 +1,71 @@
+#pragma once
+// Who is there: probes to a few others in turn, second opinions through third
+// parties, suspicion before removal. A hint only. docs/design.md section 4.
+#include <set>
+
+#include "process/machine/messages.hpp"
+
+namespace dockrock {
+
+struct AddressedMessage {
+    std::string address;
+    Message message;
+};
+using AddressedMessages = std::vector<AddressedMessage>;
+
+struct MembershipTimes {
+    Microseconds probe_interval = 300 * one_millisecond;
+    Microseconds probe_limit = 250 * one_millisecond;
+    Microseconds suspicion_limit = 1'500 * one_millisecond;
+    Microseconds forget_limit = 60 * one_second;
+    Microseconds frozen_gap = 900 * one_millisecond;
+};
+
+struct KnownMember {
+    Member member;
+    Microseconds changed_at = 0;
+    int times_told = 0;
+};
+
+struct Membership {
+    Member self;
+    std::vector<std::string> seeds;
+    MembershipTimes times;
+    std::map<std::string, KnownMember> known;  // by identity, without self
+    std::map<std::string, std::string> remembered_addresses;  // address -> area, kept when a node is forgotten
+    std::vector<std::string> probe_order;
+    struct Pending {
+        std::string identity;
+        Microseconds sent_at = 0;
+        bool asked_others = false;
+    };
+    std::map<std::uint64_t, Pending> pending;
+    struct Relayed {
+        std::uint64_t token = 0;
+        std::string address;
+        Microseconds sent_at = 0;
+    };
+    std::map<std::uint64_t, Relayed> relayed;  // probes made for others
+    std::uint64_t next_token = 1;
+    Microseconds last_tick = 0;
+    Microseconds last_probe = 0;
+    Microseconds last_seed = 0;
+
+    auto tick(Microseconds now, Random& random, AddressedMessages& out) -> void;
+    auto on(Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
+    auto on(ProbeAnswer const& answer, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
+    auto on(ProbeFor const& ask, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
+    auto heard_from(std::string const& identity, Microseconds now) -> void;
+    auto alive(std::string const& identity) const -> bool;
+    auto address_of(std::string const& identity) const -> std::string;
+    auto find(std::string const& identity) const -> Member const*;
+    auto alive_members(bool core_only) const -> std::vector<Member>;
+
+   private:
+    auto learn(Member const& told, Microseconds now) -> void;
+    auto rumours(std::size_t most) -> std::vector<Member>;
+    auto everyone() const -> std::vector<Member>;
+    auto judge_pending(Microseconds now, Random& random, AddressedMessages& out) -> void;
+};
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/part.hpp
@@ -0,0 +1,193 @@
+#pragma once
+// One part of the control state on one node: voter, pair member, owner.
+// docs/design.md section 5.
+#include <functional>
+#include <set>
+
+#include "process/machine/messages.hpp"
+
+namespace dockrock {
+
+struct PartTimes {
+    Microseconds grantor_term = 1'500 * one_millisecond;
+    Microseconds holder_term = 1'200 * one_millisecond;
+    Microseconds renew_interval = 250 * one_millisecond;
+    Microseconds silence_limit = 800 * one_millisecond;
+    Microseconds try_interval = 200 * one_millisecond;
+    Microseconds proposal_limit = 1'500 * one_millisecond;
+    Microseconds understudy_limit = 1'000 * one_millisecond;
+    Microseconds resend_interval = 400 * one_millisecond;
+    Microseconds disk_limit = 600 * one_millisecond;
+    Microseconds spare_interval = 2 * one_second;
+    Microseconds frozen_gap = 400 * one_millisecond;
+};
+
+// What is on disk for a part; nothing else survives (design 6).
+struct Votes {
+    Record decided;
+    Ballot promised;
+    Ballot accepted_ballot;
+    std::optional<Record> accepted;
+    std::uint64_t sealed = 0;  // this node takes no further part as pair member of epochs up to here
+};
+struct PartSaved {
+    int part = 0;
+    Votes votes;
+    std::optional<Copy> copy;  // only where it changed
+};
+
+struct IdentifiedMessage {
+    std::string identity;
+    Message message;
+};
+
+// Written through to the disk; `after` is sent only once it is synced.
+struct Save {
+    std::uint64_t token = 0;
+    PartSaved saved;
+    std::vector<IdentifiedMessage> after;
+    std::optional<Sequence> copy_sequence;
+};
+
+struct CallDone {
+    std::string origin;
+    std::uint64_t token = 0;
+    int status = 0;
+    std::string body;
+    std::string etag;
+};
+
+struct Context {
+    Microseconds now = 0;
+    std::string const& self;
+    Random& random;
+    std::function<std::vector<Member>()> cores;             // core members held alive (a hint)
+    std::function<bool(std::string const&)> alive;          // a hint too
+    std::vector<IdentifiedMessage> sends;
+    std::vector<Save> saves;
+    std::vector<CallDone> done;
+};
+
+// The result of trying a change on a document; status 200 changes it.
+struct ChangeResult {
+    int status = 0;
+    std::string body;
+    std::string document;
+};
+using ApplyChange = std::function<ChangeResult(Copy const& current, Call const& call)>;
+
+struct Part {
+    int index = 0;
+    std::size_t core_count = 4;
+    PartTimes times;
+    ApplyChange apply;
+    Votes votes;
+    Copy copy;                 // newest held, may be uncommitted
+    Sequence synced;           // of `copy`, what is on the disk
+    std::optional<Copy> committed;  // only on the owner, once proven
+    bool healthy = true;       // the disk answers
+    Microseconds vote_from = 0;     // a restarted voter waits out one full grant
+    Microseconds last_tick = 0;
+    std::map<std::uint64_t, std::pair<Microseconds, Save>> saving;
+
+    // voter
+    Microseconds granted_until = 0;
+    std::string granted_to;
+    // owner
+    std::map<std::string, Microseconds> grants;  // voter -> asked_at of its newest grant
+    Microseconds last_ask = 0;
+    Microseconds owner_since = 0;
+    bool in_flight = false;
+    bool sent_flight = false;
+    Copy flying;
+    Microseconds flown_at = 0;
+    Microseconds understudy_heard = 0;
+    Sequence understudy_has;
+    Microseconds last_spare = 0;
+    struct Waiter {
+        std::string origin;
+        std::uint64_t token = 0;
+        Sequence sequence;
+        std::string body;
+        Microseconds since = 0;
+    };
+    std::vector<Waiter> waiters;
+    struct Queued {
+        std::string origin;
+        std::uint64_t token = 0;
+        Call call;
+        Microseconds since = 0;
+    };
+    std::vector<Queued> queued;
+    // understudy
+    Microseconds primary_heard = 0;
+    Microseconds last_try = 0;
+    // proposer
+    struct Proposal {
+        enum class Stage : int { preparing, copying, accepting };
+        Stage stage = Stage::preparing;
+        Ballot ballot;
+        Record wanted;
+        Record value;
+        std::set<std::string> promises;
+        std::set<std::string> accepts;
+        Ballot best;
+        std::optional<Record> found;
+        Microseconds started = 0;
+        Microseconds sent = 0;
+    };
+    std::optional<Proposal> proposal;
+    std::uint64_t highest_round = 0;
+
+    auto is_owner(std::string const& self) const -> bool { return votes.decided.epoch > 0 && votes.decided.primary == self; }
+    auto licensed_until(std::string const& self) const -> Microseconds;
+    auto licensed(std::string const& self, Microseconds now) const -> bool;
+
+    auto tick(Context& context) -> void;
+    auto saved(Context& context, std::uint64_t token, bool ok) -> void;
+    auto propose(Context& context, Record wanted) -> void;
+    auto hand_over(Context& context) -> bool;  // true while there is something to hand over
+    auto call(Context& context, std::string const& origin, std::uint64_t token, Call const& asked) -> void;
+
+    auto on(Context&, std::string const& from, Prepare const&) -> void;
+    auto on(Context&, std::string const& from, Promise const&) -> void;
+    auto on(Context&, std::string const& from, Accept const&) -> void;
+    auto on(Context&, std::string const& from, Accepted const&) -> void;
+    auto on(Context&, std::string const& from, Refusal const&) -> void;
+    auto on(Context&, std::string const& from, Decided const&) -> void;
+    auto on(Context&, std::string const& from, LicenceAsk const&) -> void;
+    auto on(Context&, std::string const& from, LicenceGrant const&) -> void;
+    auto on(Context&, std::string const& from, Beat const&) -> void;
+    auto on(Context&, std::string const& from, Append const&) -> void;
+    auto on(Context&, std::string const& from, Appended const&) -> void;
+    auto on(Context&, std::string const& from, CopyOffer const&) -> void;
+    auto on(Context&, std::string const& from, CopyTaken const&) -> void;
+    auto on(Context&, std::string const& from, SpareOffer const&) -> void;
+
+    auto learn(Context& context, Record const& record) -> void;
+
+   private:
+    auto save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> void;
+    auto may_vote(Context& context, std::string const& from, std::uint64_t epoch, Record const& proof) -> bool;
+    auto disk_late(Microseconds now) const -> bool;
+    auto step_down(Context& context) -> void;
+    auto own_tick(Context& context) -> void;
+    auto pair_tick(Context& context) -> void;
+    auto proposal_tick(Context& context) -> void;
+    auto begin_copying(Context& context) -> void;
+    auto begin_accepting(Context& context) -> void;
+    auto fly(Context& context) -> void;
+    auto settle(Context& context) -> void;
+    auto take_queued(Context& context) -> void;
+    auto change(Context& context, Queued const& item) -> void;
+    auto partner_for(Context& context, std::string const& except) const -> std::string;
+    auto renewed_voters(Context& context) const -> std::vector<std::string>;
+};
+
+inline auto majority_of(std::size_t count) -> std::size_t { return count / 2 + 1; }
+inline auto blocking_of(std::size_t count) -> std::size_t { return count - majority_of(count) + 1; }
+
+}  // namespace dockrock
+
+BOOST_HANA_ADAPT_STRUCT(dockrock::Votes, decided, promised, accepted_ballot, accepted, sealed);
+BOOST_HANA_ADAPT_STRUCT(dockrock::PartSaved, part, votes, copy);
--- /dev/null
+++ b/source/process/machine/part_vote.cpp
@@ -0,0 +1,236 @@
+// Voting on who holds a part, and granting its licence. docs/design.md 5.1 to 5.3.
+#include <algorithm>
+
+#include "process/machine/part.hpp"
+
+namespace dockrock {
+
+namespace {
+auto contains(std::vector<std::string> const& list, std::string const& item) -> bool {
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+}  // namespace
+
+auto Part::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> void {
+    Save request;
+    request.token = context.random.next() | 1U;
+    request.saved.part = index;
+    request.saved.votes = votes;
+    if (with_copy) {
+        request.saved.copy = copy;
+        request.copy_sequence = copy.sequence;
+    }
+    request.after = std::move(after);
+    auto& [since, kept] = saving[request.token];
+    since = context.now;
+    kept.after = request.after;
+    kept.copy_sequence = request.copy_sequence;
+    context.saves.push_back(std::move(request));
+}
+
+auto Part::saved(Context& context, std::uint64_t token, bool ok) -> void {
+    auto const found = saving.find(token);
+    if (found == saving.end()) return;
+    auto kept = std::move(found->second.second);
+    saving.erase(found);
+    if (!ok) {  // a failed sync is final for this copy (design 6)
+        healthy = false;
+        return;
+    }
+    if (!healthy) return;
+    if (kept.copy_sequence) synced = *kept.copy_sequence;  // the disk answers in order
+    for (auto& item : kept.after) context.sends.push_back(std::move(item));
+    settle(context);
+}
+
+auto Part::disk_late(Microseconds now) const -> bool {
+    for (auto const& [token, entry] : saving)
+        if (now - entry.first > times.disk_limit) return true;
+    return false;
+}
+
+auto Part::learn(Context& context, Record const& record) -> void {
+    auto const blank = votes.decided.epoch == 0 && votes.decided.voters.empty();
+    if (record.epoch < votes.decided.epoch || record.voters.empty()) return;
+    if (record.epoch == votes.decided.epoch && !blank) return;
+    auto const was_owner = is_owner(context.self);
+    votes.decided = record;
+    votes.promised = {};
+    votes.accepted_ballot = {};
+    votes.accepted.reset();
+    proposal.reset();
+    highest_round = 0;
+    granted_until = 0;
+    grants.clear();
+    in_flight = false;
+    understudy_heard = context.now;
+    understudy_has = {};
+    primary_heard = context.now;
+    last_ask = 0;
+    if (is_owner(context.self)) {
+        if (!was_owner) owner_since = context.now;
+    } else {
+        step_down(context);
+    }
+    save(context, false, {});
+}
+
+auto Part::may_vote(Context& context, std::string const& from, std::uint64_t epoch, Record const& proof) -> bool {
+    if (proof.epoch + 1 != epoch || !healthy) return false;
+    learn(context, proof);
+    auto const refuse = [&] {
+        context.sends.push_back({from, Refusal{index, epoch, votes.promised, votes.decided}});
+        return false;
+    };
+    if (votes.decided.epoch >= epoch) return refuse();
+    if (votes.decided.voters != proof.voters || !contains(votes.decided.voters, context.self)) return false;
+    if (context.now < vote_from && votes.decided.epoch > 0) return refuse();
+    if (granted_until > context.now && granted_to != from) return refuse();
+    return true;
+}
+
+auto Part::on(Context& context, std::string const& from, Prepare const& message) -> void {
+    if (!may_vote(context, from, message.epoch, message.proof)) return;
+    if (message.ballot < votes.promised) {
+        context.sends.push_back({from, Refusal{index, message.epoch, votes.promised, votes.decided}});
+        return;
+    }
+    votes.promised = message.ballot;
+    save(context, false, {{from, Promise{index, message.epoch, message.ballot, votes.accepted_ballot, votes.accepted}}});
+}
+
+auto Part::on(Context& context, std::string const& from, Accept const& message) -> void {
+    if (!may_vote(context, from, message.epoch, message.proof)) return;
+    if (message.ballot < votes.promised || message.record.epoch != message.epoch) {
+        context.sends.push_back({from, Refusal{index, message.epoch, votes.promised, votes.decided}});
+        return;
+    }
+    votes.promised = message.ballot;
+    votes.accepted_ballot = message.ballot;
+    votes.accepted = message.record;
+    save(context, false, {{from, Accepted{index, message.epoch, message.ballot}}});
+}
+
+auto Part::on(Context& context, std::string const& from, Refusal const& message) -> void {
+    (void)from;
+    learn(context, message.decided);
+    if (message.epoch == votes.decided.epoch + 1) highest_round = std::max(highest_round, message.promised.round);
+    if (proposal && message.promised > proposal->ballot) proposal.reset();
+}
+
+auto Part::on(Context& context, std::string const&, Decided const& message) -> void { learn(context, message.record); }
+
+// A voter that accepted another record for the next epoch grants no more: so a
+// decided successor and a live licence exclude each other (design 5.3).
+auto Part::on(Context& context, std::string const& from, LicenceAsk const& message) -> void {
+    learn(context, message.record);
+    if (votes.decided.epoch > message.record.epoch) {
+        context.sends.push_back({from, Decided{index, votes.decided}});
+        return;
+    }
+    if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
+    if (votes.accepted || !contains(votes.decided.voters, context.self)) return;
+    granted_until = context.now + times.grantor_term;
+    granted_to = from;
+    context.sends.push_back({from, LicenceGrant{index, message.record.epoch, message.asked_at}});
+}
+
+auto Part::on(Context& context, std::string const& from, LicenceGrant const& message) -> void {
+    if (message.epoch != votes.decided.epoch || !is_owner(context.self) || message.asked_at > context.now) return;
+    auto& newest = grants[from];
+    newest = std::max(newest, message.asked_at);
+    settle(context);
+}
+
+auto Part::licensed_until(std::string const& self) const -> Microseconds {
+    if (!is_owner(self)) return 0;
+    std::vector<Microseconds> asked;
+    for (auto const& voter : votes.decided.voters)
+        if (auto const found = grants.find(voter); found != grants.end()) asked.push_back(found->second);
+    auto const needed = blocking_of(votes.decided.voters.size());
+    if (asked.size() < needed) return 0;
+    std::sort(asked.begin(), asked.end(), std::greater<>());
+    return asked[needed - 1] + times.holder_term;
+}
+
+auto Part::licensed(std::string const& self, Microseconds now) const -> bool {
+    return healthy && licensed_until(self) > now && !disk_late(now);
+}
+
+// ---- proposing the next record (design 5.2) ----
+
+auto Part::propose(Context& context, Record wanted) -> void {
+    highest_round = std::max(highest_round, votes.promised.round) + 1;
+    Proposal fresh;
+    fresh.ballot = Ballot{highest_round, context.self};
+    wanted.epoch = votes.decided.epoch + 1;
+    fresh.wanted = std::move(wanted);
+    fresh.started = fresh.sent = context.now;
+    proposal = std::move(fresh);
+    for (auto const& voter : votes.decided.voters)
+        context.sends.push_back({voter, Prepare{index, votes.decided.epoch + 1, proposal->ballot, votes.decided}});
+}
+
+auto Part::on(Context& context, std::string const& from, Promise const& message) -> void {
+    if (!proposal || proposal->stage != Proposal::Stage::preparing || message.ballot != proposal->ballot) return;
+    if (message.epoch != votes.decided.epoch + 1 || !contains(votes.decided.voters, from)) return;
+    proposal->promises.insert(from);
+    if (message.accepted && (!proposal->found || message.accepted_ballot > proposal->best)) {
+        proposal->found = message.accepted;
+        proposal->best = message.accepted_ballot;
+    }
+    if (proposal->promises.size() < majority_of(votes.decided.voters.size())) return;
+    if (proposal->found) {
+        proposal->value = *proposal->found;
+        begin_accepting(context);
+    } else {
+        proposal->value = proposal->wanted;
+        begin_copying(context);
+    }
+}
+
+// The old epoch is sealed on disk before the successor's partner gets its
+// copy: nothing can be acknowledged that the new pair does not hold.
+auto Part::begin_copying(Context& context) -> void {
+    if (votes.decided.epoch == 0) return begin_accepting(context);
+    proposal->stage = Proposal::Stage::copying;
+    votes.sealed = std::max(votes.sealed, votes.decided.epoch);
+    save(context, true, {{proposal->value.understudy, CopyOffer{index, votes.decided.epoch, proposal->ballot, copy}}});
+}
+
+auto Part::on(Context& context, std::string const& from, CopyOffer const& message) -> void {
+    if (!healthy || message.epoch < votes.decided.epoch) return;
+    if (message.epoch == votes.decided.epoch) votes.sealed = std::max(votes.sealed, message.epoch);
+    if (proposal && proposal->ballot.node != from) proposal.reset();
+    copy = message.copy;
+    save(context, true, {{from, CopyTaken{index, message.epoch, message.ballot}}});
+}
+
+auto Part::on(Context& context, std::string const& from, CopyTaken const& message) -> void {
+    if (!proposal || proposal->stage != Proposal::Stage::copying || message.ballot != proposal->ballot) return;
+    if (message.epoch != votes.decided.epoch || from != proposal->value.understudy) return;
+    begin_accepting(context);
+}
+
+auto Part::begin_accepting(Context& context) -> void {
+    proposal->stage = Proposal::Stage::accepting;
+    proposal->sent = context.now;
+    for (auto const& voter : votes.decided.voters)
+        context.sends.push_back({voter, Accept{index, votes.decided.epoch + 1, proposal->ballot, proposal->value, votes.decided}});
+}
+
+auto Part::on(Context& context, std::string const& from, Accepted const& message) -> void {
+    if (!proposal || proposal->stage != Proposal::Stage::accepting || message.ballot != proposal->ballot) return;
+    if (message.epoch != votes.decided.epoch + 1 || !contains(votes.decided.voters, from)) return;
+    proposal->accepts.insert(from);
+    if (proposal->accepts.size() < majority_of(votes.decided.voters.size())) return;
+    auto const record = proposal->value;
+    std::set<std::string> told(votes.decided.voters.begin(), votes.decided.voters.end());
+    told.insert(record.voters.begin(), record.voters.end());
+    told.insert(record.understudy);
+    learn(context, record);
+    for (auto const& identity : told)
+        if (identity != context.self) context.sends.push_back({identity, Decided{index, record}});
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/rollout.hpp
@@ -0,0 +1,26 @@
+#pragma once
+// Naming new weights to replicas in waves. docs/design.md section 11.
+#include "process/machine/messages.hpp"
+
+namespace dockrock {
+
+struct RolloutReplica {
+    std::string name;
+    std::string weights;
+    bool changing = false;
+    bool drain = false;
+};
+struct Rollout {
+    std::string target;
+    Microseconds wave_at = 0;
+    std::map<std::string, Microseconds> ordered;  // name -> when last ordered
+
+    // Names of the replicas to order now. At most a third at once; the next
+    // wave begins when this one is done, or after four seconds.
+    auto step(std::string const& wanted, std::vector<RolloutReplica> const& replicas, Microseconds now) -> std::vector<std::string>;
+};
+
+inline constexpr Microseconds wave_limit = 4 * one_second;
+inline constexpr Microseconds reorder_interval = 2 * one_second;
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/words.hpp
@@ -0,0 +1,38 @@
+#pragma once
+// Words shared by all machines. docs/design.md section 2.
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dockrock {
+
+using Microseconds = std::int64_t;  // times are whole microseconds everywhere
+
+inline constexpr Microseconds one_millisecond = 1'000;
+inline constexpr Microseconds one_second = 1'000'000;
+
+// A small counting generator: the shell seeds it from the system, the
+// simulator from its seed (design 2).
+struct Random {
+    std::uint64_t state = 1;
+    auto next() -> std::uint64_t {
+        state += 0x9e3779b97f4a7c15ULL;
+        auto mixed = state;
+        mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+        return mixed ^ (mixed >> 31);
+    }
+    auto below(std::uint64_t limit) -> std::uint64_t { return limit == 0 ? 0 : next() % limit; }
+};
+
+inline auto hash_text(std::string_view text, std::uint64_t seed = 0xcbf29ce484222325ULL) -> std::uint64_t {
+    auto value = seed;
+    for (auto character : text) value = (value ^ static_cast<unsigned char>(character)) * 0x100000001b3ULL;
+    value ^= value >> 32;
+    return value * 0x9e3779b97f4a7c15ULL;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/node.cpp
@@ -0,0 +1,325 @@
+// Starting, ticking and driving the machines. docs/design.md sections 2, 13, 14.
+#include "process/node.hpp"
+
+#include <random>
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+
+namespace dockrock {
+
+namespace {
+
+auto fresh_identity() -> std::string {
+    auto device = std::random_device();
+    auto const number = (static_cast<std::uint64_t>(device()) << 32U) ^ device();
+    std::string text;
+    for (auto shift = 60; shift >= 0; shift -= 4) text.push_back("0123456789abcdef"[(number >> shift) & 15U]);
+    return text;
+}
+
+auto apply_configuration(Copy const& current, Call const& call) -> ChangeResult {
+    (void)current;
+    if (call.body.size() > configuration_limit) return {413, R"({"error":"the configuration is larger than 1048576 bytes"})", ""};
+    auto const checked = check_configuration(call.body);
+    if (!checked.problems.empty()) return {400, json::serialize(fields("error", "the configuration has errors; nothing was changed", "problems", write_problems(checked.problems))), ""};
+    return {200, "", call.body};
+}
+
+// A service part's document: the weights named for each service.
+auto apply_service(Copy const& current, Call const& call) -> ChangeResult {
+    auto document = json::object{};
+    if (auto const parsed = parse_json(current.document); parsed && parsed->is_object()) document = parsed->as_object();
+    auto const change = parse_json(call.body);
+    if (!change || !change->is_object()) return {400, R"({"error":"not a JSON object"})", ""};
+    for (auto const& item : change->as_object()) document[item.key()] = item.value();
+    return {200, "", json::serialize(document)};
+}
+
+}  // namespace
+
+auto Node::start() -> leaf::result<void> {
+    started_at = clock_now();
+    auto const core = !settings.data_folder.empty();
+    auto identity = fresh_identity();
+    auto incarnation = std::uint64_t{1};
+    auto had_state = false;
+    if (core) {
+        auto const result = storage.open(settings.data_folder);
+        if (result == LoadResult::failed) return leaf::new_error(StartFailure{"cannot open the data folder"});
+        if (result == LoadResult::damaged) write_log(Level::failure, "disk-damaged", fields("effect", "a new identity; copies are fetched anew"));
+        if (result == LoadResult::loaded) {
+            identity = storage.state.identity;
+            incarnation = storage.state.incarnation + 1;
+            had_state = true;
+        }
+        if (!storage.begin(identity, incarnation)) return leaf::new_error(StartFailure{"cannot write the data folder"});
+    } else {
+        incarnation = static_cast<std::uint64_t>(started_at);
+    }
+    auto const given = ControlSettings{settings.control_address, settings.http_address, settings.area, settings.seeds, core, static_cast<std::size_t>(settings.core_count)};
+    auto device = std::random_device();
+    control.start(given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts, had_state, started_at);
+    for (auto index = std::size_t{0}; index < part_count; ++index) control.parts[index].apply = index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
+    granting.options = {};
+    next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
+    proven_at = started_at - 3'600 * one_second;
+    auto empty = std::make_shared<Snapshot>();
+    empty->rules = std::make_shared<Rules>();
+    snapshot = empty;
+    parallelism = std::make_unique<tbb::global_control>(tbb::global_control::max_allowed_parallelism, static_cast<std::size_t>(settings.workers) + 1);
+    control_work = std::make_unique<tbb::flow::function_node<Work>>(graph, tbb::flow::serial, [](Work const& work) { work(); });
+    ticket_work = std::make_unique<tbb::flow::function_node<Work>>(graph, tbb::flow::unlimited, [](Work const& work) { work(); });
+    auto const endpoint = endpoint_of(settings.http_address);
+    boost::system::error_code failure;
+    acceptor = std::make_unique<tcp::acceptor>(context);
+    acceptor->open(endpoint->protocol(), failure);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), failure);
+    acceptor->bind(*endpoint, failure);
+    if (!failure) acceptor->listen(1024, failure);
+    if (failure) return leaf::new_error(StartFailure{"cannot listen on " + settings.http_address + ": " + failure.message()});
+    auto const problem = transport.start(settings.control_address, settings.fleet, [this](Frame&& frame) {
+        auto message = read_message(frame.body);
+        if (!message) {
+            ++transport.malformed;
+            return;
+        }
+        in_control([this, frame = std::move(frame), message = std::move(*message)] {
+            act_on(control.receive(clock_now(), frame.sender, frame.sender_address, message));
+        });
+    });
+    if (!problem.empty()) return leaf::new_error(StartFailure{"cannot listen on " + settings.control_address + ": " + problem});
+    if (core) disk_thread = std::thread([this] { run_disk(); });
+    write_log(Level::information, "started", fields("identity", identity, "incarnation", incarnation, "core", core, "area", settings.area, "had_state", had_state));
+    return {};
+}
+
+// The disk's own thread: a stalled disk stops acknowledging, never serving.
+auto Node::run_disk() -> void {
+    while (true) {
+        std::vector<Save> batch;
+        {
+            auto guard = std::unique_lock(disk_lock);
+            disk_signal.wait(guard, [&] { return disk_stop || !disk_queue.empty(); });
+            if (disk_queue.empty()) return;
+            batch.swap(disk_queue);
+        }
+        std::vector<PartSaved> saves;
+        for (auto const& save : batch) saves.push_back(save.saved);
+        auto const good = storage.write(saves);
+        counters.saves += batch.size();
+        ++counters.save_batches;
+        if (!good && !disk_failed.exchange(true)) write_log(Level::failure, "disk-failed", fields("effect", "this copy is given up; the node goes on serving tickets"));
+        in_control([this, good, batch = std::move(batch)] {
+            for (auto const& save : batch) act_on(control.saved(clock_now(), save.token, good));
+        });
+    }
+}
+
+auto Node::act_on(ControlOutput output) -> void {
+    auto const now = clock_now();
+    for (auto const& send : output.sends) {
+        auto const frame = Frame{settings.fleet, control.membership.self.identity, settings.control_address, control.membership.self.incarnation, write_message(send.message)};
+        transport.send(send.address, pack_frame(frame), now);
+    }
+    if (!output.saves.empty()) {
+        auto const guard = std::lock_guard(disk_lock);
+        for (auto& save : output.saves) disk_queue.push_back(std::move(save));
+        disk_signal.notify_one();
+    }
+    for (auto& result : output.results) {
+        auto const found = call_waiters.find(result.token);
+        if (found == call_waiters.end()) continue;
+        auto waiter = std::move(found->second);
+        call_waiters.erase(found);
+        waiter(std::move(result));
+    }
+    if (!output.digests.empty()) {
+        auto const guard = std::lock_guard(granting_lock);
+        for (auto const& [node, digest] : output.digests) granting.burden.take_digest(node, digest.number, digest.body, now);
+    }
+    proven_at = control.news[configuration_part].proven_at;
+    if (output.news) publish_snapshot();
+}
+
+auto Node::publish_snapshot() -> void {
+    auto const old = snapshot.load();
+    auto fresh = std::make_shared<Snapshot>();
+    auto const& configuration = control.news[configuration_part];
+    fresh->rules = old->rules->sequence == configuration.copy.sequence ? old->rules : compile_rules(configuration.copy.sequence, configuration.copy.document);
+    fresh->list = old->list;
+    if (!configuration.live.empty()) {
+        if (auto const parsed = parse_json(configuration.live)) {
+            ReplicaList list;
+            Problems problems;
+            read_json(*parsed, list, "", problems);
+            if (problems.empty()) fresh->list = std::move(list);
+        }
+    }
+    for (auto const& model : fresh->rules->checked.configuration.models) fresh->target_weights[model.name] = model.weights;
+    for (auto part = 1; part <= service_parts; ++part) {
+        auto const parsed = parse_json(control.news[static_cast<std::size_t>(part)].copy.document);
+        if (!parsed || !parsed->is_object()) continue;
+        for (auto const& item : parsed->as_object())
+            if (item.value().is_string()) fresh->target_weights[std::string(item.key())] = std::string(item.value().as_string());
+    }
+    if (auto const parsed = parse_json(control.news[resting_part].copy.document); parsed && parsed->is_object())
+        if (auto const* names = parsed->as_object().if_contains("resting"); names != nullptr && names->is_array())
+            for (auto const& name : names->as_array())
+                if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
+    resting_now = fresh->resting.contains(control.membership.self.identity) && !stopping;
+    if (fresh->rules != old->rules) write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
+    snapshot = fresh;
+    auto const guard = std::lock_guard(granting_lock);
+    granting.burden.take_list(fresh->list);
+    granting.buffer_length = static_cast<std::size_t>(fresh->rules->checked.configuration.limits.buffer_length);
+    granting.store_address = fresh->list.store ? fresh->list.store->address : "";
+    run_match(clock_now());
+}
+
+auto Node::tick_control() -> void {
+    auto const now = clock_now();
+    act_on(control.tick(now));
+    tick_waiting = false;
+}
+
+auto Node::tick_loop() -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    auto last_digest = Microseconds{0};
+    while (!finished) {
+        auto const quiet = resting_now.load();
+        timer.expires_after(std::chrono::milliseconds(quiet ? 200 : 25));
+        co_await timer.async_wait(use_tuple);
+        ++counters.wakeups;
+        if (!tick_waiting.exchange(true)) in_control([this] { tick_control(); });
+        auto const now = clock_now();
+        auto guard = std::unique_lock(granting_lock);
+        if (granting.waiting_count() > 0) run_match(now);
+        auto const due = now - last_digest >= granting.options.digest_interval && now - last_ticket < 12 * one_second;
+        if (!due) continue;
+        last_digest = now;
+        auto body = granting.burden.make_digest(now);
+        auto const number = static_cast<std::uint64_t>(now);
+        guard.unlock();
+        in_control([this, body = std::move(body), number] { act_on(control.digest(body, number)); });
+    }
+}
+
+auto Node::make_call(Call call, std::function<void(CallDone)> done) -> void {
+    ++counters.calls;
+    in_control([this, call = std::move(call), done = std::move(done)] {
+        auto const token = control.random.next() | 1U;
+        call_waiters[token] = done;
+        act_on(control.call(clock_now(), token, call));
+    });
+}
+
+auto Node::ready(Microseconds now) const -> bool {
+    auto const current = snapshot.load();
+    return !stopping && !resting_now && proof_age(now) < proof_limit && !current->rules->mappings.empty() && !current->list.replicas.empty();
+}
+
+auto Node::run_match(Microseconds now) -> void {
+    Decisions decisions;
+    granting.match(now, proof_age(now), decisions);
+    dispatch(decisions);
+}
+
+auto Node::dispatch(Decisions& decisions) -> void {
+    auto const wake = [](std::shared_ptr<Slot> const& slot) {
+        asio::post(slot->signal.get_executor(), [slot] {
+            slot->ready = true;
+            slot->signal.cancel();
+        });
+    };
+    for (auto& placement : decisions.placements) {
+        auto const found = slots.find(placement.ticket);
+        if (found == slots.end()) {
+            granting.burden.release(placement.replica, placement.ticket);
+            continue;
+        }
+        found->second->placement = placement;
+        wake(found->second);
+    }
+    for (auto& shed : decisions.sheds) {
+        auto const found = slots.find(shed.ticket);
+        if (found == slots.end()) continue;
+        found->second->shed = shed;
+        wake(found->second);
+    }
+    decisions = {};
+}
+
+auto Node::remember_identity(std::string const& identity) -> bool {
+    if (!seen_identities.insert(identity).second) return false;
+    seen_order.push_back(identity);
+    if (seen_order.size() > 100'000) {
+        seen_identities.erase(seen_order.front());
+        seen_order.pop_front();
+    }
+    return true;
+}
+
+auto Node::run() -> int {
+    auto signals = asio::signal_set(context, SIGTERM, SIGINT);
+    std::function<void()> wait_signal = [&] {
+        signals.async_wait([&](auto failure, int) {
+            if (failure) return;
+            if (stopping.exchange(true)) std::_Exit(1);  // a second signal: at once
+            asio::co_spawn(context, stop_politely(), asio::detached);
+            wait_signal();
+        });
+    };
+    wait_signal();
+    asio::co_spawn(asio::make_strand(context), tick_loop(), asio::detached);
+    asio::co_spawn(asio::make_strand(context), list_loop(), asio::detached);
+    asio::co_spawn(asio::make_strand(context), report_manager(), asio::detached);
+    asio::co_spawn(asio::make_strand(context), order_loop(), asio::detached);
+    asio::co_spawn(asio::make_strand(context), accept_loop(), asio::detached);
+    for (auto count = std::int64_t{0}; count < settings.workers; ++count) threads.emplace_back([this] { context.run(); });
+    for (auto& thread : threads) thread.join();
+    graph.wait_for_all();
+    transport.stop();
+    graph.wait_for_all();
+    if (disk_thread.joinable()) {
+        {
+            auto const guard = std::lock_guard(disk_lock);
+            disk_stop = true;
+            disk_signal.notify_one();
+        }
+        disk_thread.join();
+    }
+    graph.wait_for_all();
+    storage.close();
+    write_log(Level::information, "stopped");
+    return 0;
+}
+
+// Not ready, duties handed over, streams finished, then out (design 13).
+auto Node::stop_politely() -> awaitable<void> {
+    write_log(Level::information, "stopping", fields("open_tickets", open_tickets.load()));
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    auto const limit = clock_now() + settings.stop_limit_milliseconds * one_millisecond;
+    auto duties = std::make_shared<std::atomic<bool>>(true);
+    auto const handing_limit = std::min(limit, clock_now() + 3 * one_second);
+    while (clock_now() < limit) {
+        if (duties->load()) {
+            in_control([this, duties, handing_limit] {
+                auto pending = false;
+                if (clock_now() < handing_limit) act_on(control.hand_over(clock_now(), pending));
+                *duties = pending;
+            });
+        }
+        timer.expires_after(std::chrono::milliseconds(50));
+        co_await timer.async_wait(use_tuple);
+        if (!duties->load() && open_tickets == 0) break;
+    }
+    if (open_tickets > 0) write_log(Level::warning, "stop-limit-reached", fields("open_tickets", open_tickets.load()));
+    in_control([this] { act_on(control.leave()); });
+    timer.expires_after(std::chrono::milliseconds(100));
+    co_await timer.async_wait(use_tuple);
+    finished = true;
+    context.stop();
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/node.hpp
@@ -0,0 +1,120 @@
+#pragma once
+// The shell round the machines of one node. docs/design.md sections 2 and 14.
+#include <tbb/flow_graph.h>
+#include <tbb/global_control.h>
+
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <condition_variable>
+#include <set>
+
+#include "connection/http_client.hpp"
+#include "process/machine/control.hpp"
+#include "process/machine/rollout.hpp"
+#include "process/settings.hpp"
+#include "process/storage.hpp"
+#include "process/transport.hpp"
+#include "sequence/rules.hpp"
+#include "ticket/granting.hpp"
+
+namespace dockrock {
+
+namespace leaf = boost::leaf;
+
+// What tickets are read against: swapped whole (design 14).
+struct Snapshot {
+    std::shared_ptr<Rules const> rules;
+    ReplicaList list;
+    std::map<std::string, std::string> target_weights;
+    std::set<std::string> resting;
+};
+using SnapshotPointer = std::shared_ptr<Snapshot const>;
+
+// A ticket's place while it waits for a replica.
+struct Slot {
+    asio::steady_timer signal;
+    bool ready = false;
+    std::optional<Placement> placement;
+    std::optional<Shed> shed;
+    explicit Slot(asio::any_io_executor const& executor) : signal(executor, asio::steady_timer::time_point::max()) {}
+};
+
+struct Counters {
+    std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0}, tries{0}, did_not_run{0}, connect_failures{0};
+    std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
+    std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0}, save_batches{0};
+};
+
+struct Node {
+    NodeSettings settings;
+    asio::io_context context;
+    Storage storage;
+    Transport transport;
+    Control control;                   // touched only inside control_work
+    std::atomic<Microseconds> proven_at{0};
+    std::atomic<SnapshotPointer> snapshot;
+    Counters counters;
+    std::mutex granting_lock;          // lock order: granting_lock, then nothing (design 14)
+    Granting granting;
+    std::map<std::uint64_t, std::shared_ptr<Slot>> slots;  // under granting_lock
+    std::set<std::string> seen_identities;                 // run-once tickets of this node, under granting_lock
+    std::deque<std::string> seen_order;
+    std::atomic<std::uint64_t> next_ticket{1};
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> finished{false};
+    std::atomic<bool> resting_now{false};
+    std::atomic<bool> disk_failed{false};
+    std::atomic<int> open_tickets{0};
+    std::atomic<Microseconds> last_ticket{0};
+    std::atomic<bool> tick_waiting{false};
+    Microseconds started_at = 0;
+    std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;  // inside control_work
+    std::map<std::string, Rollout> rollouts;                              // inside control_work
+    std::mutex report_lock;
+    std::map<std::string, ReplicaReport> reports;                         // under report_lock
+
+    std::unique_ptr<tbb::global_control> parallelism;
+    tbb::flow::graph graph;
+    using Work = std::function<void()>;
+    std::unique_ptr<tbb::flow::function_node<Work>> control_work;   // serial: the control machines
+    std::unique_ptr<tbb::flow::function_node<Work>> ticket_work;    // unlimited: interpreting, matching
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::vector<std::thread> threads;
+    std::thread disk_thread;
+    std::mutex disk_lock;
+    std::condition_variable disk_signal;
+    std::vector<Save> disk_queue;
+    bool disk_stop = false;
+
+    auto start() -> leaf::result<void>;
+    auto run() -> int;
+    auto in_control(Work work) -> void { control_work->try_put(std::move(work)); }
+    auto act_on(ControlOutput output) -> void;
+    auto publish_snapshot() -> void;
+    auto tick_control() -> void;
+    auto make_call(Call call, std::function<void(CallDone)> done) -> void;
+    auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
+    auto ready(Microseconds now) const -> bool;
+    auto run_match(Microseconds now) -> void;                       // granting_lock held
+    auto dispatch(Decisions& decisions) -> void;                    // granting_lock held
+    auto remember_identity(std::string const& identity) -> bool;    // false: seen before
+
+    auto run_disk() -> void;
+    auto tick_loop() -> awaitable<void>;
+    auto list_loop() -> awaitable<void>;
+    auto report_loop(std::string name) -> awaitable<void>;
+    auto report_manager() -> awaitable<void>;
+    auto order_loop() -> awaitable<void>;
+    auto accept_loop() -> awaitable<void>;
+    auto stop_politely() -> awaitable<void>;
+    auto metrics_text(Microseconds now) -> std::string;
+
+    std::set<std::string> report_loops;  // on the context's strand of report_manager
+    std::mutex loops_lock;
+};
+
+struct StartFailure {
+    std::string what;
+};
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/node_polls.cpp
@@ -0,0 +1,156 @@
+// What a node reads of the back ends, and the orders an owner gives them.
+// docs/design.md sections 8.4, 9.3 and 11.
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+
+auto pause(std::int64_t milliseconds) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::milliseconds(milliseconds));
+    co_await timer.async_wait(use_tuple);
+}
+
+auto is_list(std::string const& text) -> bool {
+    auto const parsed = parse_json(text);
+    if (!parsed) return false;
+    ReplicaList list;
+    Problems problems;
+    read_json(*parsed, list, "", problems);
+    return problems.empty();
+}
+
+}  // namespace
+
+auto Node::list_loop() -> awaitable<void> {
+    if (settings.platform_address.empty()) co_return;
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    auto wanted = std::make_shared<std::atomic<bool>>(false);
+    while (!finished) {
+        co_await pause(100);
+        if (!wanted->load()) {
+            in_control([this, wanted] { *wanted = control.wants_list(clock_now()); });
+            continue;
+        }
+        *wanted = false;
+        auto const answer = co_await connection.call(settings.platform_address, {http::verb::get, "/replicas"}, 800 * one_millisecond);
+        if (answer.status != 200 || !is_list(answer.body)) {  // what can't be read is kept as it was
+            ++counters.list_failures;
+            continue;
+        }
+        ++counters.list_reads;
+        in_control([this, text = answer.body] { act_on(control.list_read(clock_now(), text)); });
+    }
+}
+
+auto Node::report_manager() -> awaitable<void> {
+    while (!finished) {
+        auto const current = snapshot.load();
+        for (auto const& entry : current->list.replicas) {
+            auto const guard = std::lock_guard(loops_lock);
+            if (report_loops.insert(entry.name).second) asio::co_spawn(asio::make_strand(context), report_loop(entry.name), asio::detached);
+        }
+        co_await pause(resting_now ? 500 : 100);
+    }
+}
+
+auto Node::report_loop(std::string name) -> awaitable<void> {
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    auto next_event = std::uint64_t{0};
+    auto incarnation = std::string{};
+    auto address = std::string{};
+    while (!finished) {
+        auto const current = snapshot.load();
+        auto const entry = std::find_if(current->list.replicas.begin(), current->list.replicas.end(), [&](auto const& item) { return item.name == name; });
+        if (entry == current->list.replicas.end()) break;
+        if (entry->address != address) {
+            connection.close();
+            address = entry->address;
+        }
+        auto const asked_at = clock_now();
+        auto const answer = co_await connection.call(address, {http::verb::get, "/report?after=" + std::to_string(next_event)}, one_second);
+        auto const parsed = answer.status == 200 ? parse_json(answer.body) : std::nullopt;
+        ReplicaReport report;
+        Problems problems;
+        if (parsed) read_json(*parsed, report, "", problems);
+        if (parsed && problems.empty()) {
+            if (report.incarnation != incarnation && !incarnation.empty() && next_event > 0) {  // restarted: its events begin anew
+                next_event = 0;
+                incarnation = report.incarnation;
+                continue;
+            }
+            incarnation = report.incarnation;
+            next_event = report.next_event;
+            {
+                auto const guard = std::lock_guard(report_lock);
+                reports[name] = report;
+            }
+            auto const guard = std::lock_guard(granting_lock);
+            granting.burden.take_report(name, report, asked_at);
+            if (granting.waiting_count() > 0) run_match(clock_now());
+        } else if (answer.status == 0 && !answer.sent) {
+            auto const guard = std::lock_guard(granting_lock);
+            granting.burden.report_failed(name, clock_now());
+        }
+        auto const busy = clock_now() - last_ticket < 10 * one_second;
+        co_await pause(resting_now ? 2'000 : busy ? 250 : 1'000);
+    }
+    auto const guard = std::lock_guard(loops_lock);
+    report_loops.erase(name);
+}
+
+// Orders come from the licensed owner of the service's part alone, and carry
+// its epoch as the fence (design 11).
+auto Node::order_loop() -> awaitable<void> {
+    struct Order {
+        std::string replica;
+        std::string address;
+        std::string weights;
+        std::string model;
+        std::uint64_t fence = 0;
+        int part = 0;
+    };
+    while (!finished) {
+        co_await pause(200);
+        auto orders = std::make_shared<std::vector<Order>>();
+        auto done = std::make_shared<std::atomic<bool>>(false);
+        in_control([this, orders, done] {
+            auto const now = clock_now();
+            auto const current = snapshot.load();
+            for (auto const& [model, target] : current->target_weights) {
+                auto const part = part_of_service(model);
+                if (!control.owns(part, now) || control.proof_age(part, now) > one_second) {
+                    rollouts.erase(model);
+                    continue;
+                }
+                std::vector<RolloutReplica> replicas;
+                {
+                    auto const guard = std::lock_guard(report_lock);
+                    for (auto const& entry : current->list.replicas)
+                        if (auto const found = reports.find(entry.name); entry.model == model && found != reports.end())
+                            replicas.push_back({entry.name, found->second.weights, found->second.changing, entry.drain});
+                }
+                for (auto const& name : rollouts[model].step(target, replicas, now))
+                    for (auto const& entry : current->list.replicas)
+                        if (entry.name == name) orders->push_back({name, entry.address, target, model, control.best_record(part).epoch, part});
+            }
+            *done = true;
+        });
+        for (auto count = 0; !done->load() && count < 50; ++count) co_await pause(20);
+        if (!done->load()) continue;
+        for (auto const& order : *orders) {
+            auto licensed = std::make_shared<std::atomic<int>>(-1);
+            in_control([this, licensed, order] { *licensed = control.owns(order.part, clock_now()) && control.best_record(order.part).epoch == order.fence ? 1 : 0; });
+            for (auto count = 0; licensed->load() < 0 && count < 50; ++count) co_await pause(5);
+            if (licensed->load() != 1) continue;
+            ++counters.orders;
+            auto const body = json::serialize(fields("weights", order.weights, "fence", order.fence, "holder", settings.control_address));
+            auto const answer = co_await http_call(order.address, {http::verb::post, "/weights", body}, 500 * one_millisecond);
+            write_log(Level::information, "weights-ordered", fields("replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
+        }
+    }
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/storage.hpp
@@ -0,0 +1,42 @@
+#pragma once
+// The node's disk: two slots written in turn, a short log between.
+// docs/design.md section 6.
+#include <array>
+#include <filesystem>
+
+#include "process/machine/part.hpp"
+
+namespace dockrock {
+
+struct StoredState {
+    std::string identity;
+    std::uint64_t incarnation = 0;
+    std::vector<PartSaved> parts;
+};
+
+enum class LoadResult : int { fresh, loaded, damaged, failed };
+
+struct Storage {
+    std::filesystem::path folder;
+    StoredState state;
+    std::uint64_t generation = 0;
+    int log_descriptor = -1;
+    std::size_t log_size = 0;
+    bool broken = false;  // a write or sync failed: never written again
+
+    auto open(std::filesystem::path const& where) -> LoadResult;
+    auto begin(std::string const& identity, std::uint64_t incarnation) -> bool;
+    auto write(std::vector<PartSaved> const& batch) -> bool;
+    auto close() -> void;
+
+   private:
+    auto apply(PartSaved const& saved) -> void;
+    auto write_slot() -> bool;
+    auto open_log(bool truncate) -> bool;
+};
+
+inline constexpr auto log_limit = std::size_t{1} << 20U;
+
+}  // namespace dockrock
+
+BOOST_HANA_ADAPT_STRUCT(dockrock::StoredState, identity, incarnation, parts);
--- /dev/null
+++ b/source/sequence/configuration.hpp
@@ -0,0 +1,93 @@
+#pragma once
+// The operator's tree: groups and tenants that inherit walls, rank, share and
+// keys. Checked whole. docs/design.md section 7.
+#include "process/machine/reading.hpp"
+
+namespace dockrock {
+
+struct Key {
+    std::string identity;
+    std::string sha256;
+};
+// Every setting may be left out; it is then taken from the branch above.
+struct TenantBranch {
+    std::string name;
+    std::optional<std::string> wall;
+    std::optional<int> rank;
+    std::optional<int> share;
+    std::optional<std::vector<Key>> keys;
+    std::optional<std::vector<std::string>> models;
+};
+struct GroupBranch {
+    std::string name;
+    std::optional<std::string> wall;
+    std::optional<int> rank;
+    std::optional<int> share;
+    std::optional<std::vector<Key>> keys;
+    std::optional<std::vector<std::string>> models;
+    std::vector<GroupBranch> groups;
+    std::vector<TenantBranch> tenants;
+};
+struct ModelEntry {
+    std::string name;
+    std::string weights;  // the first weights; later ones are named through the service's part
+};
+struct KindEntry {
+    std::string name;
+    std::int64_t deadline_milliseconds = 10'000;
+};
+struct MappingEntry {
+    std::string path;
+    std::string to;  // "models" or "application"
+};
+struct Limits {
+    std::int64_t body_bytes = 262'144;
+    std::int64_t prefix_parts = 64;
+    std::int64_t max_tokens = 8'192;
+    std::int64_t buffer_length = 256;
+};
+struct Configuration {
+    std::vector<ModelEntry> models;
+    std::vector<KindEntry> kinds;
+    std::vector<MappingEntry> mappings;
+    Limits limits;
+    GroupBranch root;
+};
+
+enum class Wall : int { shared, group, isolated };
+
+// A tenant with all it inherits.
+struct Tenant {
+    std::string path;
+    std::string name;
+    Wall wall = Wall::shared;
+    std::string wall_domain;  // prefix memory is shared only within one domain
+    int rank = 0;
+    int share = 1;
+    std::vector<Key> keys;
+    std::string keys_from;    // path of the branch that sets them
+    std::vector<std::string> models;
+};
+
+struct CheckedConfiguration {
+    Configuration configuration;
+    std::vector<Tenant> tenants;
+    Problems problems;
+};
+
+inline constexpr auto configuration_limit = std::size_t{1} << 20U;
+
+auto check_configuration(std::string_view text) -> CheckedConfiguration;
+auto sha256_of(std::string_view text) -> std::string;
+auto equal_in_constant_time(std::string_view left, std::string_view right) -> bool;
+
+}  // namespace dockrock
+
+BOOST_HANA_ADAPT_STRUCT(dockrock::Key, identity, sha256);
+BOOST_HANA_ADAPT_STRUCT(dockrock::TenantBranch, name, wall, rank, share, keys, models);
+BOOST_HANA_ADAPT_STRUCT(dockrock::GroupBranch, name, wall, rank, share, keys, models, groups, tenants);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ModelEntry, name, weights);
+BOOST_HANA_ADAPT_STRUCT(dockrock::KindEntry, name, deadline_milliseconds);
+BOOST_HANA_ADAPT_STRUCT(dockrock::MappingEntry, path, to);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Limits, body_bytes, prefix_parts, max_tokens, buffer_length);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Configuration, models, kinds, mappings, limits, root);
--- /dev/null
+++ b/source/sequence/rules.hpp
@@ -0,0 +1,38 @@
+#pragma once
+// Rules compiled from one sequence of the configuration, and the snapshot that
+// tickets are read against. docs/design.md section 9.1.
+#include <array>
+#include <memory>
+
+#include "process/machine/messages.hpp"
+#include "sequence/configuration.hpp"
+
+namespace dockrock {
+
+enum class Operation : int { method, body_limit, read_ticket, check_key, match_tenant, check_kind, check_model, check_sizes, enter_buffer, forward_application };
+inline constexpr auto operation_names = std::to_array<std::string_view>({"method", "body-limit", "read-ticket", "check-key", "match-tenant", "check-kind",
+                                                                         "check-model", "check-sizes", "enter-buffer", "forward-application"});
+
+struct Rule {
+    Operation operation;
+    std::string text;
+    std::int64_t number = 0;
+};
+struct Mapping {
+    std::string path;
+    std::vector<Rule> rules;
+};
+
+// Immutable; swapped whole when news comes.
+struct Rules {
+    Sequence sequence;
+    CheckedConfiguration checked;
+    std::vector<Mapping> mappings;  // longest path first
+    std::map<std::string, std::vector<std::size_t>> tenants_by_key;  // sha256 -> places in checked.tenants
+    std::map<std::string, std::int64_t> deadlines;                   // by kind, microseconds
+    std::set<std::string> models;
+};
+
+auto compile_rules(Sequence const& sequence, std::string_view document) -> std::shared_ptr<Rules const>;
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/ticket/burden.hpp
@@ -0,0 +1,126 @@
+#pragma once
+// Burden of the replicas, derived: own placements, digests of other admitting
+// nodes, late memory reports. docs/design.md section 9.3.
+#include <set>
+
+#include "process/machine/reading.hpp"
+#include "ticket/ticket.hpp"
+
+namespace dockrock {
+
+struct ReplicaEntry {
+    std::string name;
+    std::string address;
+    std::string model;
+    std::string area;
+    std::int64_t capacity = 1;
+    std::int64_t memory = 0;
+    bool drain = false;
+};
+struct ServiceEntry {
+    std::string address;
+};
+struct ReplicaList {
+    std::uint64_t sequence = 0;
+    std::vector<ReplicaEntry> replicas;
+    std::optional<ServiceEntry> application;
+    std::optional<ServiceEntry> store;
+};
+struct PrefixEvent {
+    std::uint64_t number = 0;
+    std::string kind;  // "kept", "dropped" or "cleared"
+    std::string chain;
+};
+struct ReplicaReport {
+    std::string incarnation;
+    std::string weights;
+    bool changing = false;
+    std::int64_t free_memory = 0;
+    std::uint64_t fence = 0;
+    std::uint64_t first_event = 0;  // number of the first event told here
+    std::uint64_t next_event = 0;
+    std::vector<PrefixEvent> events;
+};
+
+struct GrantingOptions {  // project options, not in the operator's tree (design 9.6)
+    std::int64_t multiplier = 4;
+    std::size_t depth = 20;
+    Microseconds digest_interval = 200 * one_millisecond;
+    Microseconds digest_old = one_second;
+    Microseconds digest_lost = 10 * one_second;
+    double wait_token_rate = 400.0;   // tokens that one second of waiting counts for
+    double share_bound = 2.0;
+    double rank_weight = 1.0;
+    Microseconds share_half_life = 10 * one_second;
+    Microseconds unreachable_pause = 500 * one_millisecond;
+    Microseconds empty_pool_limit = 1'500 * one_millisecond;
+    double fetch_tokens_each_second = 100'000.0;
+    double recompute_tokens_each_second = 10'000.0;
+};
+
+enum class Filter : int { available, reachable, busy, memory, capacity, weights, passed };
+inline constexpr auto filter_names = std::to_array<std::string_view>({"available", "reachable", "busy", "memory", "capacity", "weights", "passed"});
+
+struct OtherBurden {
+    std::int64_t count = 0;
+    std::int64_t slots = 0;
+    std::int64_t memory = 0;
+    std::int64_t recent = 0;  // placed in the second before the digest
+};
+
+struct ReplicaState {
+    ReplicaEntry entry;
+    struct Placed {
+        std::int64_t slots = 1;
+        std::int64_t memory = 0;
+        Microseconds at = 0;
+    };
+    std::map<std::uint64_t, Placed> placed;
+    std::vector<Microseconds> recent;  // times of own placements, last second
+    std::optional<ReplicaReport> report;
+    Microseconds reported_at = 0;  // when the report was asked for
+    Microseconds unreachable_until = 0;
+    bool unreachable = false;
+    std::set<std::uint64_t> kept;  // prefix chains, under the reported weights
+    bool kept_unsure = true;
+    std::uint64_t next_event = 0;
+};
+
+struct BurdenTable {
+    GrantingOptions options;
+    std::map<std::string, ReplicaState> replicas;
+    struct Digest {
+        std::uint64_t number = 0;
+        Microseconds at = 0;
+        std::map<std::string, OtherBurden> replicas;
+    };
+    std::map<std::string, Digest> others;
+    std::uint64_t digest_number = 0;
+
+    auto take_list(ReplicaList const& list) -> void;
+    auto take_report(std::string const& name, ReplicaReport const& report, Microseconds asked_at) -> void;
+    auto report_failed(std::string const& name, Microseconds now) -> void;
+    auto take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void;
+    auto make_digest(Microseconds now) -> std::string;
+    auto place(std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now) -> void;
+    auto release(std::string const& name, std::uint64_t ticket) -> void;
+
+    auto running(ReplicaState const& state, Microseconds now) const -> std::int64_t;
+    auto reserve(ReplicaState const& state, Microseconds now) const -> std::int64_t;
+    auto free_memory(ReplicaState const& state, Microseconds now) const -> std::int64_t;
+    auto kept_tokens(ReplicaState const& state, Ticket const& ticket) const -> std::int64_t;
+    auto check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter;
+    auto active_nodes(Microseconds now) const -> std::int64_t;
+};
+
+// One chain under one weights name; memory of other weights never matches.
+inline auto chain_text(std::uint64_t chain) -> std::string { return std::to_string(chain); }
+
+}  // namespace dockrock
+
+BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaEntry, name, address, model, area, capacity, memory, drain);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ServiceEntry, address);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaList, sequence, replicas, application, store);
+BOOST_HANA_ADAPT_STRUCT(dockrock::PrefixEvent, number, kind, chain);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaReport, incarnation, weights, changing, free_memory, fence, first_event, next_event, events);
+BOOST_HANA_ADAPT_STRUCT(dockrock::OtherBurden, count, slots, memory, recent);
--- /dev/null
+++ b/source/ticket/granting.cpp
@@ -0,0 +1,223 @@
+#include "ticket/granting.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dockrock {
+
+namespace {
+auto decayed(double amount, Microseconds age, Microseconds half_life) -> double {
+    return amount * std::exp2(-static_cast<double>(age) / static_cast<double>(half_life));
+}
+}  // namespace
+
+auto Granting::waiting_count() const -> std::size_t {
+    auto count = std::size_t{0};
+    for (auto const& [model, buffer] : buffers) count += buffer.waiting.size();
+    return count;
+}
+
+auto Granting::retry_after(ModelBuffer const& buffer) const -> std::int64_t {
+    if (buffer.drain_rate <= 0.01) return buffer.waiting.empty() ? 1 : 5;
+    auto const seconds = static_cast<double>(buffer.waiting.size()) / buffer.drain_rate;
+    return std::clamp<std::int64_t>(static_cast<std::int64_t>(std::ceil(seconds)), 1, 30);
+}
+
+auto Granting::shed(Decisions& decisions, ModelBuffer const& buffer, std::uint64_t ticket, ShedReason reason) -> void {
+    ++shed_counts[static_cast<std::size_t>(reason)];
+    decisions.sheds.push_back({ticket, reason, retry_after(buffer)});
+}
+
+auto Granting::expected_service(ModelBuffer const& buffer, Ticket const& ticket) const -> Microseconds {
+    // Half the usual time: only the hopeless are given up (design 9.5).
+    return static_cast<Microseconds>(buffer.service_each_token * static_cast<double>(ticket.body.max_tokens) * 0.5);
+}
+
+auto Granting::enter(Ticket const& ticket, Microseconds now, Decisions& decisions) -> void {
+    budget.ticket_came();
+    auto& buffer = buffers[ticket.body.model];
+    auto const expected = expected_service(buffer, ticket);
+    if (buffer.waiting.size() > options.depth && buffer.drain_rate > 0.01) {
+        auto ahead = std::size_t{0};
+        auto const mine = Waiting{ticket, now, {}};
+        for (auto const& other : buffer.waiting)
+            if (score(other, now) >= score(mine, now)) ++ahead;
+        auto const wait = static_cast<Microseconds>(static_cast<double>(ahead) / buffer.drain_rate * 1'000'000.0);
+        if (now + wait + expected > ticket.deadline) return shed(decisions, buffer, ticket.number, ShedReason::deadline);
+    }
+    if (buffer.waiting.size() >= buffer_length) {
+        auto const lowest = std::min_element(buffer.waiting.begin(), buffer.waiting.end(), [&](auto const& left, auto const& right) {
+            return std::pair(left.ticket.rank, score(left, now)) < std::pair(right.ticket.rank, score(right, now));
+        });
+        if (lowest->ticket.rank >= ticket.rank) return shed(decisions, buffer, ticket.number, ShedReason::buffer_full);
+        shed(decisions, buffer, lowest->ticket.number, ShedReason::outranked);
+        buffer.waiting.erase(lowest);
+    }
+    buffer.waiting.push_back({ticket, now, {}});
+}
+
+// Only for a ticket that is known not to have run.
+auto Granting::enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions) -> bool {
+    auto& buffer = buffers[ticket.body.model];
+    if (!budget.take()) {
+        shed(decisions, buffer, ticket.number, ShedReason::budget);
+        return false;
+    }
+    ++extra_tries;
+    buffer.waiting.push_back({ticket, ticket.arrived_at, {avoid}});
+    (void)now;
+    return true;
+}
+
+auto Granting::withdraw(std::uint64_t ticket) -> bool {
+    for (auto& [model, buffer] : buffers)
+        if (std::erase_if(buffer.waiting, [&](auto const& item) { return item.ticket.number == ticket; }) > 0) return true;
+    return false;
+}
+
+auto Granting::share_factor(std::string const& tenant, int share, Microseconds now) const -> double {
+    auto all_usage = 0.0;
+    auto all_shares = 0.0;
+    auto mine = 0.0;
+    auto counted = false;
+    for (auto const& [path, item] : usage) {
+        auto const amount = decayed(item.amount, now - item.at, options.share_half_life);
+        if (amount < 1.0 && path != tenant) continue;
+        all_usage += amount;
+        all_shares += item.share;
+        if (path == tenant) {
+            mine = amount;
+            counted = true;
+        }
+    }
+    if (!counted) all_shares += share;
+    if (all_usage < 1.0) return 1.0;
+    auto const fair = static_cast<double>(share) / all_shares;
+    auto const used = std::max(mine / all_usage, 0.001);
+    return std::clamp(fair / used, 1.0 / options.share_bound, options.share_bound);
+}
+
+// (declared + wait) / declared, the paper's ratio with max tokens as the
+// declared size; share and rank bend it within bounds (design 9.2).
+auto Granting::score(Waiting const& waiting, Microseconds now) const -> double {
+    auto const declared = static_cast<double>(std::max<std::int64_t>(1, waiting.ticket.body.max_tokens));
+    auto const wait = static_cast<double>(now - waiting.since) / 1'000'000.0 * options.wait_token_rate;
+    auto const rank = 1.0 + options.rank_weight * static_cast<double>(waiting.ticket.rank) / 9.0;
+    return (declared + wait) / declared * share_factor(waiting.ticket.tenant_path, waiting.ticket.share, now) * rank;
+}
+
+auto Granting::choose(Waiting const& waiting, Microseconds now) -> ReplicaState const* {
+    ReplicaState const* best = nullptr;
+    auto best_running = std::int64_t{0};
+    auto best_kept = std::int64_t{0};
+    auto best_hash = std::uint64_t{0};
+    for (auto const& [name, state] : burden.replicas) {
+        if (state.entry.model != waiting.ticket.body.model || waiting.avoid.contains(name)) continue;
+        auto const result = burden.check(state, waiting.ticket, now);
+        ++filtered[static_cast<std::size_t>(result)];
+        if (result != Filter::passed) continue;
+        auto const running = burden.running(state, now) + burden.reserve(state, now);
+        auto const kept = burden.kept_tokens(state, waiting.ticket);
+        auto const hash = hash_text(name, waiting.ticket.number);
+        auto better = best == nullptr;
+        if (!better) {
+            auto const left = running * best->entry.capacity;  // least busy: running over capacity
+            auto const right = best_running * state.entry.capacity;
+            better = left < right || (left == right && (kept > best_kept || (kept == best_kept && hash < best_hash)));
+        }
+        if (!better) continue;
+        best = &state;
+        best_running = running;
+        best_kept = kept;
+        best_hash = hash;
+    }
+    return best;
+}
+
+auto Granting::plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept) const -> FetchPlan {
+    FetchPlan plan;
+    for (auto const& [name, state] : burden.replicas) {
+        if (name == target.entry.name || state.entry.model != ticket.body.model || state.unreachable || !state.report) continue;
+        if (state.report->weights != target.report->weights) continue;
+        auto const there = burden.kept_tokens(state, ticket);
+        if (there > kept + plan.tokens) plan = {state.entry.address, there - kept, 0};
+    }
+    if (plan.source.empty() && !store_address.empty() && ticket.prefix_tokens > kept) plan = {store_address, ticket.prefix_tokens - kept, 0};
+    if (plan.source.empty()) return plan;
+    auto const rate = fetch_rate > 0.0 ? fetch_rate : options.fetch_tokens_each_second;
+    auto const fetch = static_cast<double>(plan.tokens) / rate;
+    auto const recompute = static_cast<double>(plan.tokens) / options.recompute_tokens_each_second;
+    if (fetch >= recompute) return {};
+    plan.limit = static_cast<Microseconds>(recompute * 1'000'000.0);
+    return plan;
+}
+
+auto Granting::match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void {
+    auto const any_replica = std::any_of(burden.replicas.begin(), burden.replicas.end(), [&](auto const& item) {
+        return item.second.entry.model == model && !item.second.entry.drain && !item.second.unreachable;
+    });
+    if (any_replica) buffer.empty_pool_since = 0;
+    else if (buffer.empty_pool_since == 0) buffer.empty_pool_since = now;
+    std::vector<std::pair<double, std::size_t>> order;
+    for (auto index = std::size_t{0}; index < buffer.waiting.size(); ++index) order.emplace_back(-score(buffer.waiting[index], now), index);
+    auto const depth = std::min(options.depth, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(depth), order.end());
+    std::set<std::uint64_t> gone;
+    for (auto place = std::size_t{0}; place < depth; ++place) {  // the bounded search of the paper
+        auto const& waiting = buffer.waiting[order[place].second];
+        auto const* found = choose(waiting, now);
+        if (found == nullptr) continue;
+        auto const& ticket = waiting.ticket;
+        auto const kept = burden.kept_tokens(*found, ticket);
+        decisions.placements.push_back({ticket.number, found->entry.name, found->entry.address, found->report->weights, found->report->incarnation, kept, plan_fetch(*found, ticket, kept)});
+        auto const memory = ticket.declared() - kept;
+        burden.place(found->entry.name, ticket, memory, now);
+        auto& used = usage[ticket.tenant_path];
+        used = {decayed(used.amount, now - used.at, options.share_half_life) + static_cast<double>(ticket.declared()), now, ticket.share};
+        ++placed_count;
+        gone.insert(ticket.number);
+    }
+    if (!gone.empty()) {
+        auto const seconds = std::max(0.001, static_cast<double>(now - buffer.drained_at) / 1'000'000.0);
+        auto const rate = static_cast<double>(gone.size()) / seconds;
+        auto const weight = std::min(1.0, seconds);
+        buffer.drain_rate = buffer.drained_at == 0 ? rate : buffer.drain_rate * (1.0 - weight) + rate * weight;
+        buffer.drained_at = now;
+    }
+    std::erase_if(buffer.waiting, [&](auto const& item) {
+        if (gone.contains(item.ticket.number)) return true;
+        if (now + expected_service(buffer, item.ticket) >= item.ticket.deadline) {
+            shed(decisions, buffer, item.ticket.number, ShedReason::deadline);
+            return true;
+        }
+        if (buffer.empty_pool_since != 0 && now - buffer.empty_pool_since > options.empty_pool_limit) {
+            shed(decisions, buffer, item.ticket.number, ShedReason::no_replica);
+            return true;
+        }
+        return false;
+    });
+}
+
+auto Granting::match(Microseconds now, Microseconds proof_age, Decisions& decisions) -> void {
+    if (proof_age > proof_shed_limit) {
+        for (auto& [model, buffer] : buffers) {
+            for (auto const& item : buffer.waiting) shed(decisions, buffer, item.ticket.number, ShedReason::not_fresh);
+            buffer.waiting.clear();
+        }
+        return;
+    }
+    if (proof_age > proof_limit) return;  // tickets wait; started answers go on
+    for (auto& [model, buffer] : buffers)
+        if (!buffer.waiting.empty()) match_model(model, buffer, now, decisions);
+}
+
+auto Granting::finished(std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered) -> void {
+    (void)now;
+    burden.release(replica, ticket.number);
+    if (!answered) return;
+    auto& buffer = buffers[ticket.body.model];
+    auto const each = static_cast<double>(service) / static_cast<double>(std::max<std::int64_t>(1, ticket.body.max_tokens));
+    buffer.service_each_token = buffer.service_each_token == 0.0 ? each : buffer.service_each_token * 0.9 + each * 0.1;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/ticket/granting.hpp
@@ -0,0 +1,102 @@
+#pragma once
+// Granting entry: the waiting buffer and the match of tickets to replicas, by
+// the design of the paper. docs/design.md section 9.
+#include <array>
+
+#include "ticket/burden.hpp"
+
+namespace dockrock {
+
+struct FetchPlan {
+    std::string source;  // address of a peer replica or of the store; empty: recompute
+    std::int64_t tokens = 0;
+    Microseconds limit = 0;
+};
+struct Placement {
+    std::uint64_t ticket = 0;
+    std::string replica;
+    std::string address;
+    std::string weights;
+    std::string incarnation;
+    std::int64_t kept_tokens = 0;
+    FetchPlan fetch;
+};
+enum class ShedReason : int { buffer_full, deadline, not_fresh, no_replica, key_gone, outranked, budget };
+inline constexpr auto shed_names = std::to_array<std::string_view>({"buffer-full", "deadline", "not-fresh", "no-replica", "key-gone", "outranked", "extra-tries-spent"});
+struct Shed {
+    std::uint64_t ticket = 0;
+    ShedReason reason = ShedReason::deadline;
+    std::int64_t retry_after = 1;  // whole seconds
+};
+struct Decisions {
+    std::vector<Placement> placements;
+    std::vector<Shed> sheds;
+};
+
+// Extra tries: a fifth of a try for each ticket, a small store (design 10.4).
+struct TryBudget {
+    double stored = 5.0;
+    double most = 10.0;
+    double each_ticket = 0.2;
+    auto ticket_came() -> void { stored = std::min(most, stored + each_ticket); }
+    auto take() -> bool {
+        if (stored < 1.0) return false;
+        stored -= 1.0;
+        return true;
+    }
+};
+
+struct Waiting {
+    Ticket ticket;
+    Microseconds since = 0;
+    std::set<std::string> avoid;  // replicas that refused it
+};
+struct ModelBuffer {
+    std::vector<Waiting> waiting;
+    double drain_rate = 0.0;  // tickets each second, while any wait
+    Microseconds drained_at = 0;
+    double service_each_token = 0.0;  // microseconds
+    Microseconds empty_pool_since = 0;
+};
+
+struct Granting {
+    GrantingOptions options;
+    BurdenTable burden;
+    std::map<std::string, ModelBuffer> buffers;
+    std::size_t buffer_length = 256;
+    TryBudget budget;
+    std::string store_address;
+    double fetch_rate = 0.0;
+    struct Usage {
+        double amount = 0.0;
+        Microseconds at = 0;
+        int share = 1;
+    };
+    std::map<std::string, Usage> usage;  // by tenant path, decayed
+    std::array<std::uint64_t, filter_names.size()> filtered{};
+    std::array<std::uint64_t, shed_names.size()> shed_counts{};
+    std::uint64_t placed_count = 0;
+    std::uint64_t extra_tries = 0;
+
+    auto enter(Ticket const& ticket, Microseconds now, Decisions& decisions) -> void;
+    auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions) -> bool;
+    auto withdraw(std::uint64_t ticket) -> bool;
+    auto match(Microseconds now, Microseconds proof_age, Decisions& decisions) -> void;
+    auto finished(std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered) -> void;
+    auto waiting_count() const -> std::size_t;
+    auto score(Waiting const& waiting, Microseconds now) const -> double;
+    auto retry_after(ModelBuffer const& buffer) const -> std::int64_t;
+    auto shed(Decisions& decisions, ModelBuffer const& buffer, std::uint64_t ticket, ShedReason reason) -> void;
+
+   private:
+    auto match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void;
+    auto choose(Waiting const& waiting, Microseconds now) -> ReplicaState const*;
+    auto plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept) const -> FetchPlan;
+    auto share_factor(std::string const& tenant, int share, Microseconds now) const -> double;
+    auto expected_service(ModelBuffer const& buffer, Ticket const& ticket) const -> Microseconds;
+};
+
+inline constexpr Microseconds proof_limit = 1'500 * one_millisecond;
+inline constexpr Microseconds proof_shed_limit = 4 * one_second;
+
+}  // namespace dockrock
