Calls are built before they are awaited: braced temporaries were destroyed twice

Cause: g++ 12 destroys aggregate temporaries inside a co_await expression twice. Ruled out: transport and flow graph (the single-threaded stand-ins crashed alike).

--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -102,7 +102,8 @@
         call = {part_of_service(service), identity, "weights", header(request, "If-Match"), json::serialize(fields(service.c_str(), *weights))};
     } else {
         auto const known = target == "/control/configuration" || target == "/control/status" || target == "/control/check" || target.starts_with("/control/changes/");
-        co_return co_await answer(request, known ? 405 : 404, fields("error", known ? "this path does not take that method" : "no such path"));
+        auto const* what = known ? "this path does not take that method" : "no such path";
+        co_return co_await answer(request, known ? 405 : 404, fields("error", what));
     }
     if (call.operation != "get" && call.identity.empty()) call.identity = "node-" + std::to_string(clock_now()) + "-" + std::to_string(node.next_ticket++);
     auto done = co_await make_node_call(call);
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -25,6 +25,15 @@
     std::string content_type = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
 };
+// A named maker: braced temporaries inside a co_await are destroyed twice by
+// the compiler we build with, so calls are made before they are awaited.
+inline auto http_ask(http::verb method, std::string target, std::string body = std::string()) -> HttpCall {
+    HttpCall call;
+    call.method = method;
+    call.target = std::move(target);
+    call.body = std::move(body);
+    return call;
+}
 struct HttpAnswer {
     int status = 0;      // 0: no answer
     std::string body;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -143,13 +143,17 @@
     auto const age = node.proof_age(clock_now());
     if (age > proof_limit) co_return co_await shed(request, "not-fresh", 1);
     if (!current->list.application) co_return co_await shed(request, "no-application", 5);
-    auto call = HttpCall{request.method(), verdict.forward_path, request.body(), std::string(request[http::field::content_type])};
+    auto call = http_ask(request.method(), verdict.forward_path, request.body());
+    call.content_type = std::string(request[http::field::content_type]);
     call.headers.emplace_back("Tenant", verdict.ticket.tenant_path);
-    auto const result = co_await http_call(current->list.application->address, std::move(call), 5 * one_second);
+    auto const address = current->list.application->address;
+    auto const result = co_await http_call(address, call, 5 * one_second);
     if (result.status == 0 && !result.sent) co_return co_await shed(request, "application-unreachable", 1);
     if (result.status == 0) co_return co_await unknown(request, "application-broke");
     ++node.counters.answered;
-    co_return co_await answer_text(request, result.status, result.body, result.content_type.empty() ? "application/octet-stream" : result.content_type);
+    auto type = result.content_type;
+    if (type.empty()) type = "application/octet-stream";
+    co_return co_await answer_text(request, result.status, result.body, type);
 }
 
 auto Session::wait_for_slot(std::shared_ptr<Slot> slot, std::uint64_t ticket) -> awaitable<bool> {
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -28,6 +28,7 @@
     if (settings.platform_address.empty()) co_return;
     auto connection = HttpConnection(co_await asio::this_coro::executor);
     auto wanted = std::make_shared<std::atomic<bool>>(false);
+    auto const listing = http_ask(http::verb::get, "/replicas");
     while (!finished) {
         co_await pause(100);
         if (!wanted->load()) {
@@ -35,7 +36,7 @@
             continue;
         }
         *wanted = false;
-        auto const answer = co_await connection.call(settings.platform_address, {http::verb::get, "/replicas"}, 800 * one_millisecond);
+        auto const answer = co_await connection.call(settings.platform_address, listing, 800 * one_millisecond);
         if (answer.status != 200 || !is_list(answer.body)) {  // what can't be read is kept as it was
             ++counters.list_failures;
             continue;
@@ -70,7 +71,8 @@
             address = entry->address;
         }
         auto const asked_at = clock_now();
-        auto const answer = co_await connection.call(address, {http::verb::get, "/report?after=" + std::to_string(next_event)}, one_second);
+        auto const ask = http_ask(http::verb::get, "/report?after=" + std::to_string(next_event));
+        auto const answer = co_await connection.call(address, ask, one_second);
         auto const parsed = answer.status == 200 ? parse_json(answer.body) : std::nullopt;
         ReplicaReport report;
         Problems problems;
@@ -147,7 +149,8 @@
             if (licensed->load() != 1) continue;
             ++counters.orders;
             auto const body = json::serialize(fields("weights", order.weights, "fence", order.fence, "holder", settings.control_address));
-            auto const answer = co_await http_call(order.address, {http::verb::post, "/weights", body}, 500 * one_millisecond);
+            auto const posted = http_ask(http::verb::post, "/weights", body);
+            auto const answer = co_await http_call(order.address, posted, 500 * one_millisecond);
             write_log(Level::information, "weights-ordered", fields("replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
         }
     }
--- a/stand_ins/stand_in_platform.cpp
+++ b/stand_ins/stand_in_platform.cpp
@@ -31,7 +31,11 @@
     }
     auto handle(tcp::socket& socket, Request const& request) -> awaitable<bool> {
         auto const target = std::string(request.target());
-        if (target == "/replicas" && request.method() == http::verb::get) co_return co_await reply(socket, request, broken ? 500 : 200, broken ? "half a list {" : current());
+        if (target == "/replicas" && request.method() == http::verb::get) {
+            auto text = current();
+            if (broken) text = "half a list {";
+            co_return co_await reply(socket, request, broken ? 500 : 200, text);
+        }
         auto const body = read_object(request.body());
         if (target == "/replicas") {
             list = body;
--- a/stand_ins/stand_in_replica.cpp
+++ b/stand_ins/stand_in_replica.cpp
@@ -135,7 +135,8 @@
     if (auto const source = text_of(body, "fetch_source"); !source.empty() && missing > 0) {
         auto const began = clock_now();
         auto const target = "/prefix?chain=" + std::to_string(chain.empty() ? 0 : chain.back()) + "&tokens=" + std::to_string(missing) + "&weights=" + weights;
-        auto const answer = co_await http_call(source, {http::verb::get, target}, number_of(body, "fetch_limit_microseconds"));
+        auto const ask = http_ask(http::verb::get, target);
+        auto const answer = co_await http_call(source, ask, number_of(body, "fetch_limit_microseconds"));
         took = clock_now() - began;
         if (answer.status == 200) fetched = missing;
         missing -= fetched;
@@ -145,7 +146,7 @@
     auto held = std::int64_t{0};
     for (auto index = std::size_t{0}; index < chain.size() && index < tokens.size(); ++index) keep(chain[index], {tenant, wall, weights, tokens[index]}), held += tokens[index];
     if (!options.store.empty() && missing > 0 && !chain.empty())
-        asio::co_spawn(context, http_call(options.store, {http::verb::put, "/prefix?chain=" + std::to_string(chain.back()) + "&weights=" + weights, "kept"}, one_second), asio::detached);
+        asio::co_spawn(context, http_call(options.store, http_ask(http::verb::put, "/prefix?chain=" + std::to_string(chain.back()) + "&weights=" + weights, "kept"), one_second), asio::detached);
     auto head = http::response<http::empty_body>(http::status::ok, 11);
     head.set(http::field::content_type, "application/x-ndjson");
     head.set("Kept-Tokens", std::to_string(kept_here));
