A sealed understudy keeps silent, so the owner decides on a new pair

Cause: an understudy that had sealed its epoch for a takeover that then failed went on answering beats but could acknowledge nothing; the owner saw it as healthy and waited for ever.

--- /dev/null
+++ b/simulation/world.cpp
@@ -0,0 +1,316 @@
+#include "world.hpp"
+
+namespace dockrock::simulation {
+
+namespace {
+
+auto apply_text(Copy const&, Call const& call) -> ChangeResult {
+    if (call.body.find("bad") != std::string::npos) return {400, "bad", ""};
+    return {200, "", call.body};
+}
+
+}  // namespace
+
+World::World(WorldOptions const& given) : options(given) {
+    random.state = given.seed * 7'919 + 13;
+    for (auto index = std::size_t{0}; index < given.cores + given.edges; ++index) {
+        auto node = std::make_unique<SimulatedNode>();
+        node->core = index < given.cores;
+        node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
+        node->area = "area-" + std::to_string(index % 4);
+        node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
+        nodes.push_back(std::move(node));
+    }
+}
+
+auto World::note(std::string text) -> void {
+    trace.push_back(std::to_string(now / 1'000) + "ms " + std::move(text));
+    if (trace.size() > 4'000) trace.erase(trace.begin(), trace.begin() + 1'000);
+}
+
+auto World::violation(std::string text) -> void {
+    note("VIOLATION " + text);
+    if (violations.size() < 20) violations.push_back(std::to_string(now / 1'000) + "ms " + text);
+}
+
+auto World::at(Microseconds when, std::function<void()> work) -> void { events.push({when, next_order++, std::move(work)}); }
+
+auto World::run_until(Microseconds when) -> void {
+    while (!events.empty() && events.top().at <= when) {
+        auto event = events.top();
+        events.pop();
+        now = std::max(now, event.at);
+        event.work();
+        ++events_run;
+        check();
+    }
+    now = std::max(now, when);
+}
+
+auto World::run_until_true(std::function<bool()> const& condition, Microseconds limit) -> bool {
+    auto const end = now + limit;
+    while (now < end) {
+        if (condition()) return true;
+        run_until(now + 50 * one_millisecond);
+    }
+    return condition();
+}
+
+auto World::index_of(std::string const& address) const -> std::size_t {
+    for (auto index = std::size_t{0}; index < nodes.size(); ++index)
+        if (nodes[index]->address == address) return index;
+    return nodes.size();
+}
+
+auto World::on_node(std::size_t index, std::uint64_t life, std::function<void()> work) -> void {
+    auto& node = *nodes[index];
+    if (!node.running || node.life != life) return;
+    if (node.frozen_until > now) node.held.push_back(std::move(work));
+    else work();
+}
+
+auto World::act(std::size_t index, ControlOutput output) -> void {
+    auto& node = *nodes[index];
+    auto const identity = node.control.membership.self.identity;
+    for (auto& send : output.sends) {
+        auto const target = index_of(send.address);
+        if (target >= nodes.size() || cuts.contains({index, target})) continue;
+        if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
+        auto delay = static_cast<Microseconds>(200 + random.below(2'500));
+        if (random.below(100) == 0) delay += static_cast<Microseconds>(random.below(200'000));
+        auto const life = nodes[target]->life;
+        at(now + delay, [this, index, target, life, identity, message = std::move(send.message), from = node.address] {
+            if (cuts.contains({index, target})) return;
+            on_node(target, life, [this, target, identity, message, from] {
+                act(target, nodes[target]->control.receive(local(*nodes[target]), identity, from, message));
+            });
+        });
+    }
+    for (auto& save : output.saves) node.unsynced.push_back(std::move(save));
+    if (!node.unsynced.empty()) work_disk(index);
+    for (auto& result : output.results) {
+        auto const found = call_results.find(result.token);
+        if (found == call_results.end()) continue;
+        auto done = std::move(found->second);
+        call_results.erase(found);
+        done(std::move(result));
+    }
+}
+
+auto World::work_disk(std::size_t index) -> void {
+    auto& node = *nodes[index];
+    if (node.disk_busy || node.unsynced.empty() || node.disk.mode == DiskMode::stalled) return;
+    node.disk_busy = true;
+    auto delay = static_cast<Microseconds>(500 + random.below(4'000));
+    if (node.disk.mode == DiskMode::slow) delay += static_cast<Microseconds>(50'000 + random.below(400'000));
+    at(now + delay, [this, index, life = node.life] {
+        auto& later = *nodes[index];
+        if (!later.running || later.life != life) return;
+        later.disk_busy = false;
+        if (later.disk.mode == DiskMode::stalled) return;
+        if (later.disk.mode == DiskMode::full) later.disk.broken = true;
+        auto batch = std::move(later.unsynced);
+        later.unsynced.clear();
+        auto const good = !later.disk.broken;
+        for (auto const& save : batch) {
+            if (!good) break;
+            auto const found = std::find_if(later.disk.synced.begin(), later.disk.synced.end(), [&](auto const& part) { return part.part == save.saved.part; });
+            if (found == later.disk.synced.end()) later.disk.synced.push_back(save.saved);
+            else {
+                found->votes = save.saved.votes;
+                if (save.saved.copy) found->copy = save.saved.copy;
+            }
+        }
+        for (auto const& save : batch)
+            on_node(index, life, [this, index, good, token = save.token] { act(index, nodes[index]->control.saved(local(*nodes[index]), token, good)); });
+        work_disk(index);
+    });
+}
+
+auto World::start(std::size_t index) -> void {
+    auto& node = *nodes[index];
+    if (node.running) return;
+    node.running = true;
+    ++node.life;
+    node.unsynced.clear();
+    node.disk_busy = false;
+    node.held.clear();
+    node.frozen_until = 0;
+    node.newest_seen = {};
+    node.disk.broken = false;
+    auto const had_state = node.core && !node.disk.identity.empty();
+    auto identity = had_state ? node.disk.identity : "id-" + std::to_string(index) + "-" + std::to_string(random.below(1'000'000'000));
+    auto const incarnation = had_state ? node.disk.incarnation + 1 : static_cast<std::uint64_t>(now + 1);
+    if (node.core) {
+        node.disk.identity = identity;
+        node.disk.incarnation = incarnation;
+    }
+    ControlSettings settings;
+    settings.control_address = node.address;
+    settings.area = node.area;
+    settings.core = node.core;
+    settings.core_count = options.cores;
+    for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed) settings.seeds.push_back(nodes[seed]->address);
+    node.control = Control{};
+    node.control.start(settings, identity, incarnation, random.next(), node.core ? node.disk.synced : std::vector<PartSaved>{}, had_state, local(node));
+    for (auto& part : node.control.parts) part.apply = apply_text;
+    note("start " + node.address + " " + identity);
+    tick(index, node.life);
+}
+
+auto World::tick(std::size_t index, std::uint64_t life) -> void {
+    auto const& node = *nodes[index];
+    if (!node.running || node.life != life) return;
+    if (node.frozen_until <= now) act(index, nodes[index]->control.tick(local(node)));
+    auto const next = node.frozen_until > now ? node.frozen_until + 1 : now + 25'000 + static_cast<Microseconds>(random.below(5'000));
+    at(next, [this, index, life] { tick(index, life); });
+}
+
+auto World::kill(std::size_t index, bool wipe) -> void {
+    auto& node = *nodes[index];
+    node.running = false;
+    node.unsynced.clear();  // what was not synced is lost
+    if (wipe) node.disk = {};
+    note(std::string(wipe ? "kill and wipe " : "kill ") + node.address);
+}
+
+auto World::freeze(std::size_t index, Microseconds length) -> void {
+    auto& node = *nodes[index];
+    if (!node.running || node.frozen_until > now) return;
+    node.frozen_until = now + length;
+    note("freeze " + node.address + " for " + std::to_string(length / 1'000) + "ms");
+    at(node.frozen_until, [this, index, life = node.life] {
+        auto& later = *nodes[index];
+        if (!later.running || later.life != life) return;
+        auto held = std::move(later.held);
+        later.held.clear();
+        for (auto& work : held) work();
+    });
+}
+
+auto World::isolate(std::size_t index) -> void { split({index}); }
+
+auto World::split(std::vector<std::size_t> const& side) -> void {
+    auto const inside = [&](std::size_t index) { return std::find(side.begin(), side.end(), index) != side.end(); };
+    for (auto from = std::size_t{0}; from < nodes.size(); ++from)
+        for (auto to = std::size_t{0}; to < nodes.size(); ++to)
+            if (inside(from) != inside(to)) cuts.insert({from, to});
+    note("split of " + std::to_string(side.size()));
+}
+
+auto World::heal() -> void {
+    cuts.clear();
+    note("heal");
+}
+
+auto World::owner(int part) -> std::optional<std::size_t> {
+    for (auto index = std::size_t{0}; index < nodes.size(); ++index)
+        if (nodes[index]->running && nodes[index]->frozen_until <= now && nodes[index]->control.owns(part, local(*nodes[index]))) return index;
+    return std::nullopt;
+}
+
+// Every part has a licensed owner, a synced pair, and voters that all live.
+auto World::settled() -> bool {
+    for (auto part = 0; part < static_cast<int>(part_count); ++part) {
+        auto const holder = owner(part);
+        if (!holder) return false;
+        auto const& machine = nodes[*holder]->control.parts[static_cast<std::size_t>(part)];
+        if (!machine.committed || machine.in_flight || machine.proposal || machine.understudy_has < machine.committed->sequence) return false;
+        for (auto const& voter : machine.votes.decided.voters) {
+            auto const lives = std::any_of(nodes.begin(), nodes.end(), [&](auto const& node) {
+                return node->running && node->disk.identity == voter && node->disk.mode == DiskMode::good && !node->disk.broken &&
+                       node->control.parts[static_cast<std::size_t>(part)].votes.decided == machine.votes.decided;
+            });
+            if (!lives) return false;
+        }
+        if (machine.votes.decided.voters.size() != options.cores) return false;
+    }
+    return true;
+}
+
+auto World::describe() -> void {
+    for (auto const& node : nodes) {
+        if (!node->core) continue;
+        for (auto const& part : node->control.parts) {
+            auto const& votes = part.votes;
+            note(node->address + (node->running ? "" : " (down)") + " part " + std::to_string(part.index) + " epoch " + std::to_string(votes.decided.epoch) + " " + votes.decided.primary + "/" + votes.decided.understudy +
+                 " promised " + std::to_string(votes.promised.round) + votes.promised.node + " accepted " + (votes.accepted ? votes.accepted->primary + "/" + votes.accepted->understudy : "-") + " sealed " + std::to_string(votes.sealed) + " copy " +
+                 etag_of(part.copy.sequence) + " synced " + etag_of(part.synced) + (part.healthy ? "" : " sick") + (part.committed ? " committed" : "") + (part.in_flight ? " flying" : "") +
+                 (part.proposal ? " proposing" : "") + " round " + std::to_string(part.highest_round) + " saving " + std::to_string(part.saving.size()) + " licence " + std::to_string((part.licensed_until(node->control.membership.self.identity) - local(*node)) / 1'000) + " voters " + write_message(Decided{part.index, votes.decided}));
+        }
+    }
+}
+
+auto World::put(std::size_t index, std::string document, std::string if_match, std::string identity) -> std::size_t {
+    auto const number = changes.size();
+    if (identity.empty()) identity = "change-" + std::to_string(number);
+    changes.push_back({identity, document, now, 0, {}, 0});
+    auto const token = next_call++;
+    call_results[token] = [this, number](CallDone done) {
+        auto& change = changes[number];
+        change.status = done.status;
+        change.answered_at = now;
+        if (done.status != 200) return;
+        auto const dot = done.etag.find('.');
+        change.sequence = {std::strtoull(done.etag.c_str() + 1, nullptr, 10), std::strtoull(done.etag.c_str() + dot + 1, nullptr, 10)};
+        note("acknowledged " + change.identity + " " + done.etag);
+        for (auto const& other : changes)
+            if (other.status == 200 && other.answered_at < change.asked_at && other.sequence >= change.sequence)
+                violation("a change acknowledged later has an older sequence: " + change.identity);
+        highest_acknowledged = std::max(highest_acknowledged, change.sequence);
+    };
+    auto& node = *nodes[index];
+    on_node(index, node.life, [this, index, token, call = Call{configuration_part, identity, "put", if_match, document}] { act(index, nodes[index]->control.call(local(*nodes[index]), token, call)); });
+    return number;
+}
+
+auto World::read(std::size_t index) -> void {
+    auto const token = next_call++;
+    auto const least = highest_acknowledged;
+    call_results[token] = [this, least](CallDone done) {
+        if (done.status != 200) return;
+        ++reads_checked;
+        auto const dot = done.etag.find('.');
+        auto const got = Sequence{std::strtoull(done.etag.c_str() + 1, nullptr, 10), std::strtoull(done.etag.c_str() + dot + 1, nullptr, 10)};
+        if (got < least) violation("a read gave " + done.etag + ", older than " + etag_of(least));
+        for (auto const& change : changes)
+            if (change.document == done.body && change.status != 0 && change.status != 200 && change.status != 504 && change.answered_at < now) violation("a read gave a refused change " + change.identity);
+    };
+    auto& node = *nodes[index];
+    on_node(index, node.life, [this, index, token] { act(index, nodes[index]->control.call(local(*nodes[index]), token, Call{configuration_part, "", "get", "", ""})); });
+}
+
+auto World::check() -> void {
+    for (auto part = 0; part < static_cast<int>(part_count); ++part) {
+        auto holders = 0;
+        for (auto const& node : nodes)
+            if (node->running && node->control.owns(part, local(*node))) ++holders;
+        if (holders > 1) violation("two licensed holders of part " + std::to_string(part));
+    }
+    for (auto& node : nodes)
+        if (node->running && node->frozen_until <= now) check_node(*node);
+}
+
+auto World::check_node(SimulatedNode& node) -> void {
+    for (auto const& part : node.control.parts) {
+        if (part.votes.decided.epoch == 0) continue;
+        auto const [place, fresh] = records.emplace(std::pair(part.index, part.votes.decided.epoch), part.votes.decided);
+        if (!fresh && place->second != part.votes.decided) violation("two records decided for part " + std::to_string(part.index) + " epoch " + std::to_string(part.votes.decided.epoch));
+    }
+    auto const& item = node.control.news[configuration_part];
+    if (item.copy.sequence < node.newest_seen) violation(node.address + " went back to an older configuration");
+    if (item.copy.sequence == node.newest_seen) {
+        if (node.control.proof_age(configuration_part, local(node)) >= 1'500 * one_millisecond) return;
+        for (auto const& change : changes)  // whoever may grant entry holds what was acknowledged two seconds ago
+            if (change.status == 200 && now - change.answered_at > 2 * one_second && change.sequence > item.copy.sequence) {
+                violation(node.address + " grants entry under " + etag_of(item.copy.sequence) + " though " + change.identity + " was acknowledged over 2 s ago");
+                return;
+            }
+        return;
+    }
+    node.newest_seen = item.copy.sequence;
+    for (auto const& change : changes)
+        if (change.document == item.copy.document && change.status != 0 && change.status != 200 && change.status != 504) violation("refused change " + change.identity + " came in force");
+}
+
+}  // namespace dockrock::simulation
--- /dev/null
+++ b/simulation/world.hpp
@@ -0,0 +1,126 @@
+#pragma once
+// The deterministic simulator: the very machines of the nodes under seeded
+// time, links, disks, freezes and kills. docs/design.md section 15.
+#include <functional>
+#include <memory>
+#include <queue>
+
+#include "process/machine/control.hpp"
+
+namespace dockrock::simulation {
+
+enum class DiskMode : int { good, slow, stalled, full };
+
+struct SimulatedDisk {
+    std::string identity;
+    std::uint64_t incarnation = 0;
+    std::vector<PartSaved> synced;     // what survives a power loss
+    DiskMode mode = DiskMode::good;
+    bool broken = false;
+};
+
+struct SimulatedNode {
+    std::string address;
+    std::string area;
+    bool core = false;
+    bool running = false;
+    Microseconds frozen_until = 0;
+    Microseconds clock_offset = 0;     // every node's clock has its own zero
+    std::uint64_t life = 0;            // events of an earlier life are dropped
+    Control control;
+    SimulatedDisk disk;
+    std::vector<Save> unsynced;
+    bool disk_busy = false;
+    std::vector<std::function<void()>> held;  // what came while frozen
+    Sequence newest_seen;              // this life's, for "never back to an older one"
+};
+
+struct Change {
+    std::string identity;
+    std::string document;
+    Microseconds asked_at = 0;
+    int status = 0;                    // 0: no answer yet
+    Sequence sequence;
+    Microseconds answered_at = 0;
+};
+
+struct WorldOptions {
+    std::uint64_t seed = 1;
+    std::size_t cores = 4;
+    std::size_t edges = 3;
+    double loss = 0.01;
+    bool planted_fault_no_seal = false;      // for showing that the checks bite
+};
+
+struct World {
+    WorldOptions options;
+    Random random;
+    Microseconds now = 0;
+    std::vector<std::unique_ptr<SimulatedNode>> nodes;
+    std::set<std::pair<std::size_t, std::size_t>> cuts;   // from, to
+    struct Event {
+        Microseconds at = 0;
+        std::uint64_t order = 0;
+        std::function<void()> work;
+        auto operator>(Event const& other) const -> bool { return std::pair(at, order) > std::pair(other.at, other.order); }
+    };
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::uint64_t next_order = 0;
+    std::vector<Change> changes;
+    std::map<std::uint64_t, std::function<void(CallDone)>> call_results;
+    std::uint64_t next_call = 1;
+    std::map<std::pair<int, std::uint64_t>, Record> records;   // decided, by part and epoch
+    Sequence highest_acknowledged;
+    std::vector<std::string> violations;
+    std::vector<std::string> trace;
+    std::uint64_t events_run = 0;
+    std::uint64_t reads_checked = 0;
+
+    explicit World(WorldOptions const& given);
+    auto at(Microseconds when, std::function<void()> work) -> void;
+    auto run_until(Microseconds when) -> void;
+    auto run_until_true(std::function<bool()> const& condition, Microseconds limit) -> bool;
+
+    auto start(std::size_t index) -> void;
+    auto kill(std::size_t index, bool wipe) -> void;
+    auto freeze(std::size_t index, Microseconds length) -> void;
+    auto isolate(std::size_t index) -> void;
+    auto split(std::vector<std::size_t> const& side) -> void;
+    auto heal() -> void;
+    auto local(SimulatedNode const& node) const -> Microseconds { return now + node.clock_offset; }
+    auto owner(int part) -> std::optional<std::size_t>;
+    auto settled() -> bool;
+
+    auto put(std::size_t index, std::string document, std::string if_match, std::string identity = "") -> std::size_t;
+    auto read(std::size_t index) -> void;
+    auto note(std::string text) -> void;
+    auto describe() -> void;  // into the trace
+    auto violation(std::string text) -> void;
+
+   private:
+    auto act(std::size_t index, ControlOutput output) -> void;
+    auto on_node(std::size_t index, std::uint64_t life, std::function<void()> work) -> void;
+    auto tick(std::size_t index, std::uint64_t life) -> void;
+    auto work_disk(std::size_t index) -> void;
+    auto index_of(std::string const& address) const -> std::size_t;
+    auto check() -> void;
+    auto check_node(SimulatedNode& node) -> void;
+};
+
+// A seeded storm of faults and changes over a world; true where every
+// invariant held and the fleet served again at the end.
+struct StormResult {
+    std::vector<std::string> violations;
+    std::size_t changes = 0;
+    std::size_t acknowledged = 0;
+    std::size_t unknown = 0;
+    std::size_t refused = 0;
+    std::uint64_t events = 0;
+    std::uint64_t reads = 0;
+    std::size_t faults = 0;
+    Microseconds longest_gap = 0;   // without a licensed owner of the configuration
+    std::vector<std::string> trace;
+};
+auto run_storm(WorldOptions const& options, Microseconds length) -> StormResult;
+
+}  // namespace dockrock::simulation
--- a/source/process/machine/part_pair.cpp
+++ b/source/process/machine/part_pair.cpp
@@ -266,8 +266,10 @@
 auto Part::on(Context& context, std::string const& from, Beat const& message) -> void {
     learn(context, message.record);
     if (votes.decided != message.record || from != votes.decided.primary || !healthy || disk_late(context.now)) return;
-    if (votes.decided.understudy == context.self && votes.sealed >= votes.decided.epoch && proposal) return;
     primary_heard = context.now;
+    // A sealed understudy can acknowledge nothing more: silent, so that the
+    // owner decides on a new pair.
+    if (votes.decided.understudy == context.self && votes.sealed >= votes.decided.epoch) return;
     context.sends.push_back({from, Appended{index, votes.decided.epoch, synced}});
 }
 
