--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -179,7 +179,7 @@
         auto guard = std::unique_lock(node.granting_lock);
         auto const fresh = node.remember_identity(ticket.tenant_path + "\n" + ticket.body.identity);
         guard.unlock();
-        if (!fresh) co_return co_await answer(request, 409, fields("outcome", "shed", "error", "a ticket of this identity was taken before"));
+        if (!fresh) co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
     }
     auto again = std::string{};  // replica that said it did not run the last try
     auto charged = false;
@@ -259,7 +259,7 @@
         if (result.end == TryEnd::did_not_run) ++node.counters.did_not_run;
         if (result.end == TryEnd::not_sent) ++node.counters.connect_failures;
         if (result.end == TryEnd::unknown_before && ticket.body.run_once) co_return co_await unknown(request, result.reason);
-        if (result.reason == "seen") co_return co_await answer(request, 409, fields("outcome", "shed", "error", "a ticket of this identity was taken before"));
+        if (result.reason == "seen") co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
         again = placed->replica;
         charged = true;
     }
