The last places of a replica go to nodes by rank, one each between digests

Cause: with digests 200 ms old, up to nine admitting nodes saw the same freed place and all took it; the replica refused the rest, and each refusal cost an extra try until the budget was spent. Ruled out: stale memory reports (no refusal named memory) and slow digests (refusals came in bursts at saturation only). Also: a refusal marks the replica (busy: paused 150 ms; other weights: until its next report).

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -56,8 +56,10 @@
     def __init__(self, name, arguments, folder):
         self.name, self.arguments, self.folder = name, arguments, folder
         self.handle = None
+        self.told = False  # whether it was told to end
 
     def start(self):
+        self.told = False
         with open(self.folder / (self.name + ".out"), "ab") as output:
             self.handle = subprocess.Popen(self.arguments, stdout=output, stderr=output, cwd=self.folder)
         return self
@@ -72,6 +74,7 @@
     def end(self, number=signal.SIGKILL, limit=30):
         if self.handle is None:
             return None
+        self.told = True
         self.send(number)
         try:
             return self.handle.wait(limit)
@@ -233,6 +236,11 @@
         process = self.processes["caller-" + label]
         wait_until(lambda: not process.running(), limit, "caller " + label)
 
+    def died(self):
+        """Node processes that ended without being told to."""
+        return ["%s ended with %s" % (name, self.processes[name].handle.returncode) for name in self.names
+                if name in self.processes and not self.processes[name].running() and not self.processes[name].told]
+
     def stop(self):
         for process in self.processes.values():
             process.send(signal.SIGCONT)
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -97,7 +97,7 @@
     for name in fleet.edges + fleet.cores:
         code = fleet.processes[name].end(15, 30)
         if code != 0:
-            facts.setdefault("went_back", []).append("%s stopped with %s" % (name, code))
+            facts.setdefault("stuck", []).append("%s stopped with %s" % (name, code))
         fleet.start_node(name)
         wait_until(lambda: fleet.ready(name), 20, name + " ready")
         if name in fleet.cores:
@@ -238,6 +238,7 @@
     tree = change_tree(fleet, 7)
     fleet.put_somewhere(tree)
     for name in fleet.names:
+        fleet.processes[name].told = True
         fleet.processes[name].send(9)
     for name in fleet.names:
         fleet.processes[name].end()
@@ -298,8 +299,9 @@
         SCENARIOS[scenario](fleet, options, facts)
     except TimeoutError as stuck:
         describe(fleet)
-        facts.setdefault("went_back", []).append("stuck: %s" % stuck)
+        facts.setdefault("stuck", []).append(str(stuck))
     finally:
+        facts["died"] = fleet.died()
         fleet.stop()
     once = {kind["name"] for kind in fleet.deployment["kinds"] if kind["run_once"]}
     verdicts, records = verdict.judge(folder, once, facts)
--- a/scripts/verdict.py
+++ b/scripts/verdict.py
@@ -96,6 +96,7 @@
             highest = line["fence"]
     rule("12 one holder orders a replica; service within 12 s of total loss", backwards + [key for key, value in holders.items() if len(value) > 1] + [item for item in facts.get("back_after_loss", []) if item > 12],
          "%d orders, back after total loss: %s" % (sum(1 for lines in records.replicas.values() for line in lines if line["event"] == "order"), facts.get("back_after_loss", "not in this run")))
+    rule("no node ends by itself, none gets stuck", facts.get("died", []) + facts.get("stuck", []), "%d nodes" % facts.get("nodes", 0))
     return verdicts, records
 
 
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -250,6 +250,7 @@
             auto const now = clock_now();
             node.granting.finished(placed->replica, ticket, now - sent_at, now, result.end == TryEnd::answered);
             if (result.end == TryEnd::not_sent) node.granting.burden.report_failed(placed->replica, now);
+            if (result.end == TryEnd::did_not_run) node.granting.burden.refused(placed->replica, result.reason, now);
             if (node.granting.waiting_count() > 0) node.run_match(now);
         }
         if (result.end == TryEnd::answered) ++node.counters.answered;
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -121,6 +121,8 @@
         auto failure = boost::system::error_code{};
         if (parser.is_done()) break;
         std::tie(failure, std::ignore) = co_await http::async_read_some(stream, buffer, parser, use_tuple);
+        // An answer under way is cut by silence alone, never by its deadline.
+        stream.expires_after(std::chrono::seconds(10));
         auto const whole = reader.take(parser.get().body());
         parser.get().body().clear();
         if (!whole.empty() && !reader.wrong) {
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -61,7 +61,7 @@
     auto device = std::random_device();
     control.start(given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts, had_state, started_at);
     for (auto index = std::size_t{0}; index < part_count; ++index) control.parts[index].apply = index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
-    granting.options = {};
+    granting.burden.self = identity;
     next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
     proven_at = started_at - 3'600 * one_second;
     auto empty = std::make_shared<Snapshot>();
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -79,6 +79,7 @@
     std::map<std::string, OtherBurden> told;
     for (auto& [name, state] : replicas) {
         std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
+        state.untold = 0;
         if (state.placed.empty() && state.recent.empty()) continue;
         auto& item = told[name];
         item.count = static_cast<std::int64_t>(state.placed.size());
@@ -97,6 +98,7 @@
     state.placed[ticket.number] = {ticket.body.slots, memory, now};
     std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
     state.recent.push_back(now);
+    ++state.untold;
 }
 
 auto BurdenTable::release(std::string const& name, std::uint64_t ticket) -> void {
@@ -165,19 +167,47 @@
     return best;
 }
 
+// Running no greater than four times the capacity, as the design asks; and
+// where little is left, the last places go to nodes by their rank for this
+// replica, one each between digests, so that not all take the same place.
+auto BurdenTable::has_room(ReplicaState const& state, Microseconds now) const -> bool {
+    auto const limit = options.multiplier * state.entry.capacity;
+    auto const known = running(state, now);
+    auto const left = limit + 1 - known;
+    if (left <= 0) return false;
+    auto own = std::int64_t{0};
+    for (auto const& [number, placed] : state.placed) own += placed.slots;
+    auto const nodes = active_nodes(now);
+    if (known + reserve(state, now) > limit && own >= std::max<std::int64_t>(1, limit / nodes)) return false;
+    if (left > nodes) return true;
+    if (state.untold >= std::max<std::int64_t>(1, left / nodes)) return false;
+    auto const seed = hash_text(state.entry.name);
+    auto const mine = hash_text(self, seed);
+    auto rank = std::int64_t{0};
+    for (auto const& [node, digest] : others)
+        if (now - digest.at < options.digest_lost && !digest.replicas.empty() && hash_text(node, seed) < mine) ++rank;
+    return rank < left;
+}
+
+// A replica's own word that it did not run something, and why.
+auto BurdenTable::refused(std::string const& name, std::string_view reason, Microseconds now) -> void {
+    auto const found = replicas.find(name);
+    if (found == replicas.end()) return;
+    auto& state = found->second;
+    if (reason == "busy" || reason == "memory") state.paused_until = now + options.refused_pause;
+    if ((reason == "weights" || reason == "restarted") && state.report) {
+        state.report->changing = true;  // until it says what it serves
+        state.kept_unsure = true;
+    }
+}
+
 auto BurdenTable::check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter {
     if (state.entry.drain) return Filter::available;
     if (state.unreachable || now < state.unreachable_until) return Filter::reachable;
     if (!state.report || state.report->changing) return Filter::weights;
     if (!ticket.body.weights.empty() && ticket.body.weights != state.report->weights) return Filter::weights;
     if (state.entry.capacity < ticket.body.slots) return Filter::capacity;
-    auto const limit = options.multiplier * state.entry.capacity;
-    auto const known = running(state, now);
-    if (known > limit) return Filter::busy;
-    auto own = std::int64_t{0};
-    for (auto const& [number, placed] : state.placed) own += placed.slots;
-    auto const own_slice = std::max<std::int64_t>(1, limit / active_nodes(now));
-    if (known + reserve(state, now) > limit && own >= own_slice) return Filter::busy;
+    if (now < state.paused_until || !has_room(state, now)) return Filter::busy;
     auto const needed = ticket.declared() - kept_tokens(state, ticket);
     if (free_memory(state, now) < needed) return Filter::memory;
     return Filter::passed;
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -53,6 +53,7 @@
     double rank_weight = 1.0;
     Microseconds share_half_life = 10 * one_second;
     Microseconds unreachable_pause = 500 * one_millisecond;
+    Microseconds refused_pause = 150 * one_millisecond;
     Microseconds empty_pool_limit = 1'500 * one_millisecond;
     double fetch_tokens_each_second = 100'000.0;
     double recompute_tokens_each_second = 10'000.0;
@@ -77,6 +78,8 @@
     };
     std::map<std::uint64_t, Placed> placed;
     std::vector<Microseconds> recent;  // times of own placements, last second
+    std::int64_t untold = 0;           // own placements since the last digest
+    Microseconds paused_until = 0;     // it refused for want of room
     std::optional<ReplicaReport> report;
     Microseconds reported_at = 0;  // when the report was asked for
     Microseconds unreachable_until = 0;
@@ -88,6 +91,7 @@
 
 struct BurdenTable {
     GrantingOptions options;
+    std::string self;
     std::map<std::string, ReplicaState> replicas;
     struct Digest {
         std::uint64_t number = 0;
@@ -111,6 +115,8 @@
     auto kept_tokens(ReplicaState const& state, Ticket const& ticket) const -> std::int64_t;
     auto check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter;
     auto active_nodes(Microseconds now) const -> std::int64_t;
+    auto refused(std::string const& name, std::string_view reason, Microseconds now) -> void;
+    auto has_room(ReplicaState const& state, Microseconds now) const -> bool;
 };
 
 // One chain under one weights name; memory of other weights never matches.
--- a/stand_ins/stand_in_replica.cpp
+++ b/stand_ins/stand_in_replica.cpp
@@ -100,7 +100,7 @@
     if (!given.empty() && given != incarnation) co_return co_await refuse(socket, request, "restarted");
     if (changing || text_of(body, "weights") != weights) co_return co_await refuse(socket, request, "weights");
     if (body.contains("run_once") && body.at("run_once").as_bool() && seen.contains(identity)) co_return co_await refuse(socket, request, "seen");
-    if (queued_slots + slots > 4 * options.capacity + 1 + slots) co_return co_await refuse(socket, request, "busy");
+    if (queued_slots > 4 * options.capacity) co_return co_await refuse(socket, request, "busy");
     auto const wall = text_of(body, "wall");
     auto const tenant = text_of(body, "tenant");
     auto kept_here = std::int64_t{0};
