A ticket whose earlier try may have run is never called shed

Cause: a ticket that allows repeats entered the buffer again after a try broke before its first piece; when the deadline, the budget or a revoked key then ended it, the caller was told 'shed', though the broken try may have run. Ruled out: the run-once path (it answers unknown at once).

--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // One client connection and the tickets on it. docs/design.md sections 9.1, 10.
 #include "process/node.hpp"
+#include "ticket/answering.hpp"
 #include "ticket/interpreter.hpp"
 
 namespace dockrock {
@@ -32,7 +33,6 @@
     auto wait_for_slot(std::shared_ptr<Slot> slot, std::uint64_t ticket) -> awaitable<bool>;
 };
 
-enum class TryEnd : int { answered, did_not_run, not_sent, unknown_before, broken_after, caller_gone };
 struct TryResult {
     TryEnd end = TryEnd::unknown_before;
     std::string reason;
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -35,40 +35,6 @@
     return result;
 }
 
-// Checks the numbering of the pieces as they pass: nothing lost, nothing twice.
-struct PieceReader {
-    std::string rest;
-    std::uint64_t next = 0;
-    bool done = false;
-    bool wrong = false;
-
-    auto take(std::string_view bytes) -> std::string {
-        rest.append(bytes);
-        std::string whole;
-        for (auto end = rest.find('\n'); end != std::string::npos && !wrong && !done; end = rest.find('\n')) {
-            auto const line = rest.substr(0, end + 1);
-            rest.erase(0, end + 1);
-            auto const parsed = parse_json(line);
-            if (!parsed || !parsed->is_object()) {
-                wrong = true;
-                break;
-            }
-            auto const& object = parsed->as_object();
-            if (auto const* piece = object.if_contains("piece"); piece != nullptr) {
-                if (!piece->is_int64() || static_cast<std::uint64_t>(piece->as_int64()) != next) wrong = true;
-                else ++next;
-            } else if (auto const* count = object.if_contains("pieces"); count != nullptr) {
-                if (!count->is_int64() || static_cast<std::uint64_t>(count->as_int64()) != next) wrong = true;
-                else done = true;
-            } else {
-                wrong = true;
-            }
-            if (!wrong) whole += line;
-        }
-        return whole;
-    }
-};
-
 }  // namespace
 
 auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive) -> awaitable<TryResult> {
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -34,6 +34,7 @@
     }
     auto again = std::string{};  // replica that said it did not run the last try
     auto charged = false;
+    auto may_have_run = false;  // an earlier try broke: giving up is no longer a refusal (design 10.1)
     auto failure_reason = std::string{};
     for (auto try_number = 1;; ++try_number) {
         auto const executor = co_await asio::this_coro::executor;
@@ -62,6 +63,7 @@
             ++node.counters.callers_gone;
             co_return false;
         }
+        if (given_up && may_have_run) co_return co_await unknown(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]));
         if (given_up) co_return co_await shed(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]), given_up->retry_after);
         auto const release = [&] {
             auto const guard = std::lock_guard(node.granting_lock);
@@ -74,6 +76,7 @@
             sequence = rules->rules->sequence;
             if (later.kind != Verdict::Kind::enter) {
                 release();
+                if (may_have_run) co_return co_await unknown(request, later.reason);
                 ++node.counters.refused;
                 co_return co_await answer(request, later.status, fields("outcome", "shed", "error", later.reason));
             }
@@ -107,11 +110,13 @@
         if (result.end == TryEnd::answered) ++node.counters.answered;
         if (result.end == TryEnd::broken_after) ++node.counters.broken;
         if (result.end == TryEnd::caller_gone) ++node.counters.callers_gone;
-        if (result.end == TryEnd::answered || result.end == TryEnd::broken_after || result.end == TryEnd::caller_gone) co_return result.usable;
         if (result.end == TryEnd::did_not_run) ++node.counters.did_not_run;
         if (result.end == TryEnd::not_sent) ++node.counters.connect_failures;
-        if (result.end == TryEnd::unknown_before && ticket.body.run_once) co_return co_await unknown(request, result.reason);
-        if (result.reason == "seen") co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
+        auto const step = next_step(result.end, ticket.body.run_once, result.reason);
+        if (step == NextStep::finished) co_return result.usable;
+        if (step == NextStep::answer_unknown) co_return co_await unknown(request, result.reason);
+        if (step == NextStep::answer_seen) co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
+        may_have_run = may_have_run || result.end == TryEnd::unknown_before;
         again = placed->replica;
         charged = true;
     }
--- /dev/null
+++ b/source/ticket/answering.cpp
@@ -0,0 +1,29 @@
+#include "ticket/answering.hpp"
+
+#include "process/machine/reading.hpp"
+
+namespace dockrock {
+
+auto PieceReader::take(std::string_view bytes) -> std::string {
+    rest.append(bytes);
+    std::string whole;
+    for (auto end = rest.find('\n'); end != std::string::npos && !wrong && !done; end = rest.find('\n')) {
+        auto const line = rest.substr(0, end + 1);
+        rest.erase(0, end + 1);
+        auto const parsed = parse_json(line);
+        auto const* object = parsed && parsed->is_object() ? &parsed->as_object() : nullptr;
+        auto const* piece = object != nullptr ? object->if_contains("piece") : nullptr;
+        auto const* count = object != nullptr ? object->if_contains("pieces") : nullptr;
+        auto const* number = piece != nullptr ? piece : count;
+        if (number == nullptr || !number->is_int64() || number->as_int64() < 0 || static_cast<std::uint64_t>(number->as_int64()) != next) {
+            wrong = true;
+            break;
+        }
+        if (piece != nullptr) ++next;
+        else done = true;
+        whole += line;
+    }
+    return whole;
+}
+
+}  // namespace dockrock
