--- a/simulation/traffic.cpp
+++ b/simulation/traffic.cpp
@@ -158,7 +158,8 @@
             at(now + delay(), [this, index, life, proof, revoked, drains] {
                 on_node(index, life, [this, index, proof, revoked, drains] {
                     auto& later = *nodes[index];
-                    later.proven_at = std::max(later.proven_at, proof);
+                    if (proof < later.proven_at) return;  // overtaken: only the newest answer counts (design 8)
+                    later.proven_at = proof;
                     later.revoked = revoked;
                     later.drains = drains;
                     for (auto& [name, state] : later.granting.burden.replicas) state.entry.drain = drains.at(name);
