--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from bad_input import bad_input
 from fleet import call, wait_until
 from observe import change_tree, clock, in_force_everywhere, put_elsewhere, settled
 
@@ -212,4 +213,4 @@
         wait_until(lambda: not process.running(), 60, "caller")
 
 
-SCENARIOS = {scenario.__name__: scenario for scenario in (steady, kills, rolling, drains, revoke, weights, races, freezes, total_loss, crashes, overload, planted)}
+SCENARIOS = {scenario.__name__: scenario for scenario in (steady, kills, rolling, drains, revoke, weights, races, freezes, total_loss, crashes, overload, bad_input, planted)}
