Work passes to the flow graph under our own lock

Cause: the thread checker cannot see through the task library, which is built without it, and reported every value handed over. The work now passes under a lock of ours; the graph is given turns only.

--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -68,8 +68,8 @@
     empty->rules = std::make_shared<Rules>();
     snapshot = empty;
     parallelism = std::make_unique<tbb::global_control>(tbb::global_control::max_allowed_parallelism, static_cast<std::size_t>(settings.workers) + 1);
-    control_work = std::make_unique<tbb::flow::function_node<Work>>(graph, tbb::flow::serial, [](Work const& work) { work(); });
-    ticket_work = std::make_unique<tbb::flow::function_node<Work>>(graph, tbb::flow::unlimited, [](Work const& work) { work(); });
+    control_work.start(graph, true);
+    ticket_work.start(graph, false);
     auto const endpoint = endpoint_of(settings.http_address);
     boost::system::error_code failure;
     acceptor = std::make_unique<tcp::acceptor>(context);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -21,6 +21,41 @@
 
 namespace leaf = boost::leaf;
 
+// Work handed to a flow-graph node: the work itself passes under our own lock,
+// the graph is given the number of the turn only (design 14).
+struct WorkQueue {
+    using Work = std::function<void()>;
+    std::mutex lock;
+    std::mutex turn_lock;  // held while work of a serial queue runs
+    std::deque<Work> waiting;
+    bool serial = false;
+    std::unique_ptr<tbb::flow::function_node<int>> node;
+
+    auto start(tbb::flow::graph& graph, bool one_at_a_time) -> void {
+        serial = one_at_a_time;
+        node = std::make_unique<tbb::flow::function_node<int>>(graph, serial ? tbb::flow::serial : tbb::flow::unlimited, [this](int turn) {
+            take();
+            return turn;
+        });
+    }
+    auto put(Work work) -> void {
+        {
+            auto const guard = std::lock_guard(lock);
+            waiting.push_back(std::move(work));
+        }
+        node->try_put(0);
+    }
+    auto take() -> void {
+        auto turn = serial ? std::unique_lock(turn_lock) : std::unique_lock<std::mutex>();
+        auto guard = std::unique_lock(lock);
+        if (waiting.empty()) return;
+        auto const work = std::move(waiting.front());
+        waiting.pop_front();
+        guard.unlock();
+        work();
+    }
+};
+
 // What tickets are read against: swapped whole (design 14).
 struct Snapshot {
     std::shared_ptr<Rules const> rules;
@@ -77,9 +112,9 @@
 
     std::unique_ptr<tbb::global_control> parallelism;
     tbb::flow::graph graph;
-    using Work = std::function<void()>;
-    std::unique_ptr<tbb::flow::function_node<Work>> control_work;   // serial: the control machines
-    std::unique_ptr<tbb::flow::function_node<Work>> ticket_work;    // unlimited: interpreting, matching
+    using Work = WorkQueue::Work;
+    WorkQueue control_work;  // one at a time: the control machines
+    WorkQueue ticket_work;   // side by side: interpreting tickets
     std::unique_ptr<tcp::acceptor> acceptor;
     std::vector<std::thread> threads;
     std::thread disk_thread;
@@ -90,7 +125,7 @@
 
     auto start() -> leaf::result<void>;
     auto run() -> int;
-    auto in_control(Work work) -> void { control_work->try_put(std::move(work)); }
+    auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
     auto tick_control() -> void;
