Resting: in light traffic the fleet's own edge nodes rest, and wake before callers notice

The owner of the part 'resting' names nodes by the rates in their digests: never below one in every area and one to lose, a node at a time, woken at once; a resting node serves a ticket that comes and is awake from then.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -16,7 +16,7 @@
 
 def run(options, scenario):
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-"))
-    fleet = fleet_module.Fleet(options.deployment, folder, options.build, options.port)
+    fleet = fleet_module.Fleet(options.deployment, folder, options.build, options.port, options={"settings": {"resting": False}} if options.no_resting else None)
     facts = {"nodes": len(fleet.names)}
     try:
         fleet.start()
@@ -45,6 +45,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--build", default="build")
     parser.add_argument("--folder", default="")
+    parser.add_argument("--no-resting", action="store_true", help="nodes are never rested")
     parser.add_argument("--port", type=int, default=21000)
     options = parser.parse_args()
     names = [name for name in SCENARIOS if name != "planted"] if options.scenario == "all" else options.scenario.split(",")
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -26,6 +26,7 @@
 auto Session::run_ticket(HttpRequest const& request, Verdict verdict, Sequence sequence) -> awaitable<bool> {
     auto ticket = std::move(verdict.ticket);
     ticket.number = node.next_ticket++;
+    if (node.resting_now) node.wake();
     if (ticket.body.run_once && !ticket.body.identity.empty()) {
         auto guard = std::unique_lock(node.granting_lock);
         auto const fresh = node.remember_identity(ticket.tenant_path + "\n" + ticket.body.identity);
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -209,10 +209,11 @@
     return output;
 }
 
-auto Control::digest(std::string const& body, std::uint64_t number) -> ControlOutput {
+// Resting nodes are left alone; they get the next one once they wake.
+auto Control::digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes) -> ControlOutput {
     ControlOutput output;
     for (auto const& member : membership.alive_members(false))
-        if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, BurdenDigest{number, body}});
+        if (member.identity != membership.self.identity && !resting_nodes.contains(member.identity)) output.sends.push_back({member.control_address, BurdenDigest{number, body}});
     return output;
 }
 
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -29,6 +29,7 @@
 struct NewsTimes {
     Microseconds hold_limit = 300 * one_millisecond;
     Microseconds ask_limit = 500 * one_millisecond;
+    Microseconds resting_interval = one_second;
     Microseconds proof_limit = 1'500 * one_millisecond;   // older: no new entry is granted
     Microseconds shed_limit = 4 * one_second;             // older: tickets are shed at once
     Microseconds list_interval = 300 * one_millisecond;
@@ -86,6 +87,7 @@
     Microseconds last_list_read = -3'600 * one_second;
     Microseconds last_forming = 0;
     std::vector<IdentifiedMessage> loopback;
+    bool resting = false;  // few wakeups: only what keeps this node in the fleet (design 12)
 
     auto start(ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
                std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
@@ -95,7 +97,7 @@
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
     auto list_read(Microseconds now, std::string const& text) -> ControlOutput;
     auto wants_list(Microseconds now) const -> bool;
-    auto digest(std::string const& body, std::uint64_t number) -> ControlOutput;
+    auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes) -> ControlOutput;
 
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
--- a/source/process/machine/control_news.cpp
+++ b/source/process/machine/control_news.cpp
@@ -82,6 +82,8 @@
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto& item = news[index];
         if (owns(static_cast<int>(index), now)) continue;
+        if (resting && index != configuration_part && index != resting_part) continue;
+        if (resting && now - item.asked_at < times.resting_interval) continue;
         if (item.ask_token != 0) {
             if (now - item.asked_at < times.ask_limit) continue;
             ++item.unanswered;
@@ -104,6 +106,7 @@
 
 auto Control::wants_list(Microseconds now) const -> bool {
     if (owns(configuration_part, now)) return now - last_list_read >= times.list_interval;
+    if (resting) return false;
     return now - news[configuration_part].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
 }
 
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -167,9 +167,9 @@
         if (auto const* names = parsed->as_object().if_contains("resting"); names != nullptr && names->is_array())
             for (auto const& name : names->as_array())
                 if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
-    resting_now = fresh->resting.contains(control.membership.self.identity) && !stopping;
     if (fresh->rules != old->rules) write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
     snapshot = fresh;
+    judge_resting(clock_now());
     auto const guard = std::lock_guard(granting_lock);
     granting.burden.take_list(fresh->list);
     granting.buffer_length = static_cast<std::size_t>(fresh->rules->checked.configuration.limits.buffer_length);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -10,6 +10,7 @@
 
 #include "connection/http_client.hpp"
 #include "process/machine/control.hpp"
+#include "process/machine/resting.hpp"
 #include "process/machine/rollout.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -106,6 +107,8 @@
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;  // inside control_work
     std::array<std::uint64_t, part_count> logged_epochs{};                // inside control_work
     std::array<bool, part_count> logged_owned{};
+    Resting resting;                                                      // inside control_work
+    std::atomic<Microseconds> awake_until{0};                             // a ticket woke this node
     std::map<std::string, Rollout> rollouts;                              // inside control_work
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;                         // under report_lock
@@ -143,6 +146,10 @@
     auto report_loop(std::string name) -> awaitable<void>;
     auto report_manager() -> awaitable<void>;
     auto order_loop() -> awaitable<void>;
+    auto rest_loop() -> awaitable<void>;
+    auto step_resting() -> void;
+    auto wake() -> void;
+    auto judge_resting(Microseconds now) -> void;
     auto accept_loop() -> awaitable<void>;
     auto stop_politely() -> awaitable<void>;
     auto metrics_text(Microseconds now) -> std::string;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -97,7 +97,7 @@
             granting.burden.report_failed(name, clock_now());
         }
         auto const busy = clock_now() - last_ticket < 10 * one_second;
-        co_await pause(resting_now ? 2'000 : busy ? 250 : 1'000);
+        co_await pause(resting_now ? 5'000 : busy ? 250 : 1'000);
     }
     auto const guard = std::lock_guard(loops_lock);
     report_loops.erase(name);
--- /dev/null
+++ b/source/process/node_rest.cpp
@@ -0,0 +1,73 @@
+// The resting duty, and this node's own rest. docs/design.md section 12.
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr Microseconds awake_after_ticket = 10 * one_second;
+constexpr Microseconds unheard_limit = 5 * one_second;
+}  // namespace
+
+// Rests only while named, undisturbed, and in touch with the fleet.
+auto Node::judge_resting(Microseconds now) -> void {
+    auto const current = snapshot.load();
+    auto const named = current->resting.contains(control.membership.self.identity);
+    auto const heard = control.proof_age(resting_part, now) < unheard_limit;
+    auto const rests = named && heard && settings.resting && !stopping && now > awake_until && settings.data_folder.empty();
+    control.resting = rests;
+    control.membership.self.resting = rests;
+    if (rests == resting_now.exchange(rests)) return;
+    write_log(Level::information, rests ? "rests" : "wakes", {{"named", named}, {"heard", heard}});
+}
+
+// A ticket came to a resting node: it is served at once, on fresh news.
+auto Node::wake() -> void {
+    awake_until = clock_now() + awake_after_ticket;
+    resting_now = false;
+    in_control([this] {
+        control.resting = false;
+        for (auto& item : control.news) item.ask_token = 0;
+        tick_control();
+    });
+}
+
+auto Node::step_resting() -> void {
+    auto const now = clock_now();
+    if (!control.owns(resting_part, now) || control.proof_age(configuration_part, now) > one_second) {
+        resting.low_since = 0;
+        return;
+    }
+    std::vector<RestingNode> edges;
+    {
+        auto const guard = std::lock_guard(granting_lock);
+        for (auto const& member : control.membership.alive_members(false)) {
+            if (member.core) continue;
+            auto rate = 0.0;
+            auto const found = granting.burden.others.find(member.identity);
+            if (found != granting.burden.others.end() && now - found->second.at < 1'500 * one_millisecond)
+                for (auto const& [name, item] : found->second.replicas) rate += static_cast<double>(item.recent);
+            edges.push_back({member.identity, member.area, rate});
+        }
+    }
+    auto const wanted = resting.step(edges, snapshot.load()->resting, now);
+    if (!wanted) return;
+    json::array names;
+    for (auto const& name : *wanted) names.push_back(json::string(name));
+    write_log(Level::information, "resting-changed", {{"resting", wanted->size()}, {"edges", edges.size()}});
+    auto const body = json::serialize(fields("resting", std::move(names)));
+    make_call(Call{resting_part, "rest-" + std::to_string(now), "rest", "", body}, [](CallDone const&) {});
+}
+
+auto Node::rest_loop() -> awaitable<void> {
+    if (settings.data_folder.empty()) co_return;  // the duty lies with the core
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    while (!finished) {
+        timer.expires_after(std::chrono::milliseconds(500));
+        co_await timer.async_wait(use_tuple);
+        in_control([this] { step_resting(); });
+    }
+}
+
+}  // namespace dockrock
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -9,6 +9,7 @@
     auto const now = clock_now();
     act_on(control.tick(now));
     log_parts(now);
+    judge_resting(now);
     tick_waiting = false;
 }
 
@@ -30,7 +31,7 @@
     auto last_digest = Microseconds{0};
     while (!finished) {
         auto const quiet = resting_now.load();
-        timer.expires_after(std::chrono::milliseconds(quiet ? 200 : 25));
+        timer.expires_after(std::chrono::milliseconds(quiet ? 250 : 25));
         co_await timer.async_wait(use_tuple);
         ++counters.wakeups;
         if (!tick_waiting.exchange(true)) in_control([this] { tick_control(); });
@@ -43,7 +44,7 @@
         auto body = granting.burden.make_digest(now);
         auto const number = static_cast<std::uint64_t>(now);
         guard.unlock();
-        in_control([this, body = std::move(body), number] { act_on(control.digest(body, number)); });
+        in_control([this, body = std::move(body), number] { act_on(control.digest(body, number, snapshot.load()->resting)); });
     }
 }
 
@@ -117,6 +118,7 @@
     asio::co_spawn(asio::make_strand(context), list_loop(), asio::detached);
     asio::co_spawn(asio::make_strand(context), report_manager(), asio::detached);
     asio::co_spawn(asio::make_strand(context), order_loop(), asio::detached);
+    asio::co_spawn(asio::make_strand(context), rest_loop(), asio::detached);
     asio::co_spawn(asio::make_strand(context), accept_loop(), asio::detached);
     for (auto count = std::int64_t{0}; count < settings.workers; ++count) threads.emplace_back([this] { context.run(); });
     for (auto& thread : threads) thread.join();
