--- /dev/null
+++ b/programs/dockrock_plan.cpp
@@ -0,0 +1,72 @@
+// dockrock-plan: shows what a change would move, and changes nothing.
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "connection/http_client.hpp"
+#include "sequence/plan.hpp"
+
+namespace {
+
+using namespace dockrock;
+
+auto read_file(std::string const& path) -> std::string {
+    auto stream = std::ifstream(path, std::ios::binary);
+    if (!stream) throw std::runtime_error("cannot read " + path);
+    return std::string(std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>());
+}
+
+auto ask(std::string const& node, std::string const& key, std::string const& path) -> std::string {
+    auto call = http_ask(http::verb::get, path);
+    if (!key.empty()) call.headers.emplace_back("Authorization", "Bearer " + key);
+    auto context = asio::io_context(1);
+    auto answer = HttpAnswer();
+    asio::co_spawn(context, http_call(node, call, 8 * one_second), [&](std::exception_ptr failure, HttpAnswer result) {
+        if (!failure) answer = std::move(result);
+    });
+    context.run();
+    if (answer.status != 200) throw std::runtime_error(path + " was answered " + std::to_string(answer.status) + " " + answer.body);
+    return answer.body;
+}
+
+auto parts_of(std::string const& status) -> std::vector<PlanPart> {
+    std::vector<PlanPart> parts;
+    auto const parsed = parse_json(status);
+    if (!parsed || !parsed->is_object() || !parsed->as_object().contains("parts")) return parts;
+    for (auto const& item : parsed->as_object().at("parts").as_array()) {
+        auto const& part = item.as_object();
+        parts.push_back({std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()), std::string(part.at("understudy").as_string())});
+    }
+    return parts;
+}
+
+}  // namespace
+
+auto main(int argument_count, char** arguments) -> int {
+    auto command = TCLAP::CmdLine("dockrock-plan: shows which models, mappings, tenants, keys, walls, parts and pairs a change would move. It changes nothing.\nExit: 0 shown, 1 could not be read, 2 the proposed tree has errors.", ' ', "0.1.0");
+    auto node = TCLAP::ValueArg<std::string>("n", "node", "a node's HTTP address, asked for the tree in force and the pairs", false, "", "IP:PORT", command);
+    auto current = TCLAP::ValueArg<std::string>("", "current", "the current tree from a file, instead of a node", false, "", "FILE", command);
+    auto key = TCLAP::ValueArg<std::string>("", "key-file", "file with the operator's key", false, "", "FILE", command);
+    auto as_json = TCLAP::SwitchArg("", "json", "print the plan as JSON", command);
+    auto proposed = TCLAP::UnlabeledValueArg<std::string>("proposed", "the proposed tree", true, "", "FILE", command);
+    command.parse(argument_count, arguments);
+    try {
+        auto secret = key.isSet() ? read_file(key.getValue()) : std::string();
+        while (!secret.empty() && (secret.back() == '\n' || secret.back() == '\r')) secret.pop_back();
+        auto const after = check_configuration(read_file(proposed.getValue()));
+        for (auto const& problem : after.problems) std::cerr << problem.path << ": " << problem.what << "\n";
+        if (!after.problems.empty()) return 2;
+        if (!node.isSet() && !current.isSet()) throw std::runtime_error("give --node or --current");
+        auto const text = current.isSet() ? read_file(current.getValue()) : ask(node.getValue(), secret, "/control/configuration");
+        auto const before = text == "null" ? CheckedConfiguration() : check_configuration(text);
+        auto const parts = node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPart>();
+        auto const plan = plan_change(before, after, parts);
+        std::cout << (as_json.getValue() ? json::serialize(plan) + "\n" : plan_text(plan));
+        return 0;
+    } catch (std::exception const& failure) {
+        std::cerr << failure.what() << "\n";
+        return 1;
+    }
+}
