--- a/programs/dockrock_control.cpp
+++ b/programs/dockrock_control.cpp
@@ -46,16 +46,7 @@
 struct Client {
     std::string address;
     std::string key;
-    auto ask(HttpCall call) const -> HttpAnswer {
-        if (!key.empty()) call.headers.emplace_back("Authorization", "Bearer " + key);
-        auto context = asio::io_context(1);
-        auto answer = HttpAnswer();
-        asio::co_spawn(context, http_call(address, call, 8 * one_second), [&](std::exception_ptr failure, HttpAnswer result) {
-            if (!failure) answer = std::move(result);
-        });
-        context.run();
-        return answer;
-    }
+    auto ask(HttpCall call) const -> HttpAnswer { return http_call_and_wait(address, std::move(call), key); }
 };
 
 auto print(HttpAnswer const& answer) -> int {
--- a/programs/dockrock_plan.cpp
+++ b/programs/dockrock_plan.cpp
@@ -19,14 +19,7 @@
 }
 
 auto ask(std::string const& node, std::string const& key, std::string const& path) -> std::string {
-    auto call = http_ask(http::verb::get, path);
-    if (!key.empty()) call.headers.emplace_back("Authorization", "Bearer " + key);
-    auto context = asio::io_context(1);
-    auto answer = HttpAnswer();
-    asio::co_spawn(context, http_call(node, call, 8 * one_second), [&](std::exception_ptr failure, HttpAnswer result) {
-        if (!failure) answer = std::move(result);
-    });
-    context.run();
+    auto const answer = http_call_and_wait(node, http_ask(http::verb::get, path), key);
     if (answer.status != 200) throw std::runtime_error(path + " was answered " + std::to_string(answer.status) + " " + answer.body);
     return answer.body;
 }
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -75,4 +75,15 @@
     co_return answer;
 }
 
+auto http_call_and_wait(std::string const& address, HttpCall call, std::string const& key) -> HttpAnswer {
+    if (!key.empty()) call.headers.emplace_back("Authorization", "Bearer " + key);
+    auto context = asio::io_context(1);
+    auto answer = HttpAnswer();
+    asio::co_spawn(context, http_call(address, std::move(call), 8 * one_second), [&](std::exception_ptr failure, HttpAnswer result) {
+        if (!failure) answer = std::move(result);
+    });
+    context.run();
+    return answer;
+}
+
 }  // namespace dockrock
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -57,4 +57,7 @@
 
 auto http_call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer>;
 
+// For command lines: one call, waited for; the key goes along where given.
+auto http_call_and_wait(std::string const& address, HttpCall call, std::string const& key) -> HttpAnswer;
+
 }  // namespace dockrock
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -157,6 +157,30 @@
     CHECK(world->changes[other].status == 422);
 }
 
+TEST_CASE("no owner can be reached: 503 and nothing changed; a lost answer: 504, and its outcome is found later") {
+    for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+        auto world = formed(seed);
+        REQUIRE(put_and_wait(*world, 4, "first") == 200);
+        for (auto index = std::size_t{0}; index < 4; ++index) world->kill(index, false);
+        world->run_until(world->now + 4 * one_second);
+        auto const alone = put_and_wait(*world, 4, "nowhere");
+        CHECK((alone == 503 || alone == 504));
+        for (auto index = std::size_t{0}; index < 4; ++index) world->start(index);
+        REQUIRE(world->run_until_true([&] { return world->settled(); }, 12 * one_second));
+        auto const holder = *world->owner(configuration_part);
+        auto const lost = world->put(5, "lost answer", "", "lost-" + std::to_string(seed));
+        for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) world->cuts.insert({holder, index});  // one way: it hears, nobody hears it
+        world->run_until_true([&] { return world->changes[lost].status != 0; }, 6 * one_second);
+        world->heal();
+        world->run_until_true([&] { return world->settled(); }, 12 * one_second);
+        auto const again = world->put(6, "lost answer", "", "lost-" + std::to_string(seed));
+        world->run_until_true([&] { return world->changes[again].status != 0; }, 6 * one_second);
+        CHECK(world->changes[again].status == 200);
+        INFO((world->violations.empty() ? std::string() : world->violations.front()));
+        CHECK(world->violations.empty());
+    }
+}
+
 TEST_CASE("a blank majority does not form anew while an edge node knows the fleet") {
     for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
         auto world = formed(seed);
