--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -120,6 +120,8 @@
 
 auto Session::handle_ticket(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
+    // A node that has just started waits a little for its first configuration.
+    for (auto count = 0; count < 30 && node.snapshot.load()->rules->mappings.empty() && clock_now() - node.started_at < 4 * one_second; ++count) co_await wait_for(std::chrono::milliseconds(50));
     auto [verdict, current] = co_await interpret_now(request);
     node.last_ticket = clock_now();
     if (verdict.kind == Verdict::Kind::answer) {
