--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -148,11 +148,11 @@
     line("ready", ready(now) ? 1 : 0);
     line("disk_failed", disk_failed ? 1 : 0);
     line("proof_age_microseconds", proof_age(now));
-    auto const guard = std::lock_guard(granting_lock);
-    line("waiting_tickets", granting.waiting_count());
-    line("extra_tries_total", granting.extra_tries);
-    for (auto index = std::size_t{0}; index < filter_names.size(); ++index) line("filter_total{filter=\"" + std::string(filter_names[index]) + "\"}", granting.filtered[index]);
-    for (auto index = std::size_t{0}; index < shed_names.size(); ++index) line("shed_reason_total{reason=\"" + std::string(shed_names[index]) + "\"}", granting.shed_counts[index]);
+    auto const guard = std::lock_guard(table.lock);
+    line("waiting_tickets", table.granting.waiting_count());
+    line("extra_tries_total", table.granting.extra_tries);
+    for (auto index = std::size_t{0}; index < filter_names.size(); ++index) line("filter_total{filter=\"" + std::string(filter_names[index]) + "\"}", table.granting.filtered[index]);
+    for (auto index = std::size_t{0}; index < shed_names.size(); ++index) line("shed_reason_total{reason=\"" + std::string(shed_names[index]) + "\"}", table.granting.shed_counts[index]);
     return text;
 }
 
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -72,9 +72,9 @@
         node.counters.kept_tokens += static_cast<std::uint64_t>(std::max(0LL, number("Kept-Tokens")));
         node.counters.prefix_tokens += static_cast<std::uint64_t>(ticket.prefix_tokens);
         if (took > 0) {  // measured link speed, for the fetch planner (design 9.7)
-            auto const guard = std::lock_guard(node.granting_lock);
+            auto const guard = std::lock_guard(node.table.lock);
             auto const rate = static_cast<double>(fetched) * 1'000'000.0 / static_cast<double>(took);
-            auto& known = node.granting.fetch_rate;
+            auto& known = node.table.granting.fetch_rate;
             known = known == 0.0 ? rate : known * 0.8 + rate * 0.2;
             node.counters.fetched_tokens += static_cast<std::uint64_t>(fetched);
             ++node.counters.fetches;
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -28,7 +28,7 @@
     ticket.number = node.next_ticket++;
     if (node.resting_now) node.wake();
     if (ticket.body.run_once && !ticket.body.identity.empty()) {
-        auto guard = std::unique_lock(node.granting_lock);
+        auto guard = std::unique_lock(node.table.lock);
         auto const fresh = node.remember_identity(ticket.tenant_path + "\n" + ticket.body.identity);
         guard.unlock();
         if (!fresh) co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
@@ -40,35 +40,29 @@
     for (auto try_number = 1;; ++try_number) {
         auto const executor = co_await asio::this_coro::executor;
         auto const slot = std::make_shared<Slot>(executor);
-        {
-            auto const guard = std::lock_guard(node.granting_lock);
-            node.slots[ticket.number] = slot;
-            Decisions decisions;
-            if (charged) node.granting.enter_again(ticket, again, clock_now(), decisions);
-            else node.granting.enter(ticket, clock_now(), decisions);
-            node.dispatch(decisions);
-            node.run_match(clock_now());
-        }
+        auto wake = [slot] {
+            asio::post(slot->signal.get_executor(), [slot] {
+                slot->ready = true;
+                slot->signal.cancel();
+            });
+        };
+        auto avoid = std::optional<std::string>();
+        if (charged) avoid = again;
+        node.table.enter(ticket, avoid, std::move(wake), clock_now(), node.proof_age(clock_now()));
         auto const present = co_await wait_for_slot(slot, ticket.number);
-        auto placed = std::optional<Placement>{};
-        auto given_up = std::optional<Shed>{};
-        {
-            auto const guard = std::lock_guard(node.granting_lock);
-            node.slots.erase(ticket.number);
-            node.granting.withdraw(ticket.number);
-            placed = slot->placement;
-            given_up = slot->shed;
-            if (!present && placed) node.granting.burden.release(placed->replica, ticket.number);
-        }
         if (!present) {
+            node.table.abandon(ticket.number);
             ++node.counters.callers_gone;
             co_return false;
         }
+        auto const entry = node.table.leave(ticket.number);
+        auto const& placed = entry.placement;
+        auto const& given_up = entry.shed;
         if (given_up && may_have_run) co_return co_await unknown(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]));
         if (given_up) co_return co_await shed(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]), given_up->retry_after);
         auto const release = [&] {
-            auto const guard = std::lock_guard(node.granting_lock);
-            node.granting.burden.release(placed->replica, ticket.number);
+            auto const guard = std::lock_guard(node.table.lock);
+            node.table.granting.burden.release(placed->replica, ticket.number);
         };
         // Last checks right before the try is sent: rules, freshness, drain (design 8.3, 8.4).
         auto const current = node.snapshot.load();
@@ -101,12 +95,12 @@
         auto const sent_at = clock_now();
         auto const result = co_await run_try(*this, ticket, *placed, try_number, request.keep_alive());
         {
-            auto const guard = std::lock_guard(node.granting_lock);
+            auto const guard = std::lock_guard(node.table.lock);
             auto const now = clock_now();
-            node.granting.finished(placed->replica, ticket, now - sent_at, now, result.end == TryEnd::answered);
-            if (result.end == TryEnd::not_sent) node.granting.burden.report_failed(placed->replica, now);
-            if (result.end == TryEnd::did_not_run) node.granting.burden.refused(placed->replica, result.reason, now);
-            if (node.granting.waiting_count() > 0) node.run_match(now);
+            node.table.granting.finished(placed->replica, ticket, now - sent_at, now, result.end == TryEnd::answered);
+            if (result.end == TryEnd::not_sent) node.table.granting.burden.report_failed(placed->replica, now);
+            if (result.end == TryEnd::did_not_run) node.table.granting.burden.refused(placed->replica, result.reason, now);
+            if (node.table.granting.waiting_count() > 0) node.match_locked(now);
         }
         if (result.end == TryEnd::answered) ++node.counters.answered;
         if (result.end == TryEnd::broken_after) ++node.counters.broken;
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -61,7 +61,7 @@
     auto device = std::random_device();
     control.start(given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts, had_state, started_at);
     for (auto index = std::size_t{0}; index < part_count; ++index) control.parts[index].apply = index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
-    granting.burden.self = identity;
+    table.granting.burden.self = identity;
     next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
     proven_at = started_at - 3'600 * one_second;
     auto empty = std::make_shared<Snapshot>();
@@ -135,8 +135,8 @@
         waiter(std::move(result));
     }
     if (!output.digests.empty()) {
-        auto const guard = std::lock_guard(granting_lock);
-        for (auto const& [node, digest] : output.digests) granting.burden.take_digest(node, digest.number, digest.body, now);
+        auto const guard = std::lock_guard(table.lock);
+        for (auto const& [node, digest] : output.digests) table.granting.burden.take_digest(node, digest.number, digest.body, now);
     }
     proven_at = control.news[configuration_part].proven_at;
     if (output.news) publish_snapshot();
@@ -170,11 +170,11 @@
     if (fresh->rules != old->rules) write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
     snapshot = fresh;
     judge_resting(clock_now());
-    auto const guard = std::lock_guard(granting_lock);
-    granting.burden.take_list(fresh->list);
-    granting.buffer_length = static_cast<std::size_t>(fresh->rules->checked.configuration.limits.buffer_length);
-    granting.store_address = fresh->list.store ? fresh->list.store->address : "";
-    run_match(clock_now());
+    auto const guard = std::lock_guard(table.lock);
+    table.granting.burden.take_list(fresh->list);
+    table.granting.buffer_length = static_cast<std::size_t>(fresh->rules->checked.configuration.limits.buffer_length);
+    table.granting.store_address = fresh->list.store ? fresh->list.store->address : "";
+    match_locked(clock_now());
 }
 
 }  // namespace dockrock
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -16,7 +16,7 @@
 #include "process/storage.hpp"
 #include "process/transport.hpp"
 #include "sequence/rules.hpp"
-#include "ticket/granting.hpp"
+#include "ticket/entry_table.hpp"
 
 namespace dockrock {
 
@@ -70,8 +70,6 @@
 struct Slot {
     asio::steady_timer signal;
     bool ready = false;
-    std::optional<Placement> placement;
-    std::optional<Shed> shed;
     explicit Slot(asio::any_io_executor const& executor) : signal(executor, asio::steady_timer::time_point::max()) {}
 };
 
@@ -90,10 +88,8 @@
     std::atomic<Microseconds> proven_at{0};
     std::atomic<SnapshotPointer> snapshot;
     Counters counters;
-    std::mutex granting_lock;          // lock order: granting_lock, then nothing (design 14)
-    Granting granting;
-    std::map<std::uint64_t, std::shared_ptr<Slot>> slots;  // under granting_lock
-    std::set<std::string> seen_identities;                 // run-once tickets of this node, under granting_lock
+    EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
+    std::set<std::string> seen_identities;                 // run-once tickets of this node, under table.lock
     std::deque<std::string> seen_order;
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
@@ -136,8 +132,7 @@
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
-    auto run_match(Microseconds now) -> void;                       // granting_lock held
-    auto dispatch(Decisions& decisions) -> void;                    // granting_lock held
+    auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
     auto remember_identity(std::string const& identity) -> bool;    // false: seen before
 
     auto run_disk() -> void;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -89,12 +89,12 @@
                 auto const guard = std::lock_guard(report_lock);
                 reports[name] = report;
             }
-            auto const guard = std::lock_guard(granting_lock);
-            granting.burden.take_report(name, report, asked_at);
-            if (granting.waiting_count() > 0) run_match(clock_now());
+            auto const guard = std::lock_guard(table.lock);
+            table.granting.burden.take_report(name, report, asked_at);
+            if (table.granting.waiting_count() > 0) match_locked(clock_now());
         } else if (answer.status == 0 && !answer.sent) {
-            auto const guard = std::lock_guard(granting_lock);
-            granting.burden.report_failed(name, clock_now());
+            auto const guard = std::lock_guard(table.lock);
+            table.granting.burden.report_failed(name, clock_now());
         }
         auto const busy = clock_now() - last_ticket < 10 * one_second;
         co_await pause(resting_now ? 5'000 : busy ? 250 : 1'000);
--- a/source/process/node_rest.cpp
+++ b/source/process/node_rest.cpp
@@ -41,12 +41,12 @@
     }
     std::vector<RestingNode> edges;
     {
-        auto const guard = std::lock_guard(granting_lock);
+        auto const guard = std::lock_guard(table.lock);
         for (auto const& member : control.membership.alive_members(false)) {
             if (member.core) continue;
             auto rate = 0.0;
-            auto const found = granting.burden.others.find(member.identity);
-            if (found != granting.burden.others.end() && now - found->second.at < 1'500 * one_millisecond)
+            auto const found = table.granting.burden.others.find(member.identity);
+            if (found != table.granting.burden.others.end() && now - found->second.at < 1'500 * one_millisecond)
                 for (auto const& [name, item] : found->second.replicas) rate += static_cast<double>(item.recent);
             edges.push_back({member.identity, member.area, rate});
         }
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -36,12 +36,12 @@
         ++counters.wakeups;
         if (!tick_waiting.exchange(true)) in_control([this] { tick_control(); });
         auto const now = clock_now();
-        auto guard = std::unique_lock(granting_lock);
-        if (granting.waiting_count() > 0) run_match(now);
-        auto const due = now - last_digest >= granting.options.digest_interval && now - last_ticket < 12 * one_second;
+        auto guard = std::unique_lock(table.lock);
+        if (table.granting.waiting_count() > 0) match_locked(now);
+        auto const due = now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
         if (!due) continue;
         last_digest = now;
-        auto body = granting.burden.make_digest(now);
+        auto body = table.granting.burden.make_digest(now);
         auto const number = static_cast<std::uint64_t>(now);
         guard.unlock();
         in_control([this, body = std::move(body), number] { act_on(control.digest(body, number, snapshot.load()->resting)); });
@@ -62,37 +62,6 @@
     return !stopping && !resting_now && proof_age(now) < proof_limit && !current->rules->mappings.empty() && !current->list.replicas.empty();
 }
 
-auto Node::run_match(Microseconds now) -> void {
-    Decisions decisions;
-    granting.match(now, proof_age(now), decisions);
-    dispatch(decisions);
-}
-
-auto Node::dispatch(Decisions& decisions) -> void {
-    auto const wake = [](std::shared_ptr<Slot> const& slot) {
-        asio::post(slot->signal.get_executor(), [slot] {
-            slot->ready = true;
-            slot->signal.cancel();
-        });
-    };
-    for (auto& placement : decisions.placements) {
-        auto const found = slots.find(placement.ticket);
-        if (found == slots.end()) {
-            granting.burden.release(placement.replica, placement.ticket);
-            continue;
-        }
-        found->second->placement = placement;
-        wake(found->second);
-    }
-    for (auto& shed : decisions.sheds) {
-        auto const found = slots.find(shed.ticket);
-        if (found == slots.end()) continue;
-        found->second->shed = shed;
-        wake(found->second);
-    }
-    decisions = {};
-}
-
 auto Node::remember_identity(std::string const& identity) -> bool {
     if (!seen_identities.insert(identity).second) return false;
     seen_order.push_back(identity);
--- /dev/null
+++ b/source/ticket/entry_table.hpp
@@ -0,0 +1,103 @@
+#pragma once
+// The shared table between connections and matching: buffer, burden and who
+// waits for what, under one lock. What it locks with is injected, so that the
+// interleaving checker runs this very code. docs/design.md section 14.
+#include <functional>
+#include <mutex>
+
+#include "ticket/granting.hpp"
+
+namespace dockrock {
+
+struct SystemPrimitives {
+    using Mutex = std::mutex;
+};
+
+template <typename Primitives>
+struct EntryTable {
+    using Wake = std::function<void()>;
+    using Guard = std::lock_guard<typename Primitives::Mutex>;
+    struct Entry {
+        std::optional<Placement> placement;
+        std::optional<Shed> shed;
+        Wake wake;
+    };
+
+    typename Primitives::Mutex lock;
+    Granting granting;
+    std::map<std::uint64_t, Entry> entries;
+
+    // `avoid` names the replica of an earlier try that did not run; then the
+    // entry is an extra try.
+    auto enter(Ticket const& ticket, std::optional<std::string> const& avoid, Wake wake, Microseconds now, Microseconds proof_age) -> void {
+        auto const guard = Guard(lock);
+        entries[ticket.number] = Entry{std::nullopt, std::nullopt, std::move(wake)};
+        Decisions decisions;
+        if (avoid) granting.enter_again(ticket, *avoid, now, decisions);
+        else granting.enter(ticket, now, decisions);
+        settle(decisions);
+        match_locked(now, proof_age);
+    }
+
+    // Takes the entry out, with what was decided of it.
+    auto leave(std::uint64_t number) -> Entry {
+        auto const guard = Guard(lock);
+        return take(number);
+    }
+
+    // The caller went away: a placement that came meanwhile is given back.
+    auto abandon(std::uint64_t number) -> void {
+        auto const guard = Guard(lock);
+        auto const entry = take(number);
+        if (entry.placement) granting.burden.release(entry.placement->replica, number);
+    }
+
+    auto match(Microseconds now, Microseconds proof_age) -> void {
+        auto const guard = Guard(lock);
+        match_locked(now, proof_age);
+    }
+
+    auto match_locked(Microseconds now, Microseconds proof_age) -> void {
+        Decisions decisions;
+        granting.match(now, proof_age, decisions);
+        settle(decisions);
+    }
+
+    // Anything else with the tables, under their lock.
+    template <typename Work>
+    auto with(Work&& work) -> decltype(auto) {
+        auto const guard = Guard(lock);
+        return work(granting);
+    }
+
+   private:
+    auto take(std::uint64_t number) -> Entry {
+        auto entry = Entry();
+        if (auto const found = entries.find(number); found != entries.end()) {
+            entry = std::move(found->second);
+            entries.erase(found);
+        }
+        granting.withdraw(number);
+        return entry;
+    }
+
+    auto settle(Decisions const& decisions) -> void {
+        for (auto const& placement : decisions.placements) {
+            auto const found = entries.find(placement.ticket);
+            if (found == entries.end()) {
+                granting.burden.release(placement.replica, placement.ticket);
+                continue;
+            }
+            found->second.placement = placement;
+            found->second.wake();
+        }
+        for (auto const& shed : decisions.sheds) {
+            auto const found = entries.find(shed.ticket);
+            if (found == entries.end()) continue;
+            found->second.shed = shed;
+            found->second.wake();
+        }
+    }
+};
+
+}  // namespace dockrock
