A new owner tells what became of a change only under its own epoch

Cause: after a takeover in which two proposals had raced, the new owner could answer 'not in force' (404) for a change that its partner's older copy still held; had the owner then died before its first flight, the change would have come in force after all. Ruled out: acknowledged changes (both copies hold them) and reads.

--- a/source/process/machine/part_change.cpp
+++ b/source/process/machine/part_change.cpp
@@ -61,7 +61,10 @@
     queued.clear();
     for (auto& item : pending) {
         auto const reads = item.call.operation == "get" || item.call.operation == "outcome";
-        auto const readable = committed && licensed(context.self, context.now);
+        // What a change came to is told only once this epoch's first copy is on
+        // both disks: until then the partner may hold a copy in which it lives.
+        auto const own_epoch = committed && committed->sequence.epoch == votes.decided.epoch;
+        auto const readable = committed && licensed(context.self, context.now) && (own_epoch || item.call.operation == "get");
         if (reads ? readable : ready) change(context, item);
         else if (context.now - item.since > queued_limit)
             context.done.push_back({item.origin, item.token, 503, error_body("no licensed owner now; nothing was changed"), ""});
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -181,6 +181,34 @@
     }
 }
 
+TEST_CASE("a new owner says that a change is not in force only once its own epoch is on both disks") {
+    // Before that, the partner may still hold a copy in which the change lives.
+    for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+        auto world = formed(seed);
+        REQUIRE(put_and_wait(*world, 4, "first") == 200);
+        world->kill(*world->owner(configuration_part), false);
+        while (!world->owner(configuration_part)) world->run_until(world->now + one_millisecond);
+        auto const fresh = *world->owner(configuration_part);
+        auto& node = *world->nodes[fresh];
+        auto const& part = node.control.parts[configuration_part];
+        auto early = 0;
+        auto answered = 0;
+        for (auto count = 0; count < 200; ++count) {
+            auto const token = std::uint64_t{1'000'000} + static_cast<std::uint64_t>(count);
+            world->call_results[token] = [&](CallDone const& done) {
+                ++answered;
+                if (done.status == 404 && part.committed && part.committed->sequence.epoch != part.votes.decided.epoch) ++early;
+            };
+            auto const done = node.control.call(world->local(node), token, Call{configuration_part, "never-made", "outcome", "", ""});
+            for (auto const& result : done.results) world->call_results[result.token](result);
+            world->run_until(world->now + one_millisecond);
+        }
+        CHECK(early == 0);
+        world->run_until(world->now + 5 * one_second);
+        CHECK(answered > 0);
+    }
+}
+
 TEST_CASE("a blank majority does not form anew while an edge node knows the fleet") {
     for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
         auto world = formed(seed);
