--- /dev/null
+++ b/simulation/fleet.cpp
@@ -0,0 +1,174 @@
+// The data plane of each simulated node round its control machines.
+#include "fleet.hpp"
+
+#include "sequence/changes.hpp"
+
+namespace dockrock::simulation {
+
+namespace {
+auto world_options(FleetOptions const& given) -> WorldOptions {
+    WorldOptions options;
+    options.seed = given.seed;
+    options.cores = given.cores;
+    options.edges = given.edges;
+    return options;
+}
+}  // namespace
+
+Fleet::Fleet(FleetOptions const& given) : options(given), world(world_options(given)) {
+    random.state = given.seed * 104'729 + 3;
+    planes.resize(world.nodes.size());
+    for (auto index = std::size_t{0}; index < given.replicas; ++index) {
+        auto replica = std::make_unique<SimulatedReplica>();
+        replica->name = "r" + std::to_string(index);
+        replica->model = index % 2 == 0 ? "large" : "small";
+        replicas.push_back(std::move(replica));
+    }
+    for (auto index = 0; index < 6; ++index) {
+        auto const name = "tenant-" + std::to_string(index);
+        tenants.push_back({name, "secret-" + name, false, index < 2, 0, 0});
+    }
+    world.when_started = [this](std::size_t index) { started(index); };
+    world.when_ticked = [this](std::size_t index) { ticked(index); };
+    world.when_killed = [this](std::size_t index) { lose_node(index); };
+    world.when_acted = [this](std::size_t index, ControlOutput const& given_output) { output(index, given_output); };
+}
+
+auto Fleet::on_node(std::size_t index, std::function<void()> work) -> void {
+    world.on_node(index, world.nodes[index]->life, std::move(work));
+}
+
+auto Fleet::proof_age(std::size_t index) -> Microseconds {
+    if (options.planted_skip_freshness) return 0;
+    return world.nodes[index]->control.proof_age(configuration_part, local(index));
+}
+
+auto Fleet::started(std::size_t index) -> void {
+    auto& plane = planes[index] = DataPlane();
+    auto& control = world.nodes[index]->control;
+    plane.granting.options = plane.granting.burden.options = options.granting;
+    plane.granting.burden.self = control.membership.self.identity;
+    if (options.planted_free_tries) plane.granting.budget = {1e9, 1e9, 0.2};
+    for (auto part = std::size_t{0}; part < part_count; ++part)
+        control.parts[part].apply =
+            part == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
+}
+
+auto Fleet::output(std::size_t index, ControlOutput const& given) -> void {
+    for (auto const& [node, digest] : given.digests)
+        planes[index].granting.burden.take_digest(node, digest.number, digest.body, local(index));
+    if (given.news) publish(index);
+}
+
+auto Fleet::publish(std::size_t index) -> void {
+    auto& plane = planes[index];
+    plane.snapshot = make_snapshot(world.nodes[index]->control, *plane.snapshot);
+    plane.granting.burden.take_list(plane.snapshot->list);
+    auto const length = plane.snapshot->rules->checked.configuration.limits.buffer_length;
+    plane.granting.buffer_length = static_cast<std::size_t>(length);
+    match(index);
+}
+
+auto Fleet::ticked(std::size_t index) -> void {
+    auto& plane = planes[index];
+    auto const now = local(index);
+    auto& control = world.nodes[index]->control;
+    match(index);
+    if (!plane.reading_list && control.wants_list(now)) read_list(index);
+    if (now - plane.last_reports > 250 * one_millisecond) {
+        plane.last_reports = now;
+        ask_reports(index);
+    }
+    if (now - plane.last_digest > 200 * one_millisecond) {
+        plane.last_digest = now;
+        tell_digest(index);
+    }
+    if (now - plane.last_orders > 200 * one_millisecond) {
+        plane.last_orders = now;
+        send_orders(index);
+    }
+}
+
+auto Fleet::tell_digest(std::size_t index) -> void {
+    auto body = planes[index].granting.burden.make_digest(local(index));
+    auto const number = static_cast<std::uint64_t>(local(index));
+    world.act(index, world.nodes[index]->control.digest(body, number, {}));
+}
+
+// The platform's list is half a second old when it is read.
+auto Fleet::read_list(std::size_t index) -> void {
+    planes[index].reading_list = true;
+    ReplicaList list;
+    for (auto const& replica : replicas) {
+        ReplicaEntry entry;
+        entry.name = entry.address = replica->name;
+        entry.model = replica->model;
+        entry.capacity = replica->capacity;
+        entry.memory = replica->memory;
+        entry.drain = replica->drained_at >= 0 && world.now - replica->drained_at > one_second / 2;
+        list.replicas.push_back(std::move(entry));
+    }
+    auto const lost = random.below(50) == 0;
+    later(
+        link() + (lost ? 800 * one_millisecond : 0),
+        [this, index, lost, text = json::serialize(write_json(list)), life = world.nodes[index]->life] {
+            world.on_node(index, life, [this, index, lost, text] {
+                planes[index].reading_list = false;
+                if (!lost) world.act(index, world.nodes[index]->control.list_read(local(index), text));
+            });
+        });
+}
+
+// Reports come late, or not at all.
+auto Fleet::ask_reports(std::size_t index) -> void {
+    for (auto const& replica : replicas) {
+        if (random.below(8) == 0) continue;
+        auto const name = replica->name;
+        auto const life = world.nodes[index]->life;
+        auto const asked_at = local(index);
+        if (!replica->up) {
+            later(link(), [this, index, life, name] {
+                world.on_node(index, life, [this, index, name] {
+                    planes[index].granting.burden.report_failed(name, local(index));
+                });
+            });
+            continue;
+        }
+        auto const wait = 2 * link() + (random.below(20) == 0 ? one_second : 0);
+        later(wait, [this, index, life, name, asked_at, report = replica->report()] {
+            world.on_node(index, life, [this, index, name, asked_at, report] {
+                planes[index].reports[name] = report;
+                planes[index].granting.burden.take_report(name, report, asked_at);
+                match(index);
+            });
+        });
+    }
+    for (auto const& replica : replicas)
+        if (replica->events.size() > 12) replica->events.erase(replica->events.begin(), replica->events.begin() + 6);
+}
+
+// Some orders come very late: their sender may have lost its duty meanwhile,
+// and their receiver its memory of the fence.
+auto Fleet::send_orders(std::size_t index) -> void {
+    auto& plane = planes[index];
+    auto const& control = world.nodes[index]->control;
+    if (options.planted_skip_licence && random.below(40) == 0) {
+        auto const target = random.below(replicas.size());
+        auto order = Order{replicas[target]->name, "", "w0", std::to_string(replicas[target]->life), 1, 0};
+        order.fence = replicas[target]->fence;
+        later(link(), [this, target, order, holder = control.settings.control_address] {
+            take_order(target, order, holder);
+        });
+    }
+    for (auto const& order : plane.orders.due(control, *plane.snapshot, plane.reports, local(index))) {
+        if (!may_order(control, order, local(index))) continue;
+        ++result.orders;
+        auto const target = static_cast<std::size_t>(std::strtoul(order.replica.c_str() + 1, nullptr, 10));
+        auto const wait = random.below(10) == 0 ? static_cast<Microseconds>(random.below(6'000'000)) : link();
+        later(wait, [this, target, order, holder = control.settings.control_address] {
+            take_order(target, order, holder);
+        });
+    }
+}
+
+}  // namespace dockrock::simulation
--- /dev/null
+++ b/simulation/fleet_tickets.cpp
@@ -0,0 +1,244 @@
+// Callers and the courses of their tickets in the simulated fleet.
+#include "fleet.hpp"
+
+namespace dockrock::simulation {
+
+namespace {
+constexpr auto most_rounds = 3;
+constexpr Microseconds patience = 20 * one_second;
+}  // namespace
+
+auto Fleet::caller_asks(bool calm_now) -> void {
+    auto const tenant = random.below(tenants.size());
+    auto const run_once = random.below(3) != 0;
+    auto const identity = "ticket-" + std::to_string(askings.size());
+    json::array prefix;
+    for (auto part = 0; part < 2; ++part)
+        prefix.push_back(fields("name", "part-" + std::to_string(random.below(3)), "tokens", 1'000));
+    constexpr auto kinds = std::to_array<char const*>({"check", "review", "question"});
+    auto body = fields(
+        "model", random.below(2) == 0 ? "large" : "small", "kind", kinds[random.below(kinds.size())], "tenant",
+        tenants[tenant].name, "max_tokens", static_cast<std::int64_t>(20 + random.below(400)), "run_once", run_once,
+        "identity", identity);
+    body["prefix"] = std::move(prefix);
+    auto const text = json::serialize(body);
+    auto const node = random.below(world.nodes.size());
+    ask(identity, tenant, run_once, text, node, 0);
+    if (run_once && !calm_now && random.below(10) == 0)
+        ask(identity, tenant, run_once, text, random.below(world.nodes.size()), most_rounds);
+}
+
+auto Fleet::ask(std::string identity, std::size_t tenant, bool run_once, std::string body, std::size_t node, int round)
+    -> void {
+    auto const number = static_cast<std::uint64_t>(askings.size() + 1);
+    auto& asking = askings[number];
+    asking = Asking{number,          std::move(identity), tenant,   node, world.nodes[node]->life, round, run_once,
+                    std::move(body), tenants[tenant].key, world.now};
+    asked_times.push_back(world.now);
+    ++result.tickets;
+    if (!world.nodes[node]->running) return later(link(), [this, number] { finish(number, "not-connected"); });
+    later(link(), [this, number, node, life = asking.node_life] {
+        if (world.nodes[node]->life != life || !world.nodes[node]->running) return finish(number, "lost");
+        world.on_node(node, life, [this, number, node] { arrive(node, number); });
+    });
+    // A few callers lose patience at once, most after long.
+    auto const wait = options.calm || options.planned_only || random.below(30) != 0
+        ? patience
+        : static_cast<Microseconds>(random.below(2'000'000));
+    later(wait, [this, number, node, life = asking.node_life] {
+        auto& late = askings.at(number);
+        if (!late.outcome.empty()) return;
+        late.gone = true;
+        finish(number, "lost");
+        world.on_node(node, life, [this, number, node] {
+            auto const found = planes[node].courses.find(number);
+            if (found == planes[node].courses.end() || !found->second.entered) return;
+            planes[node].granting.withdraw(number);
+            drive(node, number, found->second.course.gone());
+        });
+    });
+}
+
+// Under the same identity at another node, where it may run only once.
+auto Fleet::ask_again(std::uint64_t number) -> void {
+    auto const& asking = askings.at(number);
+    if (!asking.run_once || asking.round >= most_rounds) return;
+    ++result.asked_again;
+    later(link(), [this, asking] {
+        auto const other = (asking.node + 1 + random.below(world.nodes.size() - 1)) % world.nodes.size();
+        ask(asking.identity, asking.tenant, asking.run_once, asking.body, other, asking.round + 1);
+    });
+}
+
+auto Fleet::judge_ticket(std::size_t index, std::uint64_t number) -> Verdict {
+    auto const& asking = askings.at(number);
+    auto const arrival = Arrival{"POST", "/v1/generate", asking.key, asking.body, "", local(index)};
+    auto verdict = interpret(*planes[index].snapshot->rules, arrival);
+    verdict.ticket.number = number;
+    if (options.planted_skip_walls && verdict.kind == Verdict::Kind::enter) {
+        verdict.ticket.wall_domain = "fleet";
+        auto chain = hash_text("fleet");
+        for (auto place = std::size_t{0}; place < verdict.ticket.chain.size(); ++place)
+            verdict.ticket.chain[place] = chain = hash_text(verdict.ticket.body.prefix[place].name, chain);
+    }
+    return verdict;
+}
+
+auto Fleet::arrive(std::size_t index, std::uint64_t number) -> void {
+    auto& plane = planes[index];
+    auto verdict = judge_ticket(index, number);
+    if (verdict.kind != Verdict::Kind::enter || plane.stopping) return finish(number, "shed");
+    auto& run = plane.courses[number];
+    run.course.ticket = std::move(verdict.ticket);
+    run.course.rules = plane.snapshot->rules->sequence;
+    if (options.planted_skip_claims) run.course.claim_held = true;
+    run.course.claimed_at = local(index);
+    drive(index, number, run.course.begin());
+}
+
+auto Fleet::facts(std::size_t index, std::string const& replica) -> CourseFacts {
+    auto const& snapshot = *planes[index].snapshot;
+    CourseFacts known;
+    known.now = local(index);
+    known.proof_age = proof_age(index);
+    known.rules = snapshot.rules->sequence;
+    for (auto const& entry : snapshot.list.replicas)
+        if (entry.name == replica) known.listed = !entry.drain;
+    return known;
+}
+
+auto Fleet::drive(std::size_t index, std::uint64_t number, CourseStep step) -> void {
+    auto& plane = planes[index];
+    auto const found = plane.courses.find(number);
+    if (found == plane.courses.end()) return;
+    auto& course = found->second.course;
+    if (!step.give_back.empty()) plane.granting.burden.release(step.give_back, number);
+    auto const ticket = claim_ticket(world.nodes[index]->control.membership.self.identity, number);
+    auto const part = part_of_service(course.ticket.body.model);
+    if (step.release_claim) world.claim(index, ClaimAsk{part, 0, claim_key(course.ticket), ticket, true}, {});
+    if (options.planted_shed_after_run && step.step == Step::answer_unknown) step.step = Step::answer_shed;
+    switch (step.step) {
+        case Step::enter: return enter(index, number);
+        case Step::claim:
+            return world.claim(
+                index, ClaimAsk{part, 0, claim_key(course.ticket), ticket, false},
+                [this, index, number, asked_at = local(index)](ClaimDone const& done) {
+                    auto const later_found = planes[index].courses.find(number);
+                    if (later_found == planes[index].courses.end()) return;
+                    auto& claimed = later_found->second.course;
+                    drive(
+                        index, number,
+                        claimed.claimed(done.state, done.epoch, asked_at, facts(index, claimed.placement.replica)));
+                });
+        case Step::interpret: {
+            auto verdict = judge_ticket(index, number);
+            auto const under = plane.snapshot->rules->sequence;
+            return drive(
+                index, number, course.judged(std::move(verdict), under, facts(index, course.placement.replica)));
+        }
+        case Step::send: return send(index, number);
+        case Step::answer_shed:
+        case Step::answer_refused: return finish(number, "shed");
+        case Step::answer_unknown:
+        case Step::answer_seen: return finish(number, "unknown");
+        case Step::finished: plane.courses.erase(number); return;
+    }
+}
+
+auto Fleet::enter(std::size_t index, std::uint64_t number) -> void {
+    auto& plane = planes[index];
+    auto& run = plane.courses.at(number);
+    run.entered = true;
+    Decisions decisions;
+    if (run.course.avoid) plane.granting.enter_again(run.course.ticket, *run.course.avoid, local(index));
+    else plane.granting.enter(run.course.ticket, local(index), decisions);
+    decide(index, decisions);
+    match(index);
+}
+
+auto Fleet::match(std::size_t index) -> void {
+    Decisions decisions;
+    planes[index].granting.match(local(index), proof_age(index), decisions);
+    decide(index, decisions);
+}
+
+auto Fleet::decide(std::size_t index, Decisions const& decisions) -> void {
+    auto& plane = planes[index];
+    for (auto const& shed : decisions.sheds) {
+        auto const found = plane.courses.find(shed.ticket);
+        if (found == plane.courses.end()) continue;
+        found->second.entered = false;
+        drive(
+            index, shed.ticket,
+            found->second.course.given_up(shed_names[static_cast<std::size_t>(shed.reason)], shed.retry_after));
+    }
+    for (auto const& placement : decisions.placements) {  // between the match and the checks a node may be frozen
+        if (auto const found = plane.courses.find(placement.ticket); found != plane.courses.end())
+            found->second.entered = false;
+        later(static_cast<Microseconds>(random.below(500)), [this, index, placement, life = world.nodes[index]->life] {
+            world.on_node(index, life, [this, index, placement] {
+                auto const found = planes[index].courses.find(placement.ticket);
+                if (found == planes[index].courses.end())
+                    return planes[index].granting.burden.release(placement.replica, placement.ticket);
+                drive(index, placement.ticket, found->second.course.placed(placement, facts(index, placement.replica)));
+            });
+        });
+    }
+}
+
+auto Fleet::send(std::size_t index, std::uint64_t number) -> void {
+    auto const& course = planes[index].courses.at(number).course;
+    if (course.try_number > 1) extra_try_times.push_back(world.now);
+    auto const target = static_cast<std::size_t>(std::strtoul(course.placement.replica.c_str() + 1, nullptr, 10));
+    later(
+        link(),
+        [this, target, index, number, ticket = course.ticket, placement = course.placement,
+         life = world.nodes[index]->life] {
+            if (replicas[target]->up) return receive(target, index, number, ticket, placement);
+            later(link(), [this, index, number, life, name = placement.replica] {  // nothing could be written
+                world.on_node(
+                    index, life, [this, index, number, name] { ended(index, number, name, TryEnd::not_sent, ""); });
+            });
+        });
+}
+
+auto Fleet::ended(std::size_t index, std::uint64_t number, std::string const& replica, TryEnd end, std::string reason)
+    -> void {
+    auto& plane = planes[index];
+    auto const found = plane.courses.find(number);
+    if (found == plane.courses.end()) return;
+    auto& course = found->second.course;
+    auto const now = local(index);
+    plane.granting.finished(replica, course.ticket, now - course.ticket.arrived_at, now, end == TryEnd::answered);
+    if (end == TryEnd::not_sent) plane.granting.burden.report_failed(replica, now);
+    if (end == TryEnd::did_not_run) plane.granting.burden.refused(replica, reason, now);
+    auto step = course.ended(end, reason);
+    if (options.planted_repeat_unknown && step.step == Step::answer_unknown) {
+        step.step = Step::enter;
+        course.avoid = replica;
+    }
+    if (end == TryEnd::answered) finish(number, "answered");
+    if (end == TryEnd::broken_after) finish(number, "broken");
+    drive(index, number, std::move(step));
+}
+
+auto Fleet::finish(std::uint64_t number, std::string outcome) -> void {
+    auto& asking = askings.at(number);
+    if (outcome != "lost") planes[asking.node].courses.erase(number);
+    if (asking.outcome == "lost" || (asking.gone && outcome != "lost")) return;  // nobody hears it
+    if (!asking.outcome.empty()) return violation("a ticket got two outcomes: " + asking.outcome + ", " + outcome);
+    if (outcome == "shed" && asking.runs > 0) violation("a ticket that ran was shed");
+    asking.outcome = std::move(outcome);
+    if (asking.outcome == "lost" || asking.outcome == "broken" || asking.outcome == "not-connected") ask_again(number);
+}
+
+auto Fleet::lose_node(std::size_t index) -> void {
+    planes[index] = DataPlane();
+    for (auto const& [number, asking] : askings)
+        if (asking.node == index && asking.outcome.empty() && asking.node_life == world.nodes[index]->life)
+            later(link(), [this, number = number] {
+                if (askings.at(number).outcome.empty()) finish(number, "lost");
+            });
+}
+
+}  // namespace dockrock::simulation
--- a/simulation/sweep.cpp
+++ b/simulation/sweep.cpp
@@ -1,61 +1,115 @@
-// dockrock-sweep: storms over a range of seeds; prints counts and every
-// violation with its seed. The long sweep of docs/proofs.md.
+// dockrock-sweep: the control storms and the whole fleet over a range of seeds;
+// prints counts and every violation with its seed. docs/proofs.md.
 #include <tclap/CmdLine.h>
 
 #include <iostream>
 #include <mutex>
 #include <thread>
 
-#include "world.hpp"
+#include "fleet.hpp"
+
+namespace {
+
+using namespace dockrock;
+using Totals = std::map<std::string, std::uint64_t>;
+
+struct SeedResult {
+    std::vector<std::string> violations;
+    std::vector<std::string> trace;
+    Totals counts;
+    Microseconds longest_gap = 0;
+};
+
+auto storm(std::uint64_t seed, Microseconds length) -> SeedResult {
+    auto options = simulation::WorldOptions();
+    options.seed = seed;
+    auto const result = simulation::run_storm(options, length);
+    auto const counts = Totals{
+        {"faults", result.faults},
+        {"changes", result.changes},
+        {"acknowledged", result.acknowledged},
+        {"refused", result.refused},
+        {"unknown", result.unknown},
+        {"reads checked", result.reads},
+        {"events", result.events},
+        {"claims", result.claims},
+        {"claims granted", result.claims_granted},
+        {"claims seen", result.claims_seen},
+        {"claims of unknown fate", result.claims_unknown}};
+    return {result.violations, result.trace, counts, result.longest_gap};
+}
+
+auto fleet(std::uint64_t seed, Microseconds length, bool planned) -> SeedResult {
+    auto options = simulation::FleetOptions();
+    options.seed = seed;
+    options.length = length;
+    options.planned_only = planned;
+    auto const result = simulation::Fleet(options).run();
+    auto const counts = Totals{
+        {"faults", result.faults},
+        {"tickets", result.tickets},
+        {"answered", result.answered},
+        {"shed", result.shed},
+        {"unknown", result.unknown},
+        {"broken", result.broken},
+        {"lost", result.lost},
+        {"asked again", result.asked_again},
+        {"runs", result.runs},
+        {"refused by replicas", result.refused},
+        {"extra tries", result.extra_tries},
+        {"orders", result.orders},
+        {"old orders refused", result.old_orders_refused},
+        {"changes acknowledged", result.acknowledged},
+        {"keys revoked", result.revoked},
+        {"drains", result.drained},
+        {"roll-outs", result.roll_outs},
+        {"walls tightened", result.walls_tightened},
+        {"polite stops", result.polite_stops},
+        {"events", result.events}};
+    return {result.violations, result.trace, counts, 0};
+}
+
+}  // namespace
 
 auto main(int argument_count, char** arguments) -> int {
-    using namespace dockrock;
     auto command = TCLAP::CmdLine("dockrock-sweep: storms of faults in the simulator, over many seeds", ' ', "0.1.0");
+    auto worlds = std::vector<std::string>{"control", "fleet", "planned"};
+    auto allowed = TCLAP::ValuesConstraint<std::string>(worlds);
+    auto world = TCLAP::ValueArg<std::string>(
+        "", "world", "control machines alone, the whole fleet under faults, or under planned work", false, "fleet",
+        &allowed, command);
     auto first = TCLAP::ValueArg<std::uint64_t>("", "first", "first seed", false, 1, "SEED", command);
     auto count = TCLAP::ValueArg<std::uint64_t>("", "count", "how many seeds", false, 100, "COUNT", command);
     auto seconds = TCLAP::ValueArg<int>("", "seconds", "simulated seconds of storm", false, 30, "SECONDS", command);
     auto threads = TCLAP::ValueArg<unsigned>("", "threads", "seeds at once", false, 4, "COUNT", command);
-    auto trace = TCLAP::SwitchArg("", "trace", "print the trace of a seed with violations", command);
+    auto trace = TCLAP::SwitchArg("", "trace", "print the trace of a seed with violations, or of the one", command);
     command.parse(argument_count, arguments);
+    auto const length = seconds.getValue() * one_second;
     auto lock = std::mutex();
     auto next = std::atomic<std::uint64_t>(first.getValue());
     auto const end = first.getValue() + count.getValue();
     auto failed = std::size_t{0};
-    auto totals = simulation::StormResult();
+    auto totals = Totals();
+    auto longest_gap = Microseconds{0};
+    auto work = [&] {
+        for (auto seed = next++; seed < end; seed = next++) {
+            auto const result = world.getValue() == "control" ? storm(seed, length)
+                                                              : fleet(seed, length, world.getValue() == "planned");
+            auto const guard = std::lock_guard(lock);
+            for (auto const& [name, number] : result.counts) totals[name] += number;
+            longest_gap = std::max(longest_gap, result.longest_gap);
+            failed += result.violations.empty() ? 0 : 1;
+            for (auto const& item : result.violations) std::cout << "seed " << seed << ": " << item << "\n";
+            if (trace.getValue() && (!result.violations.empty() || count.getValue() == 1))
+                for (auto const& item : result.trace) std::cout << "  " << item << "\n";
+        }
+    };
     auto workers = std::vector<std::thread>();
-    for (auto index = 0U; index < threads.getValue(); ++index) {
-        workers.emplace_back([&] {
-            for (auto seed = next++; seed < end; seed = next++) {
-                auto options = simulation::WorldOptions();
-                options.seed = seed;
-                auto const result = simulation::run_storm(options, seconds.getValue() * one_second);
-                auto const guard = std::lock_guard(lock);
-                totals.changes += result.changes;
-                totals.acknowledged += result.acknowledged;
-                totals.unknown += result.unknown;
-                totals.refused += result.refused;
-                totals.events += result.events;
-                totals.reads += result.reads;
-                totals.faults += result.faults;
-                totals.claims += result.claims;
-                totals.claims_granted += result.claims_granted;
-                totals.claims_seen += result.claims_seen;
-                totals.claims_unknown += result.claims_unknown;
-                totals.longest_gap = std::max(totals.longest_gap, result.longest_gap);
-                if (result.violations.empty() && count.getValue() != 1) continue;
-                if (!result.violations.empty()) ++failed;
-                for (auto const& item : result.violations) std::cout << "seed " << seed << ": " << item << "\n";
-                if (trace.getValue())
-                    for (auto const& item : result.trace) std::cout << "  " << item << "\n";
-            }
-        });
-    }
+    for (auto index = 0U; index < threads.getValue(); ++index) workers.emplace_back(work);
     for (auto& worker : workers) worker.join();
-    std::cout << "seeds " << count.getValue() << ", with violations " << failed << ", faults " << totals.faults
-              << ", changes " << totals.changes << ", acknowledged " << totals.acknowledged << ", refused "
-              << totals.refused << ", unknown " << totals.unknown << ", reads checked " << totals.reads << ", events "
-              << totals.events << ", longest time without an owner " << totals.longest_gap / 1'000 << " ms, claims "
-              << totals.claims << ", granted " << totals.claims_granted << ", seen " << totals.claims_seen
-              << ", fate unknown " << totals.claims_unknown << "\n";
+    std::cout << "world " << world.getValue() << ", seeds " << count.getValue() << ", with violations " << failed;
+    for (auto const& [name, number] : totals) std::cout << ", " << name << " " << number;
+    if (longest_gap > 0) std::cout << ", longest time without an owner " << longest_gap / 1'000 << " ms";
+    std::cout << "\n";
     return failed == 0 ? 0 : 1;
 }
--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -41,7 +41,8 @@
         now = std::max(now, event.at);
         event.work();
         ++events_run;
-        check();
+        if (unchecked) check();
+        unchecked = false;
     }
     now = std::max(now, when);
 }
@@ -69,6 +70,7 @@
 }
 
 auto World::act(std::size_t index, ControlOutput output) -> void {
+    unchecked = true;
     auto& node = *nodes[index];
     auto const identity = node.control.membership.self.identity;
     for (auto& send : output.sends) {
@@ -108,6 +110,7 @@
         call_results.erase(found);
         done(std::move(result));
     }
+    if (when_acted) when_acted(index, output);
 }
 
 auto World::work_disk(std::size_t index) -> void {
@@ -173,13 +176,17 @@
         had_state, local(node));
     for (auto& part : node.control.parts) part.apply = apply_text;
     note("start " + node.address + " " + identity);
+    if (when_started) when_started(index);
     tick(index, node.life);
 }
 
 auto World::tick(std::size_t index, std::uint64_t life) -> void {
     auto const& node = *nodes[index];
     if (!node.running || node.life != life) return;
-    if (node.frozen_until <= now) act(index, nodes[index]->control.tick(local(node)));
+    if (node.frozen_until <= now) {
+        act(index, nodes[index]->control.tick(local(node)));
+        if (when_ticked) when_ticked(index);
+    }
     auto const next =
         node.frozen_until > now ? node.frozen_until + 1 : now + 25'000 + static_cast<Microseconds>(random.below(5'000));
     at(next, [this, index, life] { tick(index, life); });
@@ -188,9 +195,11 @@
 auto World::kill(std::size_t index, bool wipe) -> void {
     auto& node = *nodes[index];
     node.running = false;
+    unchecked = true;
     node.unsynced.clear();  // what was not synced is lost
     if (wipe) node.disk = {};
     note(std::string(wipe ? "kill and wipe " : "kill ") + node.address);
+    if (when_killed) when_killed(index);
 }
 
 auto World::freeze(std::size_t index, Microseconds length) -> void {
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -68,6 +68,12 @@
     Sequence highest_acknowledged;
     std::vector<std::string> violations;
     std::vector<std::string> trace;
+    bool unchecked = false;  // something happened to the control machines since the last check
+    // what a fleet hangs on the control machines
+    std::function<void(std::size_t)> when_started;
+    std::function<void(std::size_t)> when_ticked;
+    std::function<void(std::size_t)> when_killed;
+    std::function<void(std::size_t, ControlOutput const&)> when_acted;
     std::uint64_t events_run = 0;
     std::uint64_t reads_checked = 0;
 
@@ -83,22 +89,27 @@
     auto split(std::vector<std::size_t> const& side) -> void;
     auto heal() -> void;
     auto local(SimulatedNode const& node) const -> Microseconds { return now + node.clock_offset; }
+    auto wake_disk(std::size_t index) -> void { work_disk(index); }
     auto owner(int part) -> std::optional<std::size_t>;
     auto settled() -> bool;
 
-    auto put(std::size_t index, std::string document, std::string if_match, std::string identity = "") -> std::size_t;
+    auto put(
+        std::size_t index, std::string document, std::string if_match, std::string identity = "",
+        std::function<void(int)> told = {}) -> std::size_t;
     auto read(std::size_t index) -> void;
     auto claim(
         std::size_t index, std::string key, std::string ticket, std::function<void(ClaimDone)> done,
         bool release = false) -> void;
+    auto claim(std::size_t index, ClaimAsk ask, std::function<void(ClaimDone)> done) -> void;
+    auto call(std::size_t index, Call asked, std::function<void(CallDone)> done) -> void;
     auto note(std::string text) -> void;
     auto describe() -> void;  // into the trace
     auto violation(std::string text) -> void;
 
     auto act(std::size_t index, ControlOutput output) -> void;
+    auto on_node(std::size_t index, std::uint64_t life, std::function<void()> work) -> void;
 
    private:
-    auto on_node(std::size_t index, std::uint64_t life, std::function<void()> work) -> void;
     auto tick(std::size_t index, std::uint64_t life) -> void;
     auto work_disk(std::size_t index) -> void;
     auto index_of(std::string const& address) const -> std::size_t;
--- a/simulation/world_checks.cpp
+++ b/simulation/world_checks.cpp
@@ -45,15 +45,18 @@
     }
 }
 
-auto World::put(std::size_t index, std::string document, std::string if_match, std::string identity) -> std::size_t {
+auto World::put(
+    std::size_t index, std::string document, std::string if_match, std::string identity, std::function<void(int)> told)
+    -> std::size_t {
     auto const number = changes.size();
     if (identity.empty()) identity = "change-" + std::to_string(number);
     changes.push_back({identity, document, now, 0, {}, 0});
     auto const token = next_call++;
-    call_results[token] = [this, number](CallDone done) {
+    call_results[token] = [this, number, told = std::move(told)](CallDone done) {
         auto& change = changes[number];
         change.status = done.status;
         change.answered_at = now;
+        if (told && done.status != 200) told(done.status);
         if (done.status != 200) return;
         auto const dot = done.etag.find('.');
         change.sequence = {
@@ -64,6 +67,7 @@
                 other.sequence >= change.sequence)
                 violation("a change acknowledged later has an older sequence: " + change.identity);
         highest_acknowledged = std::max(highest_acknowledged, change.sequence);
+        if (told) told(200);
     };
     auto& node = *nodes[index];
     on_node(
@@ -97,15 +101,26 @@
 
 auto World::claim(
     std::size_t index, std::string key, std::string ticket, std::function<void(ClaimDone)> done, bool release) -> void {
-    auto const token = next_call++;
     auto const part = 1 + static_cast<int>(hash_text(key) % service_parts);
+    claim(index, ClaimAsk{part, 0, std::move(key), std::move(ticket), release}, std::move(done));
+}
+
+auto World::claim(std::size_t index, ClaimAsk ask, std::function<void(ClaimDone)> done) -> void {
+    auto const token = next_call++;
     if (done) claim_results[token] = std::move(done);
-    auto const ask = ClaimAsk{part, 0, std::move(key), std::move(ticket), release};
-    on_node(index, nodes[index]->life, [this, index, token, ask] {
+    on_node(index, nodes[index]->life, [this, index, token, ask = std::move(ask)] {
         act(index, nodes[index]->control.claim(local(*nodes[index]), token, ask));
     });
 }
 
+auto World::call(std::size_t index, Call asked, std::function<void(CallDone)> done) -> void {
+    auto const token = next_call++;
+    call_results[token] = std::move(done);
+    on_node(index, nodes[index]->life, [this, index, token, asked = std::move(asked)] {
+        act(index, nodes[index]->control.call(local(*nodes[index]), token, asked));
+    });
+}
+
 auto World::check() -> void {
     for (auto part = 0; part < static_cast<int>(part_count); ++part) {
         auto holders = 0;
--- /dev/null
+++ b/source/process/machine/orders.cpp
@@ -0,0 +1,29 @@
+#include "process/machine/orders.hpp"
+
+namespace dockrock {
+
+auto Orders::due(
+    Control const& control, Snapshot const& snapshot, std::map<std::string, ReplicaReport> const& reports,
+    Microseconds now) -> std::vector<Order> {
+    std::vector<Order> orders;
+    for (auto const& [model, target] : snapshot.target_weights) {
+        auto const part = part_of_service(model);
+        if (!control.owns(part, now) || control.proof_age(part, now) > one_second) {
+            rollouts.erase(model);
+            continue;
+        }
+        std::vector<RolloutReplica> replicas;
+        for (auto const& entry : snapshot.list.replicas)
+            if (auto const found = reports.find(entry.name); entry.model == model && found != reports.end())
+                replicas.push_back({entry.name, found->second.weights, found->second.changing, entry.drain});
+        for (auto const& name : rollouts[model].step(target, replicas, now))
+            for (auto const& entry : snapshot.list.replicas)
+                if (entry.name == name)
+                    orders.push_back(
+                        {name, entry.address, target, reports.at(name).incarnation, control.best_record(part).epoch,
+                         part});
+    }
+    return orders;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/snapshot.cpp
@@ -0,0 +1,43 @@
+#include "process/machine/snapshot.hpp"
+
+namespace dockrock {
+
+namespace {
+
+auto read_object(std::string const& text) -> json::object {
+    auto const parsed = parse_json(text);
+    return parsed && parsed->is_object() ? parsed->as_object() : json::object{};
+}
+
+auto read_list(std::string const& text, ReplicaList& into) -> void {
+    auto const parsed = text.empty() ? std::nullopt : parse_json(text);
+    if (!parsed) return;
+    ReplicaList list;
+    Problems problems;
+    read_json(*parsed, list, "", problems);
+    if (problems.empty()) into = std::move(list);  // what can't be read is kept as it was
+}
+
+}  // namespace
+
+auto make_snapshot(Control const& control, Snapshot const& old) -> std::shared_ptr<Snapshot> {
+    auto fresh = std::make_shared<Snapshot>();
+    auto const& configuration = control.news[configuration_part];
+    fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence
+        ? old.rules
+        : compile_rules(configuration.copy.sequence, configuration.copy.document);
+    fresh->list = old.list;
+    read_list(configuration.live, fresh->list);
+    for (auto const& model : fresh->rules->checked.configuration.models)
+        fresh->target_weights[model.name] = model.weights;
+    for (auto part = std::size_t{1}; part <= service_parts; ++part)
+        for (auto const& item : read_object(control.news[part].copy.document))
+            if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
+    auto const resting = read_object(control.news[resting_part].copy.document);
+    if (auto const* names = resting.if_contains("resting"); names != nullptr && names->is_array())
+        for (auto const& name : names->as_array())
+            if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
+    return fresh;
+}
+
+}  // namespace dockrock
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -5,6 +5,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "sequence/changes.hpp"
 
 namespace dockrock {
 
@@ -18,31 +19,6 @@
     return text;
 }
 
-auto apply_configuration(Copy const& current, Call const& call) -> ChangeResult {
-    (void)current;
-    if (call.body.size() > configuration_limit)
-        return {413, R"({"error":"the configuration is larger than 1048576 bytes"})", ""};
-    auto const checked = check_configuration(call.body);
-    if (!checked.problems.empty())
-        return {
-            400,
-            json::serialize(fields(
-                "error", "the configuration has errors; nothing was changed", "problems",
-                write_problems(checked.problems))),
-            ""};
-    return {200, "", call.body};
-}
-
-// A service part's document: the weights named for each service.
-auto apply_service(Copy const& current, Call const& call) -> ChangeResult {
-    auto document = json::object{};
-    if (auto const parsed = parse_json(current.document); parsed && parsed->is_object()) document = parsed->as_object();
-    auto const change = parse_json(call.body);
-    if (!change || !change->is_object()) return {400, R"({"error":"not a JSON object"})", ""};
-    for (auto const& item : change->as_object()) document[item.key()] = item.value();
-    return {200, "", json::serialize(document)};
-}
-
 }  // namespace
 
 auto Node::start() -> leaf::result<void> {
@@ -184,33 +160,7 @@
 
 auto Node::publish_snapshot() -> void {
     auto const old = snapshot.load();
-    auto fresh = std::make_shared<Snapshot>();
-    auto const& configuration = control.news[configuration_part];
-    fresh->rules = old->rules->sequence == configuration.copy.sequence
-        ? old->rules
-        : compile_rules(configuration.copy.sequence, configuration.copy.document);
-    fresh->list = old->list;
-    if (!configuration.live.empty()) {
-        if (auto const parsed = parse_json(configuration.live)) {
-            ReplicaList list;
-            Problems problems;
-            read_json(*parsed, list, "", problems);
-            if (problems.empty()) fresh->list = std::move(list);
-        }
-    }
-    for (auto const& model : fresh->rules->checked.configuration.models)
-        fresh->target_weights[model.name] = model.weights;
-    for (auto part = 1; part <= service_parts; ++part) {
-        auto const parsed = parse_json(control.news[static_cast<std::size_t>(part)].copy.document);
-        if (!parsed || !parsed->is_object()) continue;
-        for (auto const& item : parsed->as_object())
-            if (item.value().is_string())
-                fresh->target_weights[std::string(item.key())] = std::string(item.value().as_string());
-    }
-    if (auto const parsed = parse_json(control.news[resting_part].copy.document); parsed && parsed->is_object())
-        if (auto const* names = parsed->as_object().if_contains("resting"); names != nullptr && names->is_array())
-            for (auto const& name : names->as_array())
-                if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
+    auto fresh = make_snapshot(control, *old);
     if (fresh->rules != old->rules)
         write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
     snapshot = fresh;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -9,9 +9,8 @@
 #include <set>
 
 #include "connection/http_client.hpp"
-#include "process/machine/control.hpp"
+#include "process/machine/orders.hpp"
 #include "process/machine/resting.hpp"
-#include "process/machine/rollout.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -60,15 +59,6 @@
     }
 };
 
-// What tickets are read against: swapped whole (design 14).
-struct Snapshot {
-    std::shared_ptr<Rules const> rules;
-    ReplicaList list;
-    std::map<std::string, std::string> target_weights;
-    std::set<std::string> resting;
-};
-using SnapshotPointer = std::shared_ptr<Snapshot const>;
-
 // One atomic pointer. (The library's std::atomic of a shared pointer unlocks
 // without ordering in the version we build with; its free functions do not.)
 struct SnapshotHolder {
@@ -123,7 +113,7 @@
     std::array<bool, part_count> logged_owned{};
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
-    std::map<std::string, Rollout> rollouts;   // inside control_work
+    Orders orders;                                                        // inside control_work
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;  // under report_lock
 
@@ -164,6 +154,7 @@
     auto report_loop(std::string name) -> awaitable<void>;
     auto report_manager() -> awaitable<void>;
     auto order_loop() -> awaitable<void>;
+    auto send_order(Order order) -> awaitable<void>;
     auto rest_loop() -> awaitable<void>;
     auto step_resting() -> void;
     auto wake() -> void;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -108,67 +108,39 @@
 }
 
 // Orders come from the licensed owner of the service's part alone, and carry
-// its epoch as the fence (design 11).
+// its epoch as the fence and the life of their receiver (design 11).
 auto Node::order_loop() -> awaitable<void> {
-    struct Order {
-        std::string replica;
-        std::string address;
-        std::string weights;
-        std::string model;
-        std::uint64_t fence = 0;
-        int part = 0;
-    };
     while (!finished) {
         co_await pause(200);
-        auto orders = std::make_shared<std::vector<Order>>();
+        auto due = std::make_shared<std::vector<Order>>();
         auto done = std::make_shared<std::atomic<bool>>(false);
-        in_control([this, orders, done] {
-            auto const now = clock_now();
+        in_control([this, due, done] {
             auto const current = snapshot.load();
-            for (auto const& [model, target] : current->target_weights) {
-                auto const part = part_of_service(model);
-                if (!control.owns(part, now) || control.proof_age(part, now) > one_second) {
-                    rollouts.erase(model);
-                    continue;
-                }
-                std::vector<RolloutReplica> replicas;
-                {
-                    auto const guard = std::lock_guard(report_lock);
-                    for (auto const& entry : current->list.replicas)
-                        if (auto const found = reports.find(entry.name); entry.model == model && found != reports.end())
-                            replicas.push_back(
-                                {entry.name, found->second.weights, found->second.changing, entry.drain});
-                }
-                for (auto const& name : rollouts[model].step(target, replicas, now))
-                    for (auto const& entry : current->list.replicas)
-                        if (entry.name == name)
-                            orders->push_back(
-                                {name, entry.address, target, model, control.best_record(part).epoch, part});
-            }
+            auto const guard = std::lock_guard(report_lock);
+            *due = orders.due(control, *current, reports, clock_now());
             *done = true;
         });
         for (auto count = 0; !done->load() && count < 50; ++count) co_await pause(20);
         if (!done->load()) continue;
-        for (auto const& order : *orders) {
-            auto licensed = std::make_shared<std::atomic<int>>(-1);
-            in_control([this, licensed, order] {
-                *licensed =
-                    control.owns(order.part, clock_now()) && control.best_record(order.part).epoch == order.fence ? 1
-                                                                                                                  : 0;
-            });
-            for (auto count = 0; licensed->load() < 0 && count < 50; ++count) co_await pause(5);
-            if (licensed->load() != 1) continue;
-            ++counters.orders;
-            auto const body = json::serialize(
-                fields("weights", order.weights, "fence", order.fence, "holder", settings.control_address));
-            auto const posted = http_ask(http::verb::post, "/weights", body);
-            auto const answer = co_await http_call(order.address, posted, 500 * one_millisecond);
-            write_log(
-                Level::information, "weights-ordered",
-                fields(
-                    "replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
-        }
+        for (auto const& order : *due) co_await send_order(order);
     }
 }
 
+auto Node::send_order(Order order) -> awaitable<void> {
+    auto licensed = std::make_shared<std::atomic<int>>(-1);
+    in_control([this, licensed, order] { *licensed = may_order(control, order, clock_now()) ? 1 : 0; });
+    for (auto count = 0; licensed->load() < 0 && count < 50; ++count) co_await pause(5);
+    if (licensed->load() != 1) co_return;
+    ++counters.orders;
+    auto const body = json::serialize(fields(
+        "weights", order.weights, "fence", order.fence, "holder", settings.control_address, "incarnation",
+        order.incarnation));
+    auto const posted = http_ask(http::verb::post, "/weights", body);
+    auto const answer = co_await http_call(order.address, posted, 500 * one_millisecond);
+    write_log(
+        Level::information, "weights-ordered",
+        fields(
+            "replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
+}
+
 }  // namespace dockrock
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -54,6 +54,7 @@
     Microseconds share_half_life = 10 * one_second;
     Microseconds unreachable_pause = 500 * one_millisecond;
     Microseconds refused_pause = 150 * one_millisecond;
+    Microseconds owing_limit = one_second;  // how long an extra try waits for its budget
     Microseconds empty_pool_limit = 1'500 * one_millisecond;
     double fetch_tokens_each_second = 100'000.0;
     double recompute_tokens_each_second = 10'000.0;
--- a/source/ticket/entry_table.hpp
+++ b/source/ticket/entry_table.hpp
@@ -35,7 +35,7 @@
         auto const guard = Guard(lock);
         entries[ticket.number] = Entry{std::nullopt, std::nullopt, std::move(wake)};
         Decisions decisions;
-        if (avoid) granting.enter_again(ticket, *avoid, now, decisions);
+        if (avoid) granting.enter_again(ticket, *avoid, now);
         else granting.enter(ticket, now, decisions);
         settle(decisions);
         match_locked(now, proof_age);
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -39,7 +39,7 @@
     auto const expected = expected_service(buffer, ticket);
     if (buffer.waiting.size() > options.depth && buffer.drain_rate > 0.01) {
         auto ahead = std::size_t{0};
-        auto const mine = Waiting{ticket, now, {}};
+        auto const mine = Waiting{ticket, now, {}, 0};
         for (auto const& other : buffer.waiting)
             if (score(other, now) >= score(mine, now)) ++ahead;
         auto const wait = static_cast<Microseconds>(static_cast<double>(ahead) / buffer.drain_rate * 1'000'000.0);
@@ -55,21 +55,13 @@
         shed(decisions, buffer, lowest->ticket.number, ShedReason::outranked);
         buffer.waiting.erase(lowest);
     }
-    buffer.waiting.push_back({ticket, now, {}});
+    buffer.waiting.push_back({ticket, now, {}, 0});
 }
 
-// Only for a ticket that is known not to have run.
-auto Granting::enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions)
-    -> bool {
-    auto& buffer = buffers[ticket.body.model];
-    if (!budget.take()) {
-        shed(decisions, buffer, ticket.number, ShedReason::budget);
-        return false;
-    }
-    ++extra_tries;
-    buffer.waiting.push_back({ticket, ticket.arrived_at, {avoid}});
-    (void)now;
-    return true;
+// Only for a ticket that is known not to have run. Its extra try waits for the
+// budget a little; what the budget can't pay in time is given up (design 10.4).
+auto Granting::enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now) -> void {
+    buffers[ticket.body.model].waiting.push_back({ticket, ticket.arrived_at, {avoid}, now});
 }
 
 auto Granting::withdraw(std::uint64_t ticket) -> bool {
@@ -167,14 +159,21 @@
     else if (buffer.empty_pool_since == 0) buffer.empty_pool_since = now;
     std::vector<std::pair<double, std::size_t>> order;
     for (auto index = std::size_t{0}; index < buffer.waiting.size(); ++index)
-        order.emplace_back(-score(buffer.waiting[index], now), index);
+        if (buffer.waiting[index].owes_since == 0 || budget.any())
+            order.emplace_back(-score(buffer.waiting[index], now), index);
     auto const depth = std::min(options.depth, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(depth), order.end());
     std::set<std::uint64_t> gone;
     for (auto place = std::size_t{0}; place < depth; ++place) {  // the bounded search of the paper
         auto const& waiting = buffer.waiting[order[place].second];
+        auto const owes = waiting.owes_since != 0;
+        if (owes && !budget.any()) continue;
         auto const* found = choose(waiting, now);
         if (found == nullptr) continue;
+        if (owes) {
+            budget.take();
+            ++extra_tries;
+        }
         auto const& ticket = waiting.ticket;
         auto const kept = burden.kept_tokens(*found, ticket);
         decisions.placements.push_back(
@@ -202,6 +201,10 @@
             shed(decisions, buffer, item.ticket.number, ShedReason::deadline);
             return true;
         }
+        if (item.owes_since != 0 && !budget.any() && now - item.owes_since > options.owing_limit) {
+            shed(decisions, buffer, item.ticket.number, ShedReason::budget);
+            return true;
+        }
         if (buffer.empty_pool_since != 0 && now - buffer.empty_pool_since > options.empty_pool_limit) {
             shed(decisions, buffer, item.ticket.number, ShedReason::no_replica);
             return true;
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -35,23 +35,22 @@
     std::vector<Shed> sheds;
 };
 
-// Extra tries: a fifth of a try for each ticket, a small store (design 10.4).
+// Extra tries: a fifth of a try for each ticket. The store is one for each node,
+// so that a fleet of about ten has a slack of about ten (design 10.4).
 struct TryBudget {
-    double stored = 5.0;
-    double most = 10.0;
+    double stored = 1.0;
+    double most = 1.0;
     double each_ticket = 0.2;
     auto ticket_came() -> void { stored = std::min(most, stored + each_ticket); }
-    auto take() -> bool {
-        if (stored < 1.0) return false;
-        stored -= 1.0;
-        return true;
-    }
+    auto any() const -> bool { return stored >= 1.0; }
+    auto take() -> void { stored -= 1.0; }
 };
 
 struct Waiting {
     Ticket ticket;
     Microseconds since = 0;
     std::set<std::string> avoid;  // replicas that refused it
+    Microseconds owes_since = 0;  // an extra try that the budget has still to pay
 };
 struct ModelBuffer {
     std::vector<Waiting> waiting;
@@ -81,7 +80,7 @@
     std::uint64_t extra_tries = 0;
 
     auto enter(Ticket const& ticket, Microseconds now, Decisions& decisions) -> void;
-    auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions) -> bool;
+    auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now) -> void;
     auto withdraw(std::uint64_t ticket) -> bool;
     auto match(Microseconds now, Microseconds proof_age, Decisions& decisions) -> void;
     auto finished(
--- a/stand_ins/stand_in_replica.cpp
+++ b/stand_ins/stand_in_replica.cpp
@@ -35,10 +35,15 @@
     if (target == "/weights") {
         auto const body = read_object(request.body());
         auto const number = static_cast<std::uint64_t>(number_of(body, "fence"));
-        auto const accepted = number >= fence;
+        auto const given = text_of(body, "incarnation");
+        auto const for_this_life = given.empty() || given == incarnation;
+        auto const accepted = for_this_life && number >= fence;
         record.write(fields(
             "event", "order", "fence", number, "accepted", accepted, "holder", text_of(body, "holder"), "weights",
             text_of(body, "weights")));
+        if (!for_this_life)
+            co_return co_await reply(
+                socket, request, 409, json::serialize(fields("error", "an order for a former life", "fence", fence)));
         if (!accepted)
             co_return co_await reply(
                 socket, request, 409,
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -145,19 +145,29 @@
     CHECK(lost.sheds[0].reason == ShedReason::not_fresh);
 }
 
-TEST_CASE("extra tries stay within a fifth plus the small store") {
-    auto granting = make_granting(1);
-    auto taken = 0;
+TEST_CASE("extra tries stay within a fifth plus one for the node; what it can't pay waits a little, then is told") {
+    auto granting = make_granting(2, 1'000, 100'000'000);
+    auto placed = std::size_t{0};
+    auto told = std::size_t{0};
     for (auto number = std::uint64_t{1}; number <= 1'000; ++number) {
-        enter(granting, make_ticket(number), 0);
-        granting.withdraw(number);
-        Decisions decisions;
-        for (auto count = 0; count < 3; ++count)
-            if (granting.enter_again(make_ticket(number), "r0", 0, decisions)) ++taken;
+        auto const now = static_cast<Microseconds>(number) * 20 * one_millisecond;
+        enter(granting, make_ticket(number), now);
         granting.withdraw(number);
+        granting.enter_again(make_ticket(number), "r0", now);
+        auto const decisions = match(granting, now);
+        for (auto const& item : decisions.placements) {
+            CHECK(item.replica == "r1");
+            granting.burden.release("r1", item.ticket);
+        }
+        placed += decisions.placements.size();
+        for (auto const& item : decisions.sheds) CHECK(item.reason == ShedReason::budget);
+        told += decisions.sheds.size();
     }
-    CHECK(taken <= 205);
-    CHECK(taken >= 195);
+    CHECK(placed <= 201);
+    CHECK(placed >= 195);
+    CHECK(granting.extra_tries == placed);
+    CHECK(granting.waiting_count() + placed + told == 1'000);
+    CHECK(granting.waiting_count() <= 51);  // nobody waits for the budget over a second
 }
 
 TEST_CASE("a pool that is gone is told within two seconds, not at the deadline") {
