Forming anew after the loss of every core disk: one deliberate operator order

POST /control/form-anew gathers what living nodes hold of each part and forms from the newest copies; refused while any voter of the fleet that was answers. Found while testing: blank core nodes that had learnt of the old fleet refused the order, as their record named a pair; what counts is that they had no say in it.

--- a/programs/dockrock_control.cpp
+++ b/programs/dockrock_control.cpp
@@ -60,9 +60,11 @@
     return answer.status == 504 ? 4 : answer.status == 412 ? 5 : 1;
 }
 
-auto put(Client const& client, std::string const& body, std::string const& condition, std::string const& identity)
-    -> int {
-    auto call = http_ask(http::verb::put, "/control/configuration", body);
+auto change(
+    Client const& client, http::verb method, std::string const& body, std::string const& condition,
+    std::string const& identity) -> int {
+    auto call = http_ask(method, "/control/configuration", body);
+    if (method == http::verb::patch) call.content_type = "application/json-patch+json";
     if (!condition.empty()) call.headers.emplace_back("If-Match", condition);
     if (!identity.empty()) call.headers.emplace_back("Change-Identity", identity);
     return print(client.ask(call));
@@ -90,7 +92,8 @@
 auto main(int argument_count, char** arguments) -> int {
     auto command = TCLAP::CmdLine(
         "dockrock-control: reads and changes a fleet's configuration through any node.\n"
-        "  get | put FILE | check FILE | change IDENTITY | status | revoke KEY-IDENTITY | weights SERVICE NAME | hash "
+        "  get | put FILE | patch FILE | check FILE | change IDENTITY | status | revoke KEY-IDENTITY | weights SERVICE "
+        "NAME | hash "
         "(a key on standard input)\n"
         "Exit: 0 done, 1 refused, 3 no answer, 4 outcome not known, 5 condition not met.",
         ' ', "0.1.0");
@@ -111,8 +114,10 @@
         auto const client = Client{node.getValue(), secret};
         if (word(0) == "get") return print(client.ask(http_ask(http::verb::get, "/control/configuration")));
         if (word(0) == "status") return print(client.ask(http_ask(http::verb::get, "/control/status")));
-        if (word(0) == "put" && asked.size() == 2)
-            return put(client, read_input(word(1)), condition.getValue(), identity.getValue());
+        if ((word(0) == "put" || word(0) == "patch") && asked.size() == 2) {
+            auto const method = word(0) == "put" ? http::verb::put : http::verb::patch;
+            return change(client, method, read_input(word(1)), condition.getValue(), identity.getValue());
+        }
         if (word(0) == "check" && asked.size() == 2)
             return print(client.ask(http_ask(http::verb::post, "/control/check", read_input(word(1)))));
         if (word(0) == "change" && asked.size() == 2)
@@ -125,6 +130,9 @@
             if (!identity.getValue().empty()) call.headers.emplace_back("Change-Identity", identity.getValue());
             return print(client.ask(call));
         }
+        if (word(0) == "form-anew" && asked.size() == 2)
+            return print(client.ask(
+                http_ask(http::verb::post, "/control/form-anew", json::serialize(fields("fleet", word(1))))));
         if (word(0) == "hash") {
             auto text = read_input("-");
             while (!text.empty() && text.back() == '\n') text.pop_back();
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -63,10 +63,12 @@
     co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(CallDone)>(
         [&](auto handler) {
             auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
-            node.make_call(call, [executor, shared](CallDone done) {
+            auto told = [executor, shared](CallDone done) {
                 asio::post(
                     executor, [shared, done = std::move(done)]() mutable { std::move (*shared)(std::move(done)); });
-            });
+            };
+            if (call.operation == "form-anew") node.form_anew(std::move(told));
+            else node.make_call(call, std::move(told));
         },
         asio::use_awaitable);
 }
@@ -124,6 +126,18 @@
                     "error", "the configuration has errors; nothing was changed", "problems",
                     write_problems(checked.problems)));
         call = {configuration_part, identity, "put", header(request, "If-Match"), request.body()};
+    } else if (target == "/control/configuration" && method == http::verb::patch) {
+        if (header(request, "Content-Type") != "application/json-patch+json")
+            co_return co_await answer(request, 415, fields("error", "a patch is application/json-patch+json"));
+        if (request.body().size() > configuration_limit)
+            co_return co_await answer(request, 413, fields("error", "the patch is larger than 1048576 bytes"));
+        call = {configuration_part, identity, "patch", header(request, "If-Match"), request.body()};
+    } else if (target == "/control/form-anew" && method == http::verb::post) {
+        auto const parsed = parse_json(request.body());
+        auto const* named = parsed && parsed->is_object() ? parsed->as_object().if_contains("fleet") : nullptr;
+        if (named == nullptr || !named->is_string() || std::string(named->as_string()) != node.settings.fleet)
+            co_return co_await answer(request, 400, fields("error", "name the fleet: {\"fleet\": NAME}"));
+        call = {configuration_part, "", "form-anew", "", ""};
     } else if (target.starts_with("/control/changes/") && method == http::verb::get) {
         call = {configuration_part, target.substr(17), "outcome", "", ""};
     } else if (
@@ -142,7 +156,7 @@
             json::serialize(fields(service.c_str(), *weights))};
     } else {
         auto const known = target == "/control/configuration" || target == "/control/status" ||
-            target == "/control/check" || target.starts_with("/control/changes/");
+            target == "/control/check" || target == "/control/form-anew" || target.starts_with("/control/changes/");
         auto const* what = known ? "this path does not take that method" : "no such path";
         co_return co_await answer(request, known ? 405 : 404, fields("error", what));
     }
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -124,6 +124,12 @@
                 with_parts(now, output, [&](Context& context) {
                     parts[static_cast<std::size_t>(body.part)].claim(context, address, body);
                 });
+            } else if constexpr (std::is_same_v<Body, AnewAsk>) {
+                output.sends.push_back({address, AnewAnswer{body.token, held_parts()}});
+            } else if constexpr (std::is_same_v<Body, AnewAnswer>) {
+                if (anew && anew->token == body.token && anew->silent.erase(address) > 0) take_anew(body.parts);
+            } else if constexpr (std::is_same_v<Body, FormAnew>) {
+                on_form_anew(now, body, output);
             } else if constexpr (std::is_same_v<Body, ClaimAnswer>) {
                 take_claim_answer(body, output);
             } else if constexpr (std::is_same_v<Body, CallAnswer>) {
@@ -179,6 +185,7 @@
     ask_news(now, output);
     tick_calls(now, output);
     tick_claims(now, output);
+    tick_anew(now, output);
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& item : waiting) {
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -88,6 +88,16 @@
         std::uint64_t local_token = 0;
     };
     std::map<std::uint64_t, PendingClaim> claims;
+    struct PendingAnew {
+        std::uint64_t token = 0;
+        std::uint64_t local_token = 0;
+        Microseconds since = 0;
+        std::set<std::string> silent;  // addresses that have not answered yet
+        std::vector<PartHeld> best;
+        std::uint64_t epoch = 0;  // once it is sent
+    };
+    std::optional<PendingAnew> anew;
+    bool forms_anew = false;  // this core node holds the copies to form from
     Microseconds blank_since = 0;
     Microseconds last_list_read = -3'600 * one_second;
     Microseconds last_forming = 0;
@@ -104,6 +114,7 @@
         -> ControlOutput;
     auto saved(Microseconds now, std::uint64_t token, bool ok) -> ControlOutput;
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
+    auto form_anew(Microseconds now, std::uint64_t local_token) -> ControlOutput;
     auto claim(Microseconds now, std::uint64_t local_token, ClaimAsk ask) -> ControlOutput;
     auto list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
     auto wants_list(Microseconds now) const -> bool;
@@ -141,6 +152,12 @@
     auto take_claim_answer(ClaimAnswer const& answer, ControlOutput& output) -> void;
     auto tick_claims(Microseconds now, ControlOutput& output) -> void;
     auto form(Microseconds now, Context& context) -> void;
+    auto held_parts() const -> std::vector<PartHeld>;
+    auto take_anew(std::vector<PartHeld> const& told) -> void;
+    auto tick_anew(Microseconds now, ControlOutput& output) -> void;
+    auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
+    auto old_voter_alive(std::vector<PartHeld> const& held) const -> std::string;
+    auto on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void;
 };
 
 }  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/control_anew.cpp
@@ -0,0 +1,124 @@
+// Forming anew after the loss of every core disk: an operator's deliberate
+// order, from the newest copies that living nodes hold. docs/design.md 5.9.
+#include <algorithm>
+
+#include "process/machine/control.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr Microseconds gather_limit = 2 * one_second;
+constexpr Microseconds forming_limit = 10 * one_second;
+}  // namespace
+
+auto Control::held_parts() const -> std::vector<PartHeld> {
+    std::vector<PartHeld> held;
+    for (auto index = std::size_t{0}; index < part_count; ++index) {
+        auto const& record = best_record(static_cast<int>(index));
+        auto const& own = parts[index].copy;
+        auto const& told = news[index].copy;
+        auto const& newest = own.sequence > told.sequence ? own : told;
+        auto const voters = record.primary.empty() ? std::vector<std::string>() : record.voters;
+        held.push_back({record.epoch, voters, newest.sequence, newest.document});
+    }
+    return held;
+}
+
+auto Control::old_voter_alive(std::vector<PartHeld> const& held) const -> std::string {
+    for (auto const& part : held)
+        for (auto const& voter : part.voters)
+            if (voter == membership.self.identity || membership.alive(voter)) return voter;
+    return "";
+}
+
+auto Control::form_anew(Microseconds now, std::uint64_t local_token) -> ControlOutput {
+    ControlOutput output;
+    auto const busy = anew.has_value();
+    auto fresh = PendingAnew{random.next() | 1U, local_token, now, {}, held_parts(), 0};
+    auto const refused = [&](std::string_view what) {
+        auto const body = json::serialize(fields("error", std::string(what) + "; nothing was done"));
+        output.results.push_back({"", local_token, 409, body, ""});
+        return output;
+    };
+    if (busy) return refused("forming anew is under way");
+    if (!knows_fleet()) return refused("this node knows no fleet that was; blank core nodes form by themselves");
+    if (auto const voter = old_voter_alive(fresh.best); !voter.empty())
+        return refused("core node " + voter + " of the fleet that was still answers");
+    if (membership.alive_members(true).size() < majority_of(settings.core_count))
+        return refused("fewer than a majority of core nodes are there");
+    for (auto const& member : membership.alive_members(false)) {
+        if (member.identity == membership.self.identity) continue;
+        fresh.silent.insert(member.control_address);
+        output.sends.push_back({member.control_address, AnewAsk{fresh.token}});
+    }
+    anew = std::move(fresh);
+    return output;
+}
+
+auto Control::take_anew(std::vector<PartHeld> const& told) -> void {
+    for (auto index = std::size_t{0}; index < std::min(told.size(), anew->best.size()); ++index) {
+        auto& best = anew->best[index];
+        if (told[index].epoch > best.epoch) {
+            best.epoch = told[index].epoch;
+            if (!told[index].voters.empty()) best.voters = told[index].voters;
+        }
+        if (told[index].sequence > best.sequence) {
+            best.sequence = told[index].sequence;
+            best.document = told[index].document;
+        }
+    }
+}
+
+auto Control::end_anew(int status, std::string_view what, ControlOutput& output) -> void {
+    auto const* name = status == 200 ? "state" : "error";
+    output.results.push_back({"", anew->local_token, status, json::serialize(fields(name, std::string(what))), ""});
+    anew.reset();
+}
+
+auto Control::tick_anew(Microseconds now, ControlOutput& output) -> void {
+    if (!anew) return;
+    if (anew->epoch != 0) {
+        auto const& record = best_record(configuration_part);
+        if (record.epoch > anew->epoch && !record.primary.empty()) return end_anew(200, "formed anew", output);
+        if (now - anew->since > forming_limit) end_anew(504, "not formed yet; look at the status, order again", output);
+        return;
+    }
+    if (!anew->silent.empty() && now - anew->since < gather_limit) return;
+    if (auto const voter = old_voter_alive(anew->best); !voter.empty())
+        return end_anew(409, "core node " + voter + " of the fleet that was still answers; nothing was done", output);
+    auto cores = membership.alive_members(true);
+    if (cores.empty()) return end_anew(409, "no core node is there; nothing was done", output);
+    std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
+        return left.control_address < right.control_address;
+    });
+    auto order = FormAnew{0, {}, anew->best};
+    for (auto const& part : anew->best) order.epoch = std::max(order.epoch, part.epoch + 1);
+    for (auto const& core : cores) order.voters.push_back(core.identity);
+    anew->epoch = order.epoch;
+    anew->since = now;
+    if (cores.front().identity == membership.self.identity) on_form_anew(now, order, output);
+    else output.sends.push_back({cores.front().control_address, std::move(order)});
+}
+
+// Only a core node that had no say in the fleet that was: its disk knows nothing better.
+auto Control::on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void {
+    auto const named = std::any_of(parts.begin(), parts.end(), [&](auto const& part) {
+        auto const& record = part.votes.decided;
+        auto const& self = membership.self.identity;
+        auto const votes = std::find(record.voters.begin(), record.voters.end(), self) != record.voters.end();
+        return !record.primary.empty() && (votes || record.primary == self || record.understudy == self);
+    });
+    auto const listed = std::find(order.voters.begin(), order.voters.end(), membership.self.identity);
+    if (!settings.core || named || order.parts.size() != part_count || listed == order.voters.end()) return;
+    if (!old_voter_alive(order.parts).empty()) return;
+    forms_anew = true;
+    with_parts(now, output, [&](Context& context) {
+        for (auto index = std::size_t{0}; index < part_count; ++index) {
+            auto& part = parts[index];
+            part.copy = {order.parts[index].sequence, order.parts[index].document, {}};
+            part.learn(context, Record{order.epoch, "", "", order.voters});
+        }
+    });
+}
+
+}  // namespace dockrock
--- a/source/process/machine/control_form.cpp
+++ b/source/process/machine/control_form.cpp
@@ -12,7 +12,7 @@
     auto const somebody_knows =
         std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
     auto const& first = parts[0].votes.decided;
-    if (somebody_knows && first.epoch == 0 && first.voters.empty()) {
+    if (somebody_knows && !forms_anew && first.epoch == 0 && first.voters.empty()) {
         blank_since = now;
         return;
     }
@@ -36,10 +36,14 @@
     last_forming = now;
     for (auto& part : parts) {
         auto const& record = part.votes.decided;
-        if (record.epoch != 0 || record.voters.empty() || part.proposal) continue;
+        auto const named = !record.primary.empty() || record.voters.empty();
+        if (named || part.proposal || (record.epoch != 0 && !forms_anew)) continue;
         auto const count = record.voters.size();
         auto wanted = record;
-        auto const place = static_cast<std::size_t>(part.index) % count;
+        // After a loss the one that holds the copies is the first owner of all parts.
+        auto const own = std::find(record.voters.begin(), record.voters.end(), membership.self.identity);
+        auto const place = record.epoch != 0 ? static_cast<std::size_t>(own - record.voters.begin()) % count
+                                             : static_cast<std::size_t>(part.index) % count;
         wanted.primary = record.voters[place];
         wanted.understudy = record.voters[(place + 1) % count];
         auto const* primary = membership.find(wanted.primary);
--- a/source/process/machine/messages.hpp
+++ b/source/process/machine/messages.hpp
@@ -151,6 +151,25 @@
     std::string body;
     std::string etag;
 };
+// forming anew after the loss of every core disk (design 5.9)
+struct PartHeld {
+    std::uint64_t epoch = 0;
+    std::vector<std::string> voters;  // of a record that named a pair
+    Sequence sequence;
+    std::string document;
+};
+struct AnewAsk {
+    std::uint64_t token = 0;
+};
+struct AnewAnswer {
+    std::uint64_t token = 0;
+    std::vector<PartHeld> parts;
+};
+struct FormAnew {
+    std::uint64_t epoch = 0;
+    std::vector<std::string> voters;
+    std::vector<PartHeld> parts;
+};
 // claims of run-once tickets (design 10.5)
 enum class ClaimState : int { not_here, granted, seen, full };
 struct ClaimAsk {
@@ -188,13 +207,14 @@
 using Message = std::variant<
     Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LicenceAsk, LicenceGrant, Beat,
     Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer, BurdenDigest,
-    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown>;
+    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
-    {"probe",         "probe-answer", "probe-for",    "prepare",       "promise",     "accept",       "accepted",
-     "refusal",       "decided",      "licence-ask",  "licence-grant", "beat",        "append",       "appended",
-     "copy-offer",    "copy-taken",   "spare-offer",  "news-ask",      "news-answer", "call-forward", "call-answer",
-     "burden-digest", "claim-ask",    "claim-answer", "claim-flight",  "claim-flown"});
+    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",       "accept",
+     "accepted",     "refusal",      "decided",     "licence-ask",   "licence-grant", "beat",
+     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer",   "news-ask",
+     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",     "claim-answer",
+     "claim-flight", "claim-flown",  "anew-ask",    "anew-answer",   "form-anew"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
 auto write_message(Message const& message) -> std::string;
@@ -202,32 +222,4 @@
 
 }  // namespace dockrock
 
-BOOST_HANA_ADAPT_STRUCT(dockrock::Probe, token, members);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ProbeAnswer, token, members);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ProbeFor, token, target);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Prepare, part, epoch, ballot, proof);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Promise, part, epoch, ballot, accepted_ballot, accepted);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Accept, part, epoch, ballot, record, proof);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Accepted, part, epoch, ballot);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Refusal, part, epoch, promised, decided);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Decided, part, record);
-BOOST_HANA_ADAPT_STRUCT(dockrock::LicenceAsk, part, record, asked_at);
-BOOST_HANA_ADAPT_STRUCT(dockrock::LicenceGrant, part, epoch, asked_at);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Beat, part, record, sequence);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Append, part, record, copy);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Appended, part, epoch, sequence);
-BOOST_HANA_ADAPT_STRUCT(dockrock::CopyOffer, part, epoch, ballot, copy, claims);
-BOOST_HANA_ADAPT_STRUCT(dockrock::CopyTaken, part, epoch, ballot);
-BOOST_HANA_ADAPT_STRUCT(dockrock::SpareOffer, part, record, copy);
-BOOST_HANA_ADAPT_STRUCT(dockrock::NewsCopy, sequence, digest, whole, front, back, text);
-BOOST_HANA_ADAPT_STRUCT(dockrock::NewsAsk, part, token, epoch, have, live_digest, live_age, whole);
-BOOST_HANA_ADAPT_STRUCT(
-    dockrock::NewsAnswer, part, token, record, proven, age, sequence, copy, live_digest, live, live_age);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Call, part, identity, operation, if_match, body);
-BOOST_HANA_ADAPT_STRUCT(dockrock::CallForward, token, hops, origin, call);
-BOOST_HANA_ADAPT_STRUCT(dockrock::CallAnswer, token, status, body, etag);
-BOOST_HANA_ADAPT_STRUCT(dockrock::BurdenDigest, number, body);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimAsk, part, token, key, ticket, release);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimAnswer, part, token, epoch, state);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimFlight, part, record, life, number, claims);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimFlown, part, epoch, life, number);
+#include "process/machine/messages_adapted.hpp"
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -139,6 +139,7 @@
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
+    auto form_anew(std::function<void(CallDone)> done) -> void;
     auto make_claim(Ticket const& ticket, bool release, std::function<void(ClaimDone)> done) -> void;
     auto release(std::string const& replica, std::uint64_t ticket) -> void;
     auto try_ended(
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -74,6 +74,15 @@
         !current->list.replicas.empty();
 }
 
+auto Node::form_anew(std::function<void(CallDone)> done) -> void {
+    in_control([this, done = std::move(done)] {
+        auto const token = control.random.next() | 1U;
+        call_waiters[token] = done;
+        write_log(Level::warning, "form-anew-ordered", {});
+        act_on(control.form_anew(clock_now(), token));
+    });
+}
+
 auto Node::make_claim(Ticket const& ticket, bool release, std::function<void(ClaimDone)> done) -> void {
     auto const part = part_of_service(ticket.body.model);
     auto ask = ClaimAsk{part, 0, claim_key(ticket), "", release};
