Live faults: a relay on the nodes' links, a shim for sick disks and wall clocks, sick back ends

Scenarios: splits (two-two, three-one, one way, an edge and a core alone), seeds moved, slow replica links, slow and empty store, late, gapped and missing prefix events, pools replaced one by one, slow, stalled and full disks, wall clocks jumping both ways, every core disk lost. A node may listen elsewhere than where others reach it (control_listen), as behind a relay.

--- a/programs/dockrock_node.cpp
+++ b/programs/dockrock_node.cpp
@@ -22,6 +22,9 @@
         TCLAP::SwitchArg("", "check-settings", "check the settings, print every problem, start nothing", command);
     auto control_address =
         TCLAP::ValueArg<std::string>("", "control-address", "IP:port for other nodes", false, "", "IP:PORT", command);
+    auto control_listen = TCLAP::ValueArg<std::string>(
+        "", "control-listen", "where it listens for nodes, if others reach it by another address", false, "", "IP:PORT",
+        command);
     auto http_address = TCLAP::ValueArg<std::string>(
         "", "http-address", "IP:port for callers and operators", false, "", "IP:PORT", command);
     auto area =
@@ -47,6 +50,7 @@
     check_only = check.getValue();
     auto problems = file.isSet() ? read_settings_file(file.getValue(), settings) : Problems{};
     if (control_address.isSet()) settings.control_address = control_address.getValue();
+    if (control_listen.isSet()) settings.control_listen = control_listen.getValue();
     if (http_address.isSet()) settings.http_address = http_address.getValue();
     if (area.isSet()) settings.area = area.getValue();
     if (seed.isSet()) settings.seeds = seed.getValue();
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -6,6 +6,8 @@
 import signal
 import time
 
+from backs import start_backs
+from faults import shim_environment, start_relay
 from processes import Process, call, wait_until, with_key_hashes
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -51,8 +53,8 @@
     def program(self, name):
         return str(self.programs / name)
 
-    def add(self, name, arguments):
-        self.processes[name] = Process(name, arguments, self.folder)
+    def add(self, name, arguments, environment=None):
+        self.processes[name] = Process(name, arguments, self.folder, environment)
         return self.processes[name].start()
 
     def start_replica(self, replica, weights=None):
@@ -79,36 +81,6 @@
             + options,
         )
 
-    def listed(self):
-        return [{key: value for key, value in replica.items() if key != "weights"} for replica in self.replicas]
-
-    def start_backs(self):
-        listing = {
-            "sequence": 0,
-            "replicas": self.listed(),
-            "application": {"address": self.application},
-            "store": {"address": self.store},
-        }
-        (self.folder / "list.json").write_text(json.dumps(listing))
-        self.add(
-            "platform",
-            [
-                self.program("stand-in-platform"),
-                "--address",
-                self.platform,
-                "--list",
-                str(self.folder / "list.json"),
-                "--lag-milliseconds",
-                str(self.options.get("lag", 500)),
-                "--record",
-                str(self.folder / "platform.jsonl"),
-            ],
-        )
-        self.add("store", [self.program("stand-in-store"), "--address", self.store])
-        self.add("application", [self.program("stand-in-application"), "--address", self.application])
-        for replica in self.replicas:
-            self.start_replica(replica)
-
     def node_settings(self, name):
         number = self.names.index(name)
         seeds = [self.control[seed] for seed in (self.cores + self.edges)[:3]]
@@ -125,13 +97,20 @@
         }
         if name in self.cores:
             settings["data_folder"] = str(self.folder / (name + "-data"))
+        if self.options.get("relay"):
+            settings["control_listen"] = self.listens(name)
         settings.update(self.options.get("settings", {}))
         settings.update(self.options.get("node_settings", {}).get(name, {}))
         return settings
 
     def start_node(self, name):
         (self.folder / (name + ".json")).write_text(json.dumps(self.node_settings(name)))
-        return self.add(name, [self.program("dockrock-node"), "--settings", str(self.folder / (name + ".json"))])
+        arguments = [self.program("dockrock-node"), "--settings", str(self.folder / (name + ".json"))]
+        return self.add(name, arguments, shim_environment(self, name) if self.options.get("shim") else None)
+
+    def listens(self, name):
+        """Where a node itself is, when a relay stands at its address."""
+        return "127.0.0.1:%d" % (self.base + 2 * self.names.index(name) + 40)
 
     def start_nodes(self, names=None):
         for name in names or self.names:
@@ -170,7 +149,9 @@
         raise TimeoutError("configuration not taken")
 
     def start(self, configure=True, limit=40):
-        self.start_backs()
+        start_backs(self)
+        if self.options.get("relay"):
+            start_relay(self)
         self.start_nodes()
         wait_until(lambda: self.get_configuration(self.edges[0])[0] == 200, limit, "fleet formed")
         if configure:
--- a/scripts/observe.py
+++ b/scripts/observe.py
@@ -28,6 +28,24 @@
         facts.setdefault("in_force", []).append((name, 99.0))
 
 
+def in_force_or_stale(fleet, etag, facts, must_hold=False):
+    """As above for every node; one that is cut off may instead have stopped granting entry under what it holds."""
+    began = time.monotonic()
+    left = set(fleet.names)
+    while left and time.monotonic() - began < 6:
+        for name in sorted(left):
+            status = fleet.status(name)
+            if not status:
+                continue
+            holds = number(status["configuration_in_force"]) >= number(etag)
+            stale = status["parts"][0]["proof_age_microseconds"] > 1_500_000
+            if holds or (stale and not must_hold):
+                left.discard(name)
+                facts.setdefault("in_force", []).append((name, time.monotonic() - began))
+    for name in left:
+        facts.setdefault("in_force", []).append((name, 99.0))
+
+
 def change_tree(fleet, rank):
     tree = fleet.configuration()
     tree["root"]["rank"] = rank
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -49,15 +49,17 @@
 
 
 class Process:
-    def __init__(self, name, arguments, folder):
-        self.name, self.arguments, self.folder = name, arguments, folder
+    def __init__(self, name, arguments, folder, environment=None):
+        self.name, self.arguments, self.folder, self.environment = name, arguments, folder, environment
         self.handle = None
         self.told = False  # whether it was told to end
 
     def start(self):
         self.told = False
         with open(self.folder / (self.name + ".out"), "ab") as output:
-            self.handle = subprocess.Popen(self.arguments, stdout=output, stderr=output, cwd=self.folder)
+            self.handle = subprocess.Popen(
+                self.arguments, stdout=output, stderr=output, cwd=self.folder, env=self.environment
+            )
         return self
 
     def running(self):
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -17,13 +17,10 @@
 
 def run(options, scenario):
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-"))
-    fleet = fleet_module.Fleet(
-        options.deployment,
-        folder,
-        options.build,
-        options.port,
-        options={"settings": {"resting": False}} if options.no_resting else None,
-    )
+    chosen = {"relay": scenario in ("splits",), "shim": scenario in ("sick_disks", "clocks")}
+    if options.no_resting:
+        chosen["settings"] = {"resting": False}
+    fleet = fleet_module.Fleet(options.deployment, folder, options.build, options.port, options=chosen)
     facts = {"nodes": len(fleet.names)}
     try:
         fleet.start()
@@ -60,6 +57,14 @@
     "total_loss": [12],
     "overload": [2, 11],
     "crashes": [1, 3, 11],
+    "twice": [1],
+    "splits": [1, 3, 6],
+    "seeds_moved": [3, 6, 10],
+    "back_links": [1, 3, 8],
+    "pools": [10],
+    "sick_disks": [1, 6],
+    "clocks": [6, 10],
+    "lost_disks": [6, 7],
 }
 
 
--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -7,6 +7,8 @@
 from fleet import call, wait_until
 from observe import change_tree, clock, in_force_everywhere, put_elsewhere, settled
 from scenarios_changes import races, revoke, weights
+from scenarios_disks import clocks, lost_disks, sick_disks
+from scenarios_links import back_links, pools, seeds_moved, splits
 from scenarios_own import light, takeover
 
 
@@ -179,6 +181,13 @@
         overload,
         bad_input,
         twice,
+        splits,
+        seeds_moved,
+        back_links,
+        pools,
+        sick_disks,
+        clocks,
+        lost_disks,
         planted,
     )
 }
--- /dev/null
+++ b/scripts/scenarios_disks.py
@@ -0,0 +1,88 @@
+"""Scenarios of sick disks, jumping wall clocks and the loss of every core disk."""
+
+import json
+import time
+
+from fleet import call, wait_until
+from faults import sicken
+from observe import change_tree, in_force_everywhere, settled
+
+
+def sick_disks(fleet, options, facts):
+    """The owner's disk slow, then stalled, then full: changes go on through others, tickets are served regardless."""
+    facts["unplanned"] = True
+    fleet.start_caller("load", options.rate, options.seconds, options.seed)
+    for rank, fault in enumerate(("slow 150", "stall", "full")):
+        owner = wait_until(fleet.owner, 12, "an owner")
+        sicken(fleet, owner, fault)
+        status, headers, text = fleet.put_somewhere(change_tree(fleet, rank + 1))
+        if status != 200:
+            facts.setdefault("stuck", []).append((fault, status, text))
+        in_force_everywhere(fleet, headers.get("ETag", '"0.0"'), facts)
+        time.sleep(1.0)
+        sicken(fleet, owner)
+        if fault == "full":  # a failed write is final for that run
+            if not fleet.metrics(owner)["disk_failed"]:
+                facts.setdefault("stuck", []).append("%s does not say that its disk failed" % owner)
+            fleet.kill(owner)
+            fleet.start_node(owner)
+        wait_until(lambda: settled(fleet), 20, "pairs whole again after " + fault)
+    fleet.wait_caller("load", options.seconds + 60)
+
+
+def clocks(fleet, options, facts):
+    """Wall clocks jump an hour on and a day back, on the owner, its understudy and edges: nothing may notice."""
+    facts["planned"] = 1
+    fleet.start_caller("load", options.rate, options.seconds, options.seed)
+    owner = fleet.owner()
+    before = fleet.status(owner)["parts"][0]["epoch"]
+    for rank, jump in enumerate((3600, -86400, 100000000, 0)):
+        for name in [owner] + fleet.cores[:2] + fleet.edges[::2]:
+            sicken(fleet, name, "clock %d" % jump)
+        status, headers, text = fleet.put_somewhere(change_tree(fleet, rank + 1))
+        assert status == 200, text
+        in_force_everywhere(fleet, headers["ETag"], facts)
+        time.sleep(1.0)
+    after = fleet.status(owner)["parts"][0]["epoch"]
+    if after != before:
+        facts.setdefault("stuck", []).append("the owner of the configuration changed under a clock jump")
+    fleet.wait_caller("load", options.seconds + 60)
+
+
+def lost_disks(fleet, options, facts):
+    """Every core disk lost while edges live: nothing forms by itself, the operator's order brings it back."""
+    facts["unplanned"] = True
+    fleet.start_caller("load", options.rate, options.seconds, options.seed)
+    status, headers, _ = fleet.put_somewhere(change_tree(fleet, 7))
+    in_force_everywhere(fleet, headers["ETag"], facts)
+    for name in fleet.cores:
+        fleet.kill(name)
+        fleet.wipe(name)
+    for name in fleet.cores:
+        fleet.start_node(name)
+    order = {"fleet": fleet.deployment["name"]}
+    wrong = call(fleet.http[fleet.edges[0]], "POST", "/control/form-anew", {"fleet": "another"})
+    if wrong[0] != 400:
+        facts.setdefault("stuck", []).append(("another fleet's name", wrong[0]))
+    wait_until(
+        lambda: len(json.loads(call(fleet.http[fleet.edges[3]], "GET", "/control/status")[2])["members"]) >= 13,
+        10,
+        "members",
+    )
+
+    def formed():
+        return call(fleet.http[fleet.edges[3]], "POST", "/control/form-anew", order, timeout=20)[0] == 200
+
+    wait_until(formed, 30, "formed anew")
+    wait_until(lambda: settled(fleet), 20, "pairs whole again")
+    status, _, tree = fleet.get_configuration(fleet.edges[5])
+    facts["reads"] = 1
+    if status != 200 or tree != change_tree(fleet, 7):
+        facts["wrong_reads"] = ["after forming anew %s" % status]
+    again = call(fleet.http[fleet.edges[3]], "POST", "/control/form-anew", order, timeout=20)[0]
+    if again != 409:
+        facts.setdefault("stuck", []).append(("formed anew twice", again))
+    fleet.wait_ready()
+    fleet.start_caller("after", options.rate, 4, options.seed)
+    fleet.wait_caller("after", 60)
+    fleet.wait_caller("load", options.seconds + 60)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,6 +37,13 @@
 run bad_input $magnolia 10 15
 run total_loss $magnolia 10 15
 run twice $magnolia 12 15
+run splits $tallinn 12 12
+run seeds_moved $magnolia 12 12
+run back_links $tallinn 12 20
+run pools $magnolia 12 12
+run sick_disks $tallinn 12 12
+run clocks $magnolia 10 12
+run lost_disks $tallinn 12 12
 run light $tallinn 30 4
 if python3 scripts/prove.py --build "$build" --scenario planted --rate 15 --port "$port" --expect-broken 1 \
   > /dev/null; then
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -74,7 +74,8 @@
     if (!failure) acceptor->listen(1024, failure);
     if (failure)
         return leaf::new_error(StartFailure{"cannot listen on " + settings.http_address + ": " + failure.message()});
-    auto const problem = transport.start(settings.control_address, settings.fleet, [this](Frame&& frame) {
+    auto const& listens = settings.control_listen.empty() ? settings.control_address : settings.control_listen;
+    auto const problem = transport.start(listens, settings.fleet, [this](Frame&& frame) {
         auto message = read_message(frame.body);
         if (!message) {
             ++transport.malformed;
@@ -84,8 +85,7 @@
             act_on(control.receive(clock_now(), frame.sender, frame.sender_address, message));
         });
     });
-    if (!problem.empty())
-        return leaf::new_error(StartFailure{"cannot listen on " + settings.control_address + ": " + problem});
+    if (!problem.empty()) return leaf::new_error(StartFailure{"cannot listen on " + listens + ": " + problem});
     if (core) disk_thread = std::thread([this] { run_disk(); });
     write_log(
         Level::information, "started",
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -24,6 +24,7 @@
     };
     address(settings.control_address, "/control_address", true);
     address(settings.http_address, "/http_address", true);
+    address(settings.control_listen, "/control_listen", false);
     address(settings.platform_address, "/platform_address", false);
     if (settings.control_address == settings.http_address && !settings.http_address.empty())
         problems.push_back({"/http_address", "must differ from control_address"});
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -8,6 +8,7 @@
     std::string fleet = "dockrock";
     std::string control_address;  // IP:port other nodes reach
     std::string http_address;     // IP:port callers and operators reach
+    std::string control_listen;   // where it listens, if others reach it by another address
     std::string area;
     std::vector<std::string> seeds;
     std::string data_folder;       // present on core nodes only
@@ -28,5 +29,5 @@
 }  // namespace dockrock
 
 BOOST_HANA_ADAPT_STRUCT(
-    dockrock::NodeSettings, fleet, control_address, http_address, area, seeds, data_folder, platform_address,
-    core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting);
+    dockrock::NodeSettings, fleet, control_address, http_address, control_listen, area, seeds, data_folder,
+    platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting);
--- a/stand_ins/replica.hpp
+++ b/stand_ins/replica.hpp
@@ -33,13 +33,17 @@
     std::set<std::string> seen;
     std::deque<json::object> events;
     std::uint64_t next_event = 0;
+    bool no_events = false;  // planted by POST /fault, for good
+    Microseconds events_late = 0;
     std::string fault;  // planted by POST /fault, for one run
 
     auto tell(std::string const& kind, std::uint64_t chain) -> void {
+        if (no_events) return;
         json::object event;
         event["number"] = next_event++;
         event["kind"] = kind;
         event["chain"] = std::to_string(chain);
+        event["told_at"] = clock_now() + events_late;
         events.push_back(std::move(event));
         if (events.size() > 2'000) events.pop_front();
         if (options.event_gap > 0 && next_event % static_cast<std::uint64_t>(options.event_gap) == 0) events.clear();
--- a/stand_ins/stand_in_replica.cpp
+++ b/stand_ins/stand_in_replica.cpp
@@ -17,18 +17,24 @@
     auto const target = std::string_view(request.target().data(), request.target().size());
     if (target == "/run") co_return co_await run(socket, request);
     if (target.starts_with("/report")) {
-        auto const after = std::strtoull(query_value(target, "after").c_str(), nullptr, 10);
+        auto const after = static_cast<std::uint64_t>(std::strtoull(query_value(target, "after").c_str(), nullptr, 10));
         json::array list;
-        auto first = next_event;
+        auto const hidden = !events.empty() && number_of(events.back(), "told_at") > clock_now();
+        auto first = hidden ? after : next_event;
+        auto next = hidden ? after : next_event;
         for (auto const& event : events) {
             auto const number = static_cast<std::uint64_t>(number_of(event, "number"));
             if (number < after) continue;
+            if (number_of(event, "told_at") > clock_now()) break;  // not told yet
             first = std::min(first, number);
-            list.push_back(event);
+            next = number + 1;
+            auto told = event;
+            told.erase("told_at");
+            list.push_back(std::move(told));
         }
         auto report = fields(
             "incarnation", incarnation, "weights", weights, "changing", changing, "free_memory", free_memory(), "fence",
-            fence, "first_event", first, "next_event", next_event);
+            fence, "first_event", first, "next_event", next);
         report["events"] = std::move(list);
         co_return co_await reply(socket, request, 200, json::serialize(report));
     }
@@ -61,8 +67,15 @@
                 std::strtoll(query_value(target, "tokens").c_str(), nullptr, 10) * one_second / options.link_rate);
         co_return co_await reply(socket, request, good ? 200 : 404, "{}");
     }
+    if (target == "/load")
+        co_return co_await reply(socket, request, 200, json::serialize(fields("running", queued_slots)));
     if (target == "/fault") {
-        fault = text_of(read_object(request.body()), "kind");
+        auto const kind = text_of(read_object(request.body()), "kind");
+        if (kind == "slow-link") options.link_rate = 500;
+        else if (kind == "late-events") events_late = 2 * one_second;
+        else if (kind == "gapped-events") options.event_gap = 5;
+        else if (kind == "no-events") no_events = true;
+        else fault = kind;
         co_return co_await reply(socket, request, 200, "{}");
     }
     co_return co_await reply(socket, request, 404, "{}");
--- a/stand_ins/stand_in_store.cpp
+++ b/stand_ins/stand_in_store.cpp
@@ -12,9 +12,12 @@
     command.parse(argument_count, arguments);
     auto context = asio::io_context(1);
     auto kept = std::set<std::string>();
-    auto const link_rate = rate.getValue();
+    auto link_rate = rate.getValue();
     run_server(context, address.getValue(), [&](tcp::socket& socket, Request const& request) -> awaitable<bool> {
         auto const target = std::string_view(request.target().data(), request.target().size());
+        if (target == "/empty") kept.clear();
+        if (target == "/slow") link_rate = 500;
+        if (target == "/empty" || target == "/slow") co_return co_await reply(socket, request, 200, "{}");
         auto const name = query_value(target, "weights") + "/" + query_value(target, "chain");
         if (request.method() == http::verb::put) kept.insert(name);
         auto const good = kept.contains(name);
