Disk recovery, exhaustively: every prefix of recorded writes, unsynced ones lost, torn or reordered

Storage tells a recorder each truncation, write and sync; the test recovers from every prefix with every combination of what was not synced, the last torn or not. Seen: never older than told, never damaged; a disk that forgets to sync is caught by the same recoveries.

--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -124,23 +124,41 @@
     return LoadResult::loaded;
 }
 
+auto Storage::tell(FileEvent::Kind kind, std::string const& file, std::string_view bytes) const -> void {
+    if (watch) watch({kind, file, std::string(bytes)});
+}
+
 auto Storage::open_log(bool truncate) -> bool {
     if (log_descriptor >= 0) ::close(log_descriptor);
-    log_descriptor =
-        ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0), 0600);
+    auto const flags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0);
+    log_descriptor = ::open((folder / "log").c_str(), flags, 0600);
     log_size = 0;
-    return log_descriptor >= 0 && ::fdatasync(log_descriptor) == 0 && sync_folder(folder);
+    if (log_descriptor < 0) return false;
+    if (truncate) tell(FileEvent::Kind::truncated, "log");
+    if (::fdatasync(log_descriptor) != 0) return false;
+    tell(FileEvent::Kind::synced, "log");
+    if (!sync_folder(folder)) return false;
+    tell(FileEvent::Kind::folder_synced, "");
+    return true;
 }
 
 auto Storage::write_slot() -> bool {
     ++generation;
     auto const path = slot_path(folder, generation);
+    auto const name = path.filename().string();
     auto const descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (descriptor < 0) return false;
-    auto const good =
-        write_all(descriptor, seal(generation, json::serialize(write_json(state)))) && ::fsync(descriptor) == 0;
+    tell(FileEvent::Kind::truncated, name);
+    auto const bytes = seal(generation, json::serialize(write_json(state)));
+    auto const good = write_all(descriptor, bytes);
+    if (good) tell(FileEvent::Kind::written, name, bytes);
+    auto const synced = good && ::fsync(descriptor) == 0;
     ::close(descriptor);
-    return good && sync_folder(folder) && open_log(true);
+    if (!synced) return false;
+    tell(FileEvent::Kind::synced, name);
+    if (!sync_folder(folder)) return false;
+    tell(FileEvent::Kind::folder_synced, "");
+    return open_log(true);
 }
 
 // Also where a damaged or blank folder begins anew, under a new identity.
@@ -160,9 +178,12 @@
         bytes += seal(generation, json::serialize(write_json(saved)));
     }
     // One write and one sync for all that waited; a failure is final.
-    broken = !write_all(log_descriptor, bytes) || ::fdatasync(log_descriptor) != 0;
+    broken = !write_all(log_descriptor, bytes);
+    if (!broken) tell(FileEvent::Kind::written, "log", bytes);
+    broken = broken || ::fdatasync(log_descriptor) != 0;
+    if (!broken) tell(FileEvent::Kind::synced, "log");
     log_size += bytes.size();
-    if (!broken && log_size > log_limit) broken = !write_slot();
+    if (!broken && log_size > log_most) broken = !write_slot();
     return !broken;
 }
 
--- a/source/process/storage.hpp
+++ b/source/process/storage.hpp
@@ -3,6 +3,7 @@
 // docs/design.md section 6.
 #include <array>
 #include <filesystem>
+#include <functional>
 
 #include "process/machine/part.hpp"
 
@@ -14,6 +15,14 @@
     std::vector<PartSaved> parts;
 };
 
+// What is done to the files, told to whoever records it (the recovery test).
+struct FileEvent {
+    enum class Kind : int { truncated, written, synced, folder_synced };
+    Kind kind = Kind::written;
+    std::string file;
+    std::string bytes;
+};
+
 enum class LoadResult : int { fresh, loaded, damaged, failed };
 
 struct Storage {
@@ -22,6 +31,8 @@
     std::uint64_t generation = 0;
     int log_descriptor = -1;
     std::size_t log_size = 0;
+    std::size_t log_most = std::size_t{1} << 20U;  // then the next slot is written
+    std::function<void(FileEvent const&)> watch;
     bool broken = false;  // a write or sync failed: never written again
 
     auto open(std::filesystem::path const& where) -> LoadResult;
@@ -33,10 +44,9 @@
     auto apply(PartSaved const& saved) -> void;
     auto write_slot() -> bool;
     auto open_log(bool truncate) -> bool;
+    auto tell(FileEvent::Kind kind, std::string const& file, std::string_view bytes = {}) const -> void;
 };
 
-inline constexpr auto log_limit = std::size_t{1} << 20U;
-
 }  // namespace dockrock
 
 BOOST_HANA_ADAPT_STRUCT(dockrock::StoredState, identity, incarnation, parts);
--- /dev/null
+++ b/tests/recovery_test.cpp
@@ -0,0 +1,166 @@
+// Recovery from every prefix of a run of disk writes, with what was not synced
+// lost, torn or reordered. docs/design.md section 6.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+
+#include "process/storage.hpp"
+
+using namespace dockrock;
+
+namespace {
+
+using Kind = FileEvent::Kind;
+
+struct Recorded {
+    std::vector<FileEvent> events;
+    std::vector<std::pair<std::size_t, std::uint64_t>> acknowledged;  // after so many events, this number
+    std::uint64_t written = 0;                                        // the highest that was ever asked for
+};
+
+struct Folder {
+    std::filesystem::path path;
+    explicit Folder(std::string const& name)
+        : path(std::filesystem::temp_directory_path() / ("dockrock-" + name + "-" + std::to_string(::getpid()))) {
+        std::filesystem::remove_all(path);
+        std::filesystem::create_directories(path);
+    }
+    Folder(Folder const&) = delete;
+    ~Folder() { std::filesystem::remove_all(path); }
+};
+
+auto save_of(std::uint64_t number) -> PartSaved {
+    PartSaved saved;
+    saved.part = static_cast<int>(number % 2);
+    saved.votes.sealed = number;
+    saved.claims = "key-" + std::to_string(number) + " ticket 0\n";
+    return saved;
+}
+
+auto highest(Storage const& storage) -> std::uint64_t {
+    auto number = std::uint64_t{0};
+    for (auto const& part : storage.state.parts) number = std::max(number, part.votes.sealed);
+    return number;
+}
+
+auto record_run(bool sync_lies) -> Recorded {
+    auto const folder = Folder("record");
+    Recorded run;
+    Storage storage;
+    storage.log_most = 700;  // a few saves, then the other slot
+    storage.watch = [&](FileEvent const& event) {
+        if (!sync_lies || event.kind != Kind::synced) run.events.push_back(event);
+    };
+    REQUIRE(storage.open(folder.path) == LoadResult::fresh);
+    REQUIRE(storage.begin("identity", 1));
+    run.acknowledged.emplace_back(run.events.size(), 0);
+    for (auto count = std::uint64_t{0}; count < 9; ++count) {
+        std::vector<PartSaved> batch;
+        for (auto part = std::uint64_t{0}; part <= count % 3; ++part) batch.push_back(save_of(++run.written));
+        REQUIRE(storage.write(batch));
+        run.acknowledged.emplace_back(run.events.size(), run.written);
+    }
+    storage.close();
+    return run;
+}
+
+// What is surely on the disk after the first events, and what may or may not be.
+struct Disk {
+    std::map<std::string, std::string> files;
+    std::vector<FileEvent> pending;
+};
+
+auto apply(std::map<std::string, std::string>& files, FileEvent const& event, bool torn) -> void {
+    auto& file = files[event.file];
+    if (event.kind == Kind::truncated) file.clear();
+    if (event.kind == Kind::written) file += torn ? event.bytes.substr(0, event.bytes.size() / 2) : event.bytes;
+}
+
+auto disk_after(Recorded const& run, std::size_t count) -> Disk {
+    Disk disk;
+    for (auto place = std::size_t{0}; place < count; ++place) {
+        auto const& event = run.events[place];
+        if (event.kind == Kind::truncated || event.kind == Kind::written) disk.pending.push_back(event);
+        if (event.kind != Kind::synced) continue;
+        std::erase_if(disk.pending, [&](auto const& item) {
+            if (item.file != event.file) return false;
+            apply(disk.files, item, false);
+            return true;
+        });
+    }
+    return disk;
+}
+
+struct Tally {
+    int tried = 0, older = 0, newer = 0, refused = 0;
+};
+
+auto recover(std::map<std::string, std::string> const& files, std::uint64_t least, std::uint64_t most, Tally& tally)
+    -> void {
+    auto const folder = Folder("recover");
+    for (auto const& [name, bytes] : files) std::ofstream(folder.path / name, std::ios::binary) << bytes;
+    Storage storage;
+    auto const result = storage.open(folder.path);
+    ++tally.tried;
+    if (result != LoadResult::loaded) {
+        tally.refused += least > 0 || result == LoadResult::failed ? 1 : 0;
+        return;
+    }
+    auto const number = highest(storage);
+    tally.older += number < least ? 1 : 0;
+    tally.newer += number > most ? 1 : 0;
+    for (auto const& part : storage.state.parts)  // claims are whole up to what is recovered
+        for (auto earlier = std::uint64_t(part.part == 0 ? 2 : 1); earlier <= part.votes.sealed; earlier += 2)
+            if (part.claims.find("key-" + std::to_string(earlier) + " ") == std::string::npos) ++tally.older;
+}
+
+auto recover_from_all(Recorded const& run) -> Tally {
+    Tally tally;
+    for (auto count = std::size_t{0}; count <= run.events.size(); ++count) {
+        auto const disk = disk_after(run, count);
+        auto least = std::uint64_t{0};
+        for (auto const& [after, number] : run.acknowledged)
+            if (after <= count) least = number;
+        REQUIRE(disk.pending.size() < 8);
+        for (auto chosen = std::size_t{0}; chosen < std::size_t{1} << disk.pending.size(); ++chosen) {
+            for (auto torn :
+                 {false, true}) {  // any of what was not synced, in any combination, the last one torn or not
+                auto files = disk.files;
+                auto last = disk.pending.size();
+                for (auto place = std::size_t{0}; place < disk.pending.size(); ++place)
+                    if ((chosen >> place & 1U) != 0) last = place;
+                for (auto place = std::size_t{0}; place < disk.pending.size(); ++place)
+                    if ((chosen >> place & 1U) != 0) apply(files, disk.pending[place], torn && place == last);
+                recover(files, least, run.written, tally);
+            }
+        }
+    }
+    return tally;
+}
+
+}  // namespace
+
+TEST_CASE("recovery from every prefix of writes, unsynced ones lost, torn or reordered, is never older than told") {
+    auto const run = record_run(false);
+    auto const tally = recover_from_all(run);
+    INFO(tally.tried << " recoveries of " << run.events.size() << " events");
+    CHECK(tally.tried > 150);
+    CHECK(tally.older == 0);
+    CHECK(tally.newer == 0);
+    CHECK(tally.refused == 0);
+}
+
+TEST_CASE("planted: a disk that forgets to sync is caught by the same recoveries") {
+    auto run = record_run(true);
+    // Without syncs all stays pending: keep the last few writes of the run.
+    auto kept = std::vector<FileEvent>();
+    for (auto const& event : run.events)
+        if (event.kind != Kind::folder_synced) kept.push_back(event);
+    kept.resize(std::min<std::size_t>(kept.size(), 7));
+    auto const dropped = run.events.size() - kept.size();
+    run.events = kept;
+    for (auto& [after, number] : run.acknowledged) after = after > dropped ? after - dropped : 0;
+    auto const tally = recover_from_all(run);
+    CHECK(tally.older + tally.refused > 0);
+}
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -84,7 +84,7 @@
     auto const text = std::string(100'000, 'x');
     for (auto number = std::uint64_t{1}; number < 60; ++number) REQUIRE(storage.write({saved(0, number, text)}));
     CHECK(storage.generation > 3);
-    CHECK(std::filesystem::file_size(folder.path / "log") < 2 * log_limit);
+    CHECK(std::filesystem::file_size(folder.path / "log") < 2 * Storage().log_most);
     storage.close();
     auto again = Storage();
     REQUIRE(again.open(folder.path) == LoadResult::loaded);
