--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -137,7 +137,7 @@
     co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(std::pair<Verdict, SnapshotPointer>)>(
         [&](auto handler) {
             auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
-            node.ticket_work.put([this, arrival, executor, shared] {
+            node.interpret_in_turn([this, arrival, executor, shared] {
                 auto const current = node.snapshot.load();
                 auto result = std::pair(interpret(*current->rules, arrival), current);
                 asio::post(executor, [shared, result = std::move(result)]() mutable {
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -159,6 +159,13 @@
     membership.heard_from(from, now);
     deliver(now, from, address, message, output);
     publish(now, output);
+    // The next question follows an answer that was held, or that brought news,
+    // without waiting for a tick; answers given at once are paced by the ticks.
+    auto const* answer = std::get_if<NewsAnswer>(&message);
+    if (answer != nullptr && answer->part >= 0 && answer->part < static_cast<int>(part_count) && !resting) {
+        auto const& item = news[static_cast<std::size_t>(answer->part)];
+        if (output.news || now - item.asked_at > times.hold_limit / 3) ask_news(now, output);
+    }
     return output;
 }
 
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -61,10 +61,9 @@
     auto empty = std::make_shared<Snapshot>();
     empty->rules = std::make_shared<Rules>();
     snapshot = empty;
-    parallelism = std::make_unique<tbb::global_control>(
-        tbb::global_control::max_allowed_parallelism, static_cast<std::size_t>(settings.workers) + 1);
-    control_work.start(graph, true);
-    ticket_work.start(graph, false);
+    control_work.start();
+    ticket_works = std::vector<WorkQueue>(static_cast<std::size_t>(settings.workers));
+    for (auto& work : ticket_works) work.start();
     auto const endpoint = endpoint_of(settings.http_address);
     boost::system::error_code failure;
     acceptor = std::make_unique<tcp::acceptor>(context);
@@ -95,6 +94,13 @@
     return {};
 }
 
+// To a queue that nobody is at, where there is one.
+auto Node::interpret_in_turn(Work work) -> void {
+    for (auto& queue : ticket_works)
+        if (queue.idle()) return queue.put(std::move(work));
+    ticket_works[next_ticket_work++ % ticket_works.size()].put(std::move(work));
+}
+
 // The disk's own thread: a stalled disk stops acknowledging, never serving.
 auto Node::run_disk() -> void {
     while (true) {
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -1,8 +1,5 @@
 #pragma once
 // The shell round the machines of one node. docs/design.md sections 2 and 14.
-#include <tbb/flow_graph.h>
-#include <tbb/global_control.h>
-
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
@@ -15,6 +12,7 @@
 #include "process/settings.hpp"
 #include "process/storage.hpp"
 #include "process/transport.hpp"
+#include "process/work_queue.hpp"
 #include "sequence/rules.hpp"
 #include "ticket/course.hpp"
 #include "ticket/entry_table.hpp"
@@ -23,42 +21,6 @@
 
 namespace leaf = boost::leaf;
 
-// Work handed to a flow-graph node: the work itself passes under our own lock,
-// the graph is given the number of the turn only (design 14).
-struct WorkQueue {
-    using Work = std::function<void()>;
-    std::mutex lock;
-    std::mutex turn_lock;  // held while work of a serial queue runs
-    std::deque<Work> waiting;
-    bool serial = false;
-    std::unique_ptr<tbb::flow::function_node<int>> node;
-
-    auto start(tbb::flow::graph& graph, bool one_at_a_time) -> void {
-        serial = one_at_a_time;
-        node = std::make_unique<tbb::flow::function_node<int>>(
-            graph, serial ? tbb::flow::serial : tbb::flow::unlimited, [this](int turn) {
-                take();
-                return turn;
-            });
-    }
-    auto put(Work work) -> void {
-        {
-            auto const guard = std::lock_guard(lock);
-            waiting.push_back(std::move(work));
-        }
-        node->try_put(0);
-    }
-    auto take() -> void {
-        auto turn = serial ? std::unique_lock(turn_lock) : std::unique_lock<std::mutex>();
-        auto guard = std::unique_lock(lock);
-        if (waiting.empty()) return;
-        auto const work = std::move(waiting.front());
-        waiting.pop_front();
-        guard.unlock();
-        work();
-    }
-};
-
 // One atomic pointer. (The library's std::atomic of a shared pointer unlocks
 // without ordering in the version we build with; its free functions do not.)
 struct SnapshotHolder {
@@ -117,11 +79,10 @@
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;  // under report_lock
 
-    std::unique_ptr<tbb::global_control> parallelism;
-    tbb::flow::graph graph;
     using Work = WorkQueue::Work;
-    WorkQueue control_work;                   // one at a time: the control machines
-    WorkQueue ticket_work;                    // side by side: interpreting tickets
+    WorkQueue control_work;               // one at a time: the control machines
+    std::vector<WorkQueue> ticket_works;  // one for each worker: interpreting tickets
+    std::atomic<std::size_t> next_ticket_work{0};
     std::unique_ptr<tcp::acceptor> acceptor;  // on accept_strand alone, once running
     asio::strand<asio::io_context::executor_type> accept_strand{context.get_executor()};
     std::vector<std::thread> threads;
@@ -133,6 +94,7 @@
 
     auto start() -> leaf::result<void>;
     auto run() -> int;
+    auto interpret_in_turn(Work work) -> void;
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
@@ -150,6 +112,7 @@
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
 
     auto run_disk() -> void;
+    auto tick_milliseconds() const -> int;
     auto tick_loop() -> awaitable<void>;
     auto list_loop() -> awaitable<void>;
     auto report_loop(std::string name) -> awaitable<void>;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -28,6 +28,7 @@
     if (settings.platform_address.empty()) co_return;
     auto connection = HttpConnection(co_await asio::this_coro::executor);
     auto wanted = std::make_shared<std::atomic<bool>>(false);
+    auto last_good = std::string();  // read whole once, not again while it stays the same
     auto const listing = http_ask(http::verb::get, "/replicas");
     while (!finished) {
         co_await pause(100);
@@ -38,11 +39,13 @@
         *wanted = false;
         auto const asked_at = clock_now();
         auto const answer = co_await connection.call(settings.platform_address, listing, 800 * one_millisecond);
-        if (answer.status != 200 || !is_list(answer.body)) {  // what can't be read is kept as it was
+        auto const same = answer.body == last_good;
+        if (answer.status != 200 || (!same && !is_list(answer.body))) {  // what can't be read is kept as it was
             ++counters.list_failures;
             continue;
         }
         ++counters.list_reads;
+        if (!same) last_good = answer.body;
         in_control([this, asked_at, text = answer.body] { act_on(control.list_read(clock_now(), asked_at, text)); });
     }
 }
@@ -102,7 +105,8 @@
             table.granting.burden.report_failed(name, clock_now());
         }
         auto const busy = clock_now() - last_ticket < 10 * one_second;
-        co_await pause(resting_now ? 5'000 : busy ? 250 : 1'000);
+        auto const idle_pause = settings.data_folder.empty() ? 2'000 : 1'000;  // the core follows roll-outs
+        co_await pause(resting_now ? 5'000 : busy ? 250 : idle_pause);
     }
     auto const guard = std::lock_guard(loops_lock);
     report_loops.erase(name);
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -35,12 +35,19 @@
     }
 }
 
+// Answers and tickets are acted on as they come; the ticks are for what falls
+// due, and an idle node has little of it (design 14).
+auto Node::tick_milliseconds() const -> int {
+    if (resting_now) return 250;
+    if (clock_now() - last_ticket < 2 * one_second || stopping) return 25;
+    return settings.data_folder.empty() ? 100 : 50;
+}
+
 auto Node::tick_loop() -> awaitable<void> {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
     auto last_digest = Microseconds{0};
     while (!finished) {
-        auto const quiet = resting_now.load();
-        timer.expires_after(std::chrono::milliseconds(quiet ? 250 : 25));
+        timer.expires_after(std::chrono::milliseconds(tick_milliseconds()));
         co_await timer.async_wait(use_tuple);
         ++counters.wakeups;
         if (!tick_waiting.exchange(true)) in_control([this] { tick_control(); });
@@ -114,9 +121,7 @@
     for (auto count = std::int64_t{0}; count < settings.workers; ++count)
         threads.emplace_back([this] { context.run(); });
     for (auto& thread : threads) thread.join();
-    graph.wait_for_all();
     transport.stop();
-    graph.wait_for_all();
     if (disk_thread.joinable()) {
         {
             auto const guard = std::lock_guard(disk_lock);
@@ -125,7 +130,6 @@
         }
         disk_thread.join();
     }
-    graph.wait_for_all();
     storage.close();
     write_log(Level::information, "stopped");
     return 0;
