--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,7 @@
 python3 scripts/verdict_test.py
 passed=0
 failed=0
-port=23000
+port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 run() {  # scenario, deployment, seconds, rate
   if python3 scripts/prove.py --build "$build" --scenario "$1" --deployment "$2" --seconds "$3" --rate "$4" \
     --port "$port"; then
--- a/simulation/fleet_run.cpp
+++ b/simulation/fleet_run.cpp
@@ -63,6 +63,7 @@
     };
     if (!world.run_until_true([&] { return loaded() && !naming; }, 20 * one_second))
         violation("new weights did not reach every replica within 20 s of calm");
+    world.run_until(world.now + 3 * one_second);
     calm_now = true;
     caller_asks();
     world.run_until(world.now + 30 * one_second);
