--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -75,6 +75,9 @@
     auto const identity = node.control.membership.self.identity;
     for (auto& send : output.sends) {
         auto const target = index_of(send.address);
+        if (auto const* spare = std::get_if<SpareOffer>(&send.message)) copy_bytes += spare->copy.document.size();
+        if (auto const* flight = std::get_if<Append>(&send.message)) copy_bytes += flight->copy.document.size();
+        if (auto const* offer = std::get_if<CopyOffer>(&send.message)) copy_bytes += offer->copy.document.size();
         if (options.planted_claims_not_copied) {
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -74,6 +74,7 @@
     std::function<void(std::size_t)> when_ticked;
     std::function<void(std::size_t)> when_killed;
     std::function<void(std::size_t, ControlOutput const&)> when_acted;
+    std::uint64_t copy_bytes = 0;  // of whole copies sent: to understudies, partners and spares
     std::uint64_t events_run = 0;
     std::uint64_t reads_checked = 0;
 
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -96,9 +96,7 @@
         node.counters.prefix_tokens += static_cast<std::uint64_t>(ticket.prefix_tokens);
         if (took > 0) {  // measured link speed, for the fetch planner (design 9.7)
             auto const guard = std::lock_guard(node.table.lock);
-            auto const rate = static_cast<double>(fetched) * 1'000'000.0 / static_cast<double>(took);
-            auto& known = node.table.granting.fetch_rate;
-            known = known == 0.0 ? rate : known * 0.8 + rate * 0.2;
+            node.table.granting.fetched(placement.fetch.source, placement.replica, fetched, took, clock_now());
             node.counters.fetched_tokens += static_cast<std::uint64_t>(fetched);
             ++node.counters.fetches;
         }
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -67,7 +67,11 @@
     std::size_t buffer_length = 256;
     TryBudget budget;
     std::string store_address;
-    double fetch_rate = 0.0;
+    struct LinkSpeed {
+        double rate = 0.0;  // tokens a second; a fetch that brought nothing halves it
+        Microseconds at = 0;
+    };
+    std::map<std::pair<std::string, std::string>, LinkSpeed> link_speeds;  // source's address, receiving replica
     struct Usage {
         double amount = 0.0;
         Microseconds at = 0;
@@ -81,6 +85,9 @@
 
     auto enter(Ticket const& ticket, Microseconds now, Decisions& decisions) -> void;
     auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now) -> void;
+    auto fetched(
+        std::string const& source, std::string const& target, std::int64_t tokens, Microseconds took, Microseconds now)
+        -> void;
     auto withdraw(std::uint64_t ticket) -> bool;
     auto match(Microseconds now, Microseconds proof_age, Decisions& decisions) -> void;
     auto finished(
@@ -94,7 +101,9 @@
    private:
     auto match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void;
     auto choose(Waiting const& waiting, Microseconds now) -> ReplicaState const*;
-    auto plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept) const -> FetchPlan;
+    auto plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now) const
+        -> FetchPlan;
+    auto link_rate(std::string const& source, std::string const& target, Microseconds now) const -> double;
     auto share_factor(std::string const& tenant, int share, Microseconds now) const -> double;
     auto expected_service(ModelBuffer const& buffer, Ticket const& ticket) const -> Microseconds;
 };
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -192,9 +192,22 @@
     CHECK(planned.fetch.source == "127.0.0.1:9001");
     CHECK(planned.fetch.limit > 0);
     table.release("r0", 1);
-    granting.fetch_rate = 10.0;  // a slow link: recompute
-    enter(granting, with_prefix(make_ticket(2), {7}, 5'000), 30);
-    CHECK(match(granting, 30).placements.at(0).fetch.source.empty());
+    auto const planned_at = [&](std::uint64_t number, Microseconds now) {
+        enter(granting, with_prefix(make_ticket(number), {7}, 5'000), now);
+        auto const placement = match(granting, now).placements.at(0);
+        table.release(placement.replica, number);
+        return placement.fetch.source;
+    };
+    granting.fetched(
+        "127.0.0.1:9001", "another", 50, 5 * one_second, 30);  // that link's speed says nothing of this one
+    CHECK(planned_at(2, 30) == "127.0.0.1:9001");
+    for (auto count = 0; count < 5; ++count) granting.fetched("127.0.0.1:9001", "r0", 50, 5 * one_second, 30);
+    CHECK(planned_at(3, 30).empty());  // a slow link: recompute
+    granting.store_address = "127.0.0.1:9500";
+    CHECK(planned_at(4, 30) == "127.0.0.1:9500");
+    for (auto count = 0; count < 5; ++count) granting.fetched("127.0.0.1:9500", "r0", 0, 1'000, 30);  // an empty store
+    CHECK(planned_at(5, 30).empty());
+    CHECK(planned_at(6, 31 * one_second) == "127.0.0.1:9001");  // tried again after a while
 }
 
 TEST_CASE("the last place at a replica goes to the node that has the fewest there, whatever its name") {
