--- a/scripts/observe.py
+++ b/scripts/observe.py
@@ -52,6 +52,11 @@
     return tree
 
 
+def safe(fleet, name):
+    """Whether one more loss is safe, as that node says; nothing where it does not answer."""
+    return (fleet.status(name) or {}).get("one_more_loss_safe")
+
+
 def settled(fleet):
     """Every part owned, every voter a living node."""
     statuses = [fleet.status(name) for name in fleet.names]
--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -5,7 +5,7 @@
 
 from bad_input import bad_input
 from fleet import call, wait_until
-from observe import change_tree, clock, in_force_everywhere, put_elsewhere, settled
+from observe import change_tree, clock, in_force_everywhere, put_elsewhere, safe, settled
 from scenarios_changes import races, revoke, weights
 from scenarios_disks import clocks, lost_disks, sick_disks
 from scenarios_links import back_links, pools, seeds_moved, splits
@@ -31,7 +31,7 @@
         fleet.kill(name)
         if name in fleet.cores:
             watcher = fleet.edges[0] if name != fleet.edges[0] else fleet.edges[1]
-            wait_until(lambda: not fleet.status(watcher)["one_more_loss_safe"], 10, "status says that one is lost")
+            wait_until(lambda: safe(fleet, watcher) is False, 10, "status says that one is lost")
         if name in fleet.cores and chance.random() < 0.4:
             fleet.wipe(name)
         status, headers, _ = fleet.put_somewhere(change_tree(fleet, chance.randrange(10)))
@@ -39,7 +39,7 @@
         in_force_everywhere(fleet, headers["ETag"], facts, others)
         fleet.start_node(name)
         wait_until(lambda: settled(fleet), 20, "pairs whole again")
-        wait_until(lambda: fleet.status(fleet.edges[0])["one_more_loss_safe"], 10, "status says that one more is safe")
+        wait_until(lambda: safe(fleet, fleet.edges[0]), 10, "status says that one more is safe")
     fleet.wait_caller("load", options.seconds + 40)
 
 
