The test command ends well where nothing failed

Cause: with no failed scenario the list of failures did not exist, and the pipe that counted it ended the script; in a clean clone all 25 scenarios were as expected and the command ended with 1. Tried with all scenarios passing and all failing: 0 and 1.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,7 @@
 python3 scripts/verdict_test.py
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
+touch "$results/passed" "$results/failed"
 at_once=2
 run() {  # scenario, deployment, seconds, rate, further words
   while [ "$(jobs -rp | wc -l)" -ge "$at_once" ]; do wait -n || true; done
@@ -51,9 +52,9 @@
 run light $tallinn 30 4
 run planted $magnolia 10 15 --expect-broken 1
 wait
-passed=$(cat "$results/passed" 2> /dev/null | wc -l)
-failed=$(cat "$results/failed" 2> /dev/null | wc -l)
-cat "$results/failed" 2> /dev/null || true
+passed=$(wc -l < "$results/passed")
+failed=$(wc -l < "$results/failed")
+cat "$results/failed"
 rm -rf "$results"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
