--- a/programs/dockrock_control.cpp
+++ b/programs/dockrock_control.cpp
@@ -60,7 +60,8 @@
     return answer.status == 504 ? 4 : answer.status == 412 ? 5 : 1;
 }
 
-auto put(Client const& client, std::string const& body, std::string const& condition, std::string const& identity) -> int {
+auto put(Client const& client, std::string const& body, std::string const& condition, std::string const& identity)
+    -> int {
     auto call = http_ask(http::verb::put, "/control/configuration", body);
     if (!condition.empty()) call.headers.emplace_back("If-Match", condition);
     if (!identity.empty()) call.headers.emplace_back("Change-Identity", identity);
@@ -89,13 +90,17 @@
 auto main(int argument_count, char** arguments) -> int {
     auto command = TCLAP::CmdLine(
         "dockrock-control: reads and changes a fleet's configuration through any node.\n"
-        "  get | put FILE | check FILE | change IDENTITY | status | revoke KEY-IDENTITY | weights SERVICE NAME | hash (a key on standard input)\n"
+        "  get | put FILE | check FILE | change IDENTITY | status | revoke KEY-IDENTITY | weights SERVICE NAME | hash "
+        "(a key on standard input)\n"
         "Exit: 0 done, 1 refused, 3 no answer, 4 outcome not known, 5 condition not met.",
         ' ', "0.1.0");
-    auto node = TCLAP::ValueArg<std::string>("n", "node", "a node's HTTP address", false, "127.0.0.1:5001", "IP:PORT", command);
+    auto node =
+        TCLAP::ValueArg<std::string>("n", "node", "a node's HTTP address", false, "127.0.0.1:5001", "IP:PORT", command);
     auto key = TCLAP::ValueArg<std::string>("", "key-file", "file with the operator's key", false, "", "FILE", command);
-    auto condition = TCLAP::ValueArg<std::string>("", "if-match", "only where this sequence is in force", false, "", "SEQUENCE", command);
-    auto identity = TCLAP::ValueArg<std::string>("", "change-identity", "your name for this change; repeat it to find its outcome", false, "", "NAME", command);
+    auto condition = TCLAP::ValueArg<std::string>(
+        "", "if-match", "only where this sequence is in force", false, "", "SEQUENCE", command);
+    auto identity = TCLAP::ValueArg<std::string>(
+        "", "change-identity", "your name for this change; repeat it to find its outcome", false, "", "NAME", command);
     auto words = TCLAP::UnlabeledMultiArg<std::string>("words", "what to do", true, "WORD", command);
     command.parse(argument_count, arguments);
     auto const& asked = words.getValue();
@@ -106,12 +111,17 @@
         auto const client = Client{node.getValue(), secret};
         if (word(0) == "get") return print(client.ask(http_ask(http::verb::get, "/control/configuration")));
         if (word(0) == "status") return print(client.ask(http_ask(http::verb::get, "/control/status")));
-        if (word(0) == "put" && asked.size() == 2) return put(client, read_input(word(1)), condition.getValue(), identity.getValue());
-        if (word(0) == "check" && asked.size() == 2) return print(client.ask(http_ask(http::verb::post, "/control/check", read_input(word(1)))));
-        if (word(0) == "change" && asked.size() == 2) return print(client.ask(http_ask(http::verb::get, "/control/changes/" + word(1))));
+        if (word(0) == "put" && asked.size() == 2)
+            return put(client, read_input(word(1)), condition.getValue(), identity.getValue());
+        if (word(0) == "check" && asked.size() == 2)
+            return print(client.ask(http_ask(http::verb::post, "/control/check", read_input(word(1)))));
+        if (word(0) == "change" && asked.size() == 2)
+            return print(client.ask(http_ask(http::verb::get, "/control/changes/" + word(1))));
         if (word(0) == "revoke" && asked.size() == 2) return revoke(client, word(1));
         if (word(0) == "weights" && asked.size() == 3) {
-            auto call = http_ask(http::verb::put, "/control/services/" + word(1) + "/weights", json::serialize(fields("weights", word(2))));
+            auto call = http_ask(
+                http::verb::put, "/control/services/" + word(1) + "/weights",
+                json::serialize(fields("weights", word(2))));
             if (!identity.getValue().empty()) call.headers.emplace_back("Change-Identity", identity.getValue());
             return print(client.ask(call));
         }
--- a/programs/dockrock_node.cpp
+++ b/programs/dockrock_node.cpp
@@ -12,21 +12,36 @@
 using namespace dockrock;
 
 auto read_settings(int argument_count, char** arguments, NodeSettings& settings, bool& check_only) -> Problems {
-    auto command = TCLAP::CmdLine("dockrock-node: a router node of a dockrock fleet. With a data folder it is a core node and holds control state.", ' ', "0.1.0");
-    auto file = TCLAP::ValueArg<std::string>("s", "settings", "settings file (JSON); flags go before it", false, "", "FILE", command);
-    auto check = TCLAP::SwitchArg("", "check-settings", "check the settings, print every problem, start nothing", command);
-    auto control_address = TCLAP::ValueArg<std::string>("", "control-address", "IP:port for other nodes", false, "", "IP:PORT", command);
-    auto http_address = TCLAP::ValueArg<std::string>("", "http-address", "IP:port for callers and operators", false, "", "IP:PORT", command);
-    auto area = TCLAP::ValueArg<std::string>("", "area", "the area (zone) this machine stands in", false, "", "NAME", command);
-    auto seed = TCLAP::MultiArg<std::string>("", "seed", "control address of another node; give three", false, "IP:PORT", command);
-    auto folder = TCLAP::ValueArg<std::string>("", "data-folder", "folder on a disk; makes this a core node", false, "", "FOLDER", command);
-    auto platform = TCLAP::ValueArg<std::string>("", "platform", "address of the platform's replica list", false, "", "IP:PORT", command);
+    auto command = TCLAP::CmdLine(
+        "dockrock-node: a router node of a dockrock fleet. With a data folder it is a core node and holds control "
+        "state.",
+        ' ', "0.1.0");
+    auto file = TCLAP::ValueArg<std::string>(
+        "s", "settings", "settings file (JSON); flags go before it", false, "", "FILE", command);
+    auto check =
+        TCLAP::SwitchArg("", "check-settings", "check the settings, print every problem, start nothing", command);
+    auto control_address =
+        TCLAP::ValueArg<std::string>("", "control-address", "IP:port for other nodes", false, "", "IP:PORT", command);
+    auto http_address = TCLAP::ValueArg<std::string>(
+        "", "http-address", "IP:port for callers and operators", false, "", "IP:PORT", command);
+    auto area =
+        TCLAP::ValueArg<std::string>("", "area", "the area (zone) this machine stands in", false, "", "NAME", command);
+    auto seed = TCLAP::MultiArg<std::string>(
+        "", "seed", "control address of another node; give three", false, "IP:PORT", command);
+    auto folder = TCLAP::ValueArg<std::string>(
+        "", "data-folder", "folder on a disk; makes this a core node", false, "", "FOLDER", command);
+    auto platform = TCLAP::ValueArg<std::string>(
+        "", "platform", "address of the platform's replica list", false, "", "IP:PORT", command);
     auto fleet = TCLAP::ValueArg<std::string>("", "fleet", "name of the fleet", false, "", "NAME", command);
-    auto cores = TCLAP::ValueArg<int>("", "core-count", "how many core nodes the fleet has", false, 0, "COUNT", command);
+    auto cores =
+        TCLAP::ValueArg<int>("", "core-count", "how many core nodes the fleet has", false, 0, "COUNT", command);
     auto workers = TCLAP::ValueArg<int>("", "workers", "worker threads", false, 0, "COUNT", command);
-    auto log_file = TCLAP::ValueArg<std::string>("", "log-file", "JSON-line log; standard error where left out", false, "", "FILE", command);
-    auto log_level = TCLAP::ValueArg<std::string>("", "log-level", "debug, information, warning or failure", false, "", "LEVEL", command);
-    auto stop_limit = TCLAP::ValueArg<int>("", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
+    auto log_file = TCLAP::ValueArg<std::string>(
+        "", "log-file", "JSON-line log; standard error where left out", false, "", "FILE", command);
+    auto log_level = TCLAP::ValueArg<std::string>(
+        "", "log-level", "debug, information, warning or failure", false, "", "LEVEL", command);
+    auto stop_limit = TCLAP::ValueArg<int>(
+        "", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
     auto no_resting = TCLAP::SwitchArg("", "no-resting", "this node is never rested", command);
     command.parse(argument_count, arguments);
     check_only = check.getValue();
--- a/programs/dockrock_plan.cpp
+++ b/programs/dockrock_plan.cpp
@@ -20,7 +20,8 @@
 
 auto ask(std::string const& node, std::string const& key, std::string const& path) -> std::string {
     auto const answer = http_call_and_wait(node, http_ask(http::verb::get, path), key);
-    if (answer.status != 200) throw std::runtime_error(path + " was answered " + std::to_string(answer.status) + " " + answer.body);
+    if (answer.status != 200)
+        throw std::runtime_error(path + " was answered " + std::to_string(answer.status) + " " + answer.body);
     return answer.body;
 }
 
@@ -30,7 +31,9 @@
     if (!parsed || !parsed->is_object() || !parsed->as_object().contains("parts")) return parts;
     for (auto const& item : parsed->as_object().at("parts").as_array()) {
         auto const& part = item.as_object();
-        parts.push_back({std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()), std::string(part.at("understudy").as_string())});
+        parts.push_back(
+            {std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()),
+             std::string(part.at("understudy").as_string())});
     }
     return parts;
 }
@@ -38,9 +41,14 @@
 }  // namespace
 
 auto main(int argument_count, char** arguments) -> int {
-    auto command = TCLAP::CmdLine("dockrock-plan: shows which models, mappings, tenants, keys, walls, parts and pairs a change would move. It changes nothing.\nExit: 0 shown, 1 could not be read, 2 the proposed tree has errors.", ' ', "0.1.0");
-    auto node = TCLAP::ValueArg<std::string>("n", "node", "a node's HTTP address, asked for the tree in force and the pairs", false, "", "IP:PORT", command);
-    auto current = TCLAP::ValueArg<std::string>("", "current", "the current tree from a file, instead of a node", false, "", "FILE", command);
+    auto command = TCLAP::CmdLine(
+        "dockrock-plan: shows which models, mappings, tenants, keys, walls, parts and pairs a change would move. It "
+        "changes nothing.\nExit: 0 shown, 1 could not be read, 2 the proposed tree has errors.",
+        ' ', "0.1.0");
+    auto node = TCLAP::ValueArg<std::string>(
+        "n", "node", "a node's HTTP address, asked for the tree in force and the pairs", false, "", "IP:PORT", command);
+    auto current = TCLAP::ValueArg<std::string>(
+        "", "current", "the current tree from a file, instead of a node", false, "", "FILE", command);
     auto key = TCLAP::ValueArg<std::string>("", "key-file", "file with the operator's key", false, "", "FILE", command);
     auto as_json = TCLAP::SwitchArg("", "json", "print the plan as JSON", command);
     auto proposed = TCLAP::UnlabeledValueArg<std::string>("proposed", "the proposed tree", true, "", "FILE", command);
@@ -52,9 +60,11 @@
         for (auto const& problem : after.problems) std::cerr << problem.path << ": " << problem.what << "\n";
         if (!after.problems.empty()) return 2;
         if (!node.isSet() && !current.isSet()) throw std::runtime_error("give --node or --current");
-        auto const text = current.isSet() ? read_file(current.getValue()) : ask(node.getValue(), secret, "/control/configuration");
+        auto const text =
+            current.isSet() ? read_file(current.getValue()) : ask(node.getValue(), secret, "/control/configuration");
         auto const before = text == "null" ? CheckedConfiguration() : check_configuration(text);
-        auto const parts = node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPart>();
+        auto const parts =
+            node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPart>();
         auto const plan = plan_change(before, after, parts);
         std::cout << (as_json.getValue() ? json::serialize(plan) + "\n" : plan_text(plan));
         return 0;
--- a/scripts/check_files.py
+++ b/scripts/check_files.py
@@ -1,6 +1,8 @@
 """House rules that a machine can check: file lengths, inheritance, sleeping tests."""
 import pathlib
 import re
+import shutil
+import subprocess
 import sys
 
 root = pathlib.Path(__file__).resolve().parent.parent
@@ -10,14 +12,35 @@
         if path.suffix not in (".cpp", ".hpp", ".py", ".sh"):
             continue
         lines = path.read_text().splitlines()
+        bad += [
+            "%s:%d is longer than 120 characters" % (path.relative_to(root), number)
+            for number, line in enumerate(lines, 1)
+            if len(line) > 120
+        ]
         if len(lines) > 250:
             bad.append("%s has %d lines, more than 250" % (path.relative_to(root), len(lines)))
         if path.suffix in (".cpp", ".hpp"):
             for number, line in enumerate(lines, 1):
-                if re.search(r"(?<!enum )\b(struct|class)\s+\w+\s*(final\s*)?:\s*(public|private|protected|\w)", line) and "::type" not in line and "std::true_type" not in line and "std::false_type" not in line:
+                if (
+                    re.search(r"(?<!enum )\b(struct|class)\s+\w+\s*(final\s*)?:\s*(public|private|protected|\w)", line)
+                    and "::type" not in line
+                    and "std::true_type" not in line
+                    and "std::false_type" not in line
+                ):
                     bad.append("%s:%d inherits" % (path.relative_to(root), number))
                 if folder == "tests" and re.search(r"sleep", line):
                     bad.append("%s:%d sleeps" % (path.relative_to(root), number))
+if shutil.which("clang-format"):
+    sources = [
+        str(path)
+        for suffix in ("cpp", "hpp")
+        for path in root.glob("*/**/*." + suffix)
+        if "build" not in path.parts[len(root.parts)]
+    ]
+    formatted = subprocess.run(["clang-format", "--dry-run", "-Werror"] + sources, capture_output=True, text=True)
+    bad += [line for line in formatted.stderr.splitlines() if "error:" in line]
+else:
+    bad.append("clang-format is not installed")
 for item in bad:
     print(item)
 print("file rules: %s" % ("kept" if not bad else "%d broken" % len(bad)))
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,89 +1,17 @@
-"""Starts and stops a whole fleet on loopback. Only this script starts processes."""
-import hashlib
-import http.client
+"""Starts and stops a whole fleet on loopback. Only scripts start processes."""
+
 import json
-import os
 import pathlib
 import shutil
 import signal
-import subprocess
 import time
 
+from processes import Process, call, wait_until, with_key_hashes
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 AREAS = ["north", "east", "south", "west"]
 
 
-def with_key_hashes(branch):
-    """A deployment file gives test keys in the clear; the configuration holds their hashes."""
-    if isinstance(branch, list):
-        return [with_key_hashes(item) for item in branch]
-    if not isinstance(branch, dict):
-        return branch
-    result = {name: with_key_hashes(value) for name, value in branch.items() if name != "key"}
-    if "key" in branch:
-        digest = hashlib.sha256(branch["key"].encode()).hexdigest()
-        result["keys"] = [{"identity": branch["key"].removeprefix("key-"), "sha256": digest}]
-    return result
-
-
-def call(address, method, path, body=None, headers=None, timeout=6):
-    """One HTTP call: (status, headers, text); status 0 where there was no answer."""
-    host, port = address.split(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
-    try:
-        data = json.dumps(body) if isinstance(body, (dict, list)) else body
-        connection.request(method, path, body=data, headers=headers or {})
-        answer = connection.getresponse()
-        return answer.status, dict(answer.getheaders()), answer.read().decode(errors="replace")
-    except (OSError, http.client.HTTPException):
-        return 0, {}, ""
-    finally:
-        connection.close()
-
-
-def wait_until(condition, limit, what):
-    """Waits on a condition, never on a fixed time."""
-    end = time.monotonic() + limit
-    while time.monotonic() < end:
-        result = condition()
-        if result:
-            return result
-        time.sleep(0.02)
-    raise TimeoutError(what)
-
-
-class Process:
-    def __init__(self, name, arguments, folder):
-        self.name, self.arguments, self.folder = name, arguments, folder
-        self.handle = None
-        self.told = False  # whether it was told to end
-
-    def start(self):
-        self.told = False
-        with open(self.folder / (self.name + ".out"), "ab") as output:
-            self.handle = subprocess.Popen(self.arguments, stdout=output, stderr=output, cwd=self.folder)
-        return self
-
-    def running(self):
-        return self.handle is not None and self.handle.poll() is None
-
-    def send(self, number):
-        if self.running():
-            os.kill(self.handle.pid, number)
-
-    def end(self, number=signal.SIGKILL, limit=30):
-        if self.handle is None:
-            return None
-        self.told = True
-        self.send(number)
-        try:
-            return self.handle.wait(limit)
-        except subprocess.TimeoutExpired:
-            self.handle.kill()
-            self.handle.wait()
-            return None
-
-
 class Fleet:
     def __init__(self, deployment, folder, build="build", base_port=21000, edges=9, cores=4, options=None):
         self.deployment = json.loads((ROOT / "deployments" / (deployment + ".json")).read_text())
@@ -104,8 +32,18 @@
         for pool in self.deployment["replicas"]:
             for number in range(pool["count"]):
                 place = len(self.replicas)
-                self.replicas.append({"name": "%s-%d" % (pool["model"], number), "address": "127.0.0.1:%d" % (base_port + 110 + place), "model": pool["model"],
-                                      "area": AREAS[place % 4], "capacity": pool["capacity"], "memory": pool["memory"], "drain": False, "weights": pool["weights"]})
+                self.replicas.append(
+                    {
+                        "name": "%s-%d" % (pool["model"], number),
+                        "address": "127.0.0.1:%d" % (base_port + 110 + place),
+                        "model": pool["model"],
+                        "area": AREAS[place % 4],
+                        "capacity": pool["capacity"],
+                        "memory": pool["memory"],
+                        "drain": False,
+                        "weights": pool["weights"],
+                    }
+                )
 
     def configuration(self):
         return with_key_hashes(self.deployment["configuration"])
@@ -119,18 +57,53 @@
 
     def start_replica(self, replica, weights=None):
         options = self.options.get("replica", [])
-        return self.add(replica["name"], [self.program("stand-in-replica"), "--name", replica["name"], "--address", replica["address"], "--weights", weights or replica["weights"],
-                                          "--capacity", str(replica["capacity"]), "--memory", str(replica["memory"]), "--store", self.store,
-                                          "--record", str(self.folder / ("replica-" + replica["name"] + ".jsonl"))] + options)
+        return self.add(
+            replica["name"],
+            [
+                self.program("stand-in-replica"),
+                "--name",
+                replica["name"],
+                "--address",
+                replica["address"],
+                "--weights",
+                weights or replica["weights"],
+                "--capacity",
+                str(replica["capacity"]),
+                "--memory",
+                str(replica["memory"]),
+                "--store",
+                self.store,
+                "--record",
+                str(self.folder / ("replica-" + replica["name"] + ".jsonl")),
+            ]
+            + options,
+        )
 
     def listed(self):
         return [{key: value for key, value in replica.items() if key != "weights"} for replica in self.replicas]
 
     def start_backs(self):
-        listing = {"sequence": 0, "replicas": self.listed(), "application": {"address": self.application}, "store": {"address": self.store}}
+        listing = {
+            "sequence": 0,
+            "replicas": self.listed(),
+            "application": {"address": self.application},
+            "store": {"address": self.store},
+        }
         (self.folder / "list.json").write_text(json.dumps(listing))
-        self.add("platform", [self.program("stand-in-platform"), "--address", self.platform, "--list", str(self.folder / "list.json"),
-                              "--lag-milliseconds", str(self.options.get("lag", 500)), "--record", str(self.folder / "platform.jsonl")])
+        self.add(
+            "platform",
+            [
+                self.program("stand-in-platform"),
+                "--address",
+                self.platform,
+                "--list",
+                str(self.folder / "list.json"),
+                "--lag-milliseconds",
+                str(self.options.get("lag", 500)),
+                "--record",
+                str(self.folder / "platform.jsonl"),
+            ],
+        )
         self.add("store", [self.program("stand-in-store"), "--address", self.store])
         self.add("application", [self.program("stand-in-application"), "--address", self.application])
         for replica in self.replicas:
@@ -139,8 +112,17 @@
     def node_settings(self, name):
         number = self.names.index(name)
         seeds = [self.control[seed] for seed in (self.cores + self.edges)[:3]]
-        settings = {"fleet": self.deployment["name"], "control_address": self.control[name], "http_address": self.http[name], "area": AREAS[number % 4] if name in self.cores else AREAS[(number - len(self.cores)) % 4],
-                    "seeds": seeds, "platform_address": self.platform, "core_count": len(self.cores), "log_file": str(self.folder / (name + ".log")), "stop_limit_milliseconds": 20000}
+        settings = {
+            "fleet": self.deployment["name"],
+            "control_address": self.control[name],
+            "http_address": self.http[name],
+            "area": AREAS[number % 4] if name in self.cores else AREAS[(number - len(self.cores)) % 4],
+            "seeds": seeds,
+            "platform_address": self.platform,
+            "core_count": len(self.cores),
+            "log_file": str(self.folder / (name + ".log")),
+            "stop_limit_milliseconds": 20000,
+        }
         if name in self.cores:
             settings["data_folder"] = str(self.folder / (name + "-data"))
         settings.update(self.options.get("settings", {}))
@@ -225,15 +207,29 @@
 
     def metrics(self, name):
         _, _, text = call(self.http[name], "GET", "/metrics")
-        return {line.rsplit(" ", 1)[0].removeprefix("dockrock_"): float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line}
+        return {
+            line.rsplit(" ", 1)[0].removeprefix("dockrock_"): float(line.rsplit(" ", 1)[1])
+            for line in text.splitlines()
+            if line
+        }
 
     def start_caller(self, label, rate, seconds, seed=1, targets=None, kinds=None, tenants=None, extra=None):
-        plan = {"targets": targets or [self.http[name] for name in self.edges], "kinds": kinds or self.deployment["kinds"], "tenants": tenants or self.deployment["tenants"],
-                "rate": rate, "seconds": seconds, "seed": seed, "label": label}
+        plan = {
+            "targets": targets or [self.http[name] for name in self.edges],
+            "kinds": kinds or self.deployment["kinds"],
+            "tenants": tenants or self.deployment["tenants"],
+            "rate": rate,
+            "seconds": seconds,
+            "seed": seed,
+            "label": label,
+        }
         plan.update(extra or {})
         path = self.folder / ("plan-%s.json" % label)
         path.write_text(json.dumps(plan))
-        return self.add("caller-" + label, [self.program("caller"), "--plan", str(path), "--record", str(self.folder / ("caller-%s.jsonl" % label))])
+        return self.add(
+            "caller-" + label,
+            [self.program("caller"), "--plan", str(path), "--record", str(self.folder / ("caller-%s.jsonl" % label))],
+        )
 
     def wait_caller(self, label, limit=120):
         process = self.processes["caller-" + label]
@@ -241,8 +237,11 @@
 
     def died(self):
         """Node processes that ended without being told to."""
-        return ["%s ended with %s" % (name, self.processes[name].handle.returncode) for name in self.names
-                if name in self.processes and not self.processes[name].running() and not self.processes[name].told]
+        return [
+            "%s ended with %s" % (name, self.processes[name].handle.returncode)
+            for name in self.names
+            if name in self.processes and not self.processes[name].running() and not self.processes[name].told
+        ]
 
     def stop(self):
         for process in self.processes.values():
--- a/scripts/observe.py
+++ b/scripts/observe.py
@@ -54,8 +54,19 @@
     names = {status["identity"]: name for name, status in statuses.items() if status}
     for name in fleet.cores:
         for part in (statuses.get(name) or {"parts": []})["parts"]:
-            print(name, part["name"], part["epoch"], names.get(part["primary"], part["primary"]), names.get(part["understudy"], part["understudy"]), [names.get(voter, voter) for voter in part["voters"]],
-                  "owned here" if part["owned_here"] else "", part["sequence"], "proof ms", part["proof_age_microseconds"] // 1000, "" if part["disk_healthy"] else "disk sick")
+            print(
+                name,
+                part["name"],
+                part["epoch"],
+                names.get(part["primary"], part["primary"]),
+                names.get(part["understudy"], part["understudy"]),
+                [names.get(voter, voter) for voter in part["voters"]],
+                "owned here" if part["owned_here"] else "",
+                part["sequence"],
+                "proof ms",
+                part["proof_age_microseconds"] // 1000,
+                "" if part["disk_healthy"] else "disk sick",
+            )
 
 
 def put_elsewhere(fleet, name, tree):
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -16,7 +16,13 @@
 
 def run(options, scenario):
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-"))
-    fleet = fleet_module.Fleet(options.deployment, folder, options.build, options.port, options={"settings": {"resting": False}} if options.no_resting else None)
+    fleet = fleet_module.Fleet(
+        options.deployment,
+        folder,
+        options.build,
+        options.port,
+        options={"settings": {"resting": False}} if options.no_resting else None,
+    )
     facts = {"nodes": len(fleet.names)}
     try:
         fleet.start()
@@ -38,7 +44,9 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--deployment", default="magnolia-junction", choices=["magnolia-junction", "registrikeskus-tallinn", "both"])
+    parser.add_argument(
+        "--deployment", default="magnolia-junction", choices=["magnolia-junction", "registrikeskus-tallinn", "both"]
+    )
     parser.add_argument("--scenario", default="steady", help="one of %s, or all" % ", ".join(SCENARIOS))
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--rate", type=float, default=40, help="tickets each second")
@@ -48,8 +56,12 @@
     parser.add_argument("--no-resting", action="store_true", help="nodes are never rested")
     parser.add_argument("--port", type=int, default=21000)
     options = parser.parse_args()
-    names = [name for name in SCENARIOS if name != "planted"] if options.scenario == "all" else options.scenario.split(",")
-    deployments = ["magnolia-junction", "registrikeskus-tallinn"] if options.deployment == "both" else [options.deployment]
+    names = (
+        [name for name in SCENARIOS if name != "planted"] if options.scenario == "all" else options.scenario.split(",")
+    )
+    deployments = (
+        ["magnolia-junction", "registrikeskus-tallinn"] if options.deployment == "both" else [options.deployment]
+    )
     good = []
     for options.deployment in deployments:
         good += [run(options, name) for name in names]
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,24 +9,33 @@
 passed=0
 failed=0
 port=23000
-for scenario in steady kills takeover freezes rolling revoke weights drains races crashes overload bad_input total_loss light; do
-  for deployment in magnolia-junction registrikeskus-tallinn; do
-    case "$scenario-$deployment" in
-      steady-*|kills-*|rolling-magnolia*|revoke-registri*|weights-magnolia*|drains-registri*|races-magnolia*|crashes-registri*|total_loss-magnolia*|takeover-registri*|freezes-magnolia*|overload-registri*|bad_input-magnolia*|light-registri*) ;;
-      *) continue ;;
-    esac
-    seconds=10
-    rate=15
-    if [ "$scenario" = rolling ]; then seconds=30; fi
-    if [ "$scenario" = light ]; then seconds=30 rate=4; fi
-    if python3 scripts/prove.py --build "$build" --deployment "$deployment" --scenario "$scenario" --seconds "$seconds" --rate "$rate" --port "$port"; then
-      passed=$((passed + 1))
-    else
-      failed=$((failed + 1))
-    fi
-    port=$((port + 200))
-  done
-done
+run() {  # scenario, deployment, seconds, rate
+  if python3 scripts/prove.py --build "$build" --scenario "$1" --deployment "$2" --seconds "$3" --rate "$4" \
+    --port "$port"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+  fi
+  port=$((port + 200))
+}
+magnolia=magnolia-junction
+tallinn=registrikeskus-tallinn
+run steady $magnolia 10 15
+run steady $tallinn 10 15
+run kills $magnolia 10 15
+run kills $tallinn 10 15
+run takeover $tallinn 10 15
+run freezes $magnolia 10 15
+run rolling $magnolia 30 15
+run revoke $tallinn 10 15
+run weights $magnolia 10 15
+run drains $tallinn 10 15
+run races $magnolia 10 15
+run crashes $tallinn 10 15
+run overload $tallinn 10 15
+run bad_input $magnolia 10 15
+run total_loss $magnolia 10 15
+run light $tallinn 30 4
 if python3 scripts/prove.py --build "$build" --scenario planted --rate 15 --port "$port" > /dev/null; then
   echo "the planted fault was not caught"
   failed=$((failed + 1))
--- a/simulation/traffic.hpp
+++ b/simulation/traffic.hpp
@@ -16,10 +16,10 @@
     std::size_t replicas = 8;
     double tickets_each_second = 60.0;
     Microseconds length = 20 * one_second;
-    bool calm = false;                 // no faults at all
-    bool planted_repeat_unknown = false;   // an unknown try is repeated
-    bool planted_skip_freshness = false;   // old proofs still grant entry
-    bool planted_skip_pieces = false;      // pieces are relayed unread
+    bool calm = false;                    // no faults at all
+    bool planted_repeat_unknown = false;  // an unknown try is repeated
+    bool planted_skip_freshness = false;  // old proofs still grant entry
+    bool planted_skip_pieces = false;     // pieces are relayed unread
     GrantingOptions granting;
 };
 
@@ -70,7 +70,7 @@
     Microseconds frozen_until = 0;
     Microseconds proven_at = 0;
     bool cut_off = false;
-    std::set<std::string> revoked;     // tenants whose keys it knows to be gone
+    std::set<std::string> revoked;       // tenants whose keys it knows to be gone
     std::map<std::string, bool> drains;  // its list
 };
 
@@ -97,9 +97,12 @@
     auto match(std::size_t index) -> void;
     auto decide(std::size_t index, Decisions const& decisions) -> void;
     auto send(std::size_t index, std::uint64_t number, Placement const& placement) -> void;
-    auto try_ended(std::size_t index, std::uint64_t number, std::string const& replica, TryEnd end, std::string const& reason) -> void;
+    auto try_ended(
+        std::size_t index, std::uint64_t number, std::string const& replica, TryEnd end, std::string const& reason)
+        -> void;
     auto receive(std::size_t replica, std::size_t index, std::uint64_t number, Placement const& placement) -> void;
-    auto work_on(std::size_t replica, std::uint64_t life, std::size_t index, std::uint64_t number, std::int64_t memory) -> void;
+    auto work_on(std::size_t replica, std::uint64_t life, std::size_t index, std::uint64_t number, std::int64_t memory)
+        -> void;
     auto finish(std::uint64_t number, std::string outcome) -> void;
     auto give_up(std::uint64_t number) -> void;
     auto tell_nodes() -> void;
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -14,7 +14,7 @@
 struct SimulatedDisk {
     std::string identity;
     std::uint64_t incarnation = 0;
-    std::vector<PartSaved> synced;     // what survives a power loss
+    std::vector<PartSaved> synced;  // what survives a power loss
     DiskMode mode = DiskMode::good;
     bool broken = false;
 };
@@ -25,21 +25,21 @@
     bool core = false;
     bool running = false;
     Microseconds frozen_until = 0;
-    Microseconds clock_offset = 0;     // every node's clock has its own zero
-    std::uint64_t life = 0;            // events of an earlier life are dropped
+    Microseconds clock_offset = 0;  // every node's clock has its own zero
+    std::uint64_t life = 0;         // events of an earlier life are dropped
     Control control;
     SimulatedDisk disk;
     std::vector<Save> unsynced;
     bool disk_busy = false;
     std::vector<std::function<void()>> held;  // what came while frozen
-    Sequence newest_seen;              // this life's, for "never back to an older one"
+    Sequence newest_seen;                     // this life's, for "never back to an older one"
 };
 
 struct Change {
     std::string identity;
     std::string document;
     Microseconds asked_at = 0;
-    int status = 0;                    // 0: no answer yet
+    int status = 0;  // 0: no answer yet
     Sequence sequence;
     Microseconds answered_at = 0;
 };
@@ -49,7 +49,7 @@
     std::size_t cores = 4;
     std::size_t edges = 3;
     double loss = 0.01;
-    bool planted_fault_no_seal = false;      // for showing that the checks bite
+    bool planted_fault_no_seal = false;  // for showing that the checks bite
 };
 
 struct World {
@@ -57,12 +57,12 @@
     Random random;
     Microseconds now = 0;
     std::vector<std::unique_ptr<SimulatedNode>> nodes;
-    std::set<std::pair<std::size_t, std::size_t>> cuts;   // from, to
+    std::set<std::pair<std::size_t, std::size_t>> cuts;  // from, to
     Timeline timeline;
     std::vector<Change> changes;
     std::map<std::uint64_t, std::function<void(CallDone)>> call_results;
     std::uint64_t next_call = 1;
-    std::map<std::pair<int, std::uint64_t>, Record> records;   // decided, by part and epoch
+    std::map<std::pair<int, std::uint64_t>, Record> records;  // decided, by part and epoch
     Sequence highest_acknowledged;
     std::vector<std::string> violations;
     std::vector<std::string> trace;
@@ -111,7 +111,7 @@
     std::uint64_t events = 0;
     std::uint64_t reads = 0;
     std::size_t faults = 0;
-    Microseconds longest_gap = 0;   // without a licensed owner of the configuration
+    Microseconds longest_gap = 0;  // without a licensed owner of the configuration
     std::vector<std::string> trace;
 };
 auto run_storm(WorldOptions const& options, Microseconds length) -> StormResult;
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -6,17 +6,23 @@
 
 namespace {
 
-auto header(HttpRequest const& request, std::string_view name) -> std::string { return std::string(request[boost::beast::string_view(name.data(), name.size())]); }
+auto header(HttpRequest const& request, std::string_view name) -> std::string {
+    return std::string(request[boost::beast::string_view(name.data(), name.size())]);
+}
 
 auto operator_allowed(NodeSettings const& settings, HttpRequest const& request) -> bool {
     if (settings.operator_key_sha256.empty()) return true;
     auto const credentials = header(request, "Authorization");
-    return credentials.starts_with("Bearer ") && equal_in_constant_time(sha256_of(credentials.substr(7)), settings.operator_key_sha256);
+    return credentials.starts_with("Bearer ") &&
+        equal_in_constant_time(sha256_of(credentials.substr(7)), settings.operator_key_sha256);
 }
 
 auto write_member(Member const& member) -> json::object {
     constexpr auto states = std::to_array<char const*>({"alive", "suspect", "dead"});
-    return fields("identity", member.identity, "control_address", member.control_address, "http_address", member.http_address, "area", member.area, "core", member.core, "state", states[static_cast<std::size_t>(std::clamp(member.state, 0, 2))], "incarnation", member.incarnation);
+    return fields(
+        "identity", member.identity, "control_address", member.control_address, "http_address", member.http_address,
+        "area", member.area, "core", member.core, "state",
+        states[static_cast<std::size_t>(std::clamp(member.state, 0, 2))], "incarnation", member.incarnation);
 }
 
 auto weights_problem() -> json::object {
@@ -34,10 +40,20 @@
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto const number = static_cast<int>(index);
         auto const& record = node.control.best_record(number);
-        parts.push_back(fields("name", json::string_view(part_names[index].data(), part_names[index].size()), "epoch", record.epoch, "primary", record.primary, "understudy", record.understudy, "voters", write_json(record.voters), "owned_here", node.control.owns(number, now), "sequence", etag_of(node.control.news[index].copy.sequence), "proof_age_microseconds", node.control.proof_age(number, now), "disk_healthy", node.control.parts[index].healthy));
+        parts.push_back(fields(
+            "name", json::string_view(part_names[index].data(), part_names[index].size()), "epoch", record.epoch,
+            "primary", record.primary, "understudy", record.understudy, "voters", write_json(record.voters),
+            "owned_here", node.control.owns(number, now), "sequence", etag_of(node.control.news[index].copy.sequence),
+            "proof_age_microseconds", node.control.proof_age(number, now), "disk_healthy",
+            node.control.parts[index].healthy));
     }
     auto const current = node.snapshot.load();
-    return fields("identity", node.control.membership.self.identity, "ready", node.ready(now), "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force", etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds", now - node.control.news[configuration_part].live_at, "open_tickets", node.open_tickets.load(), "members", std::move(members), "parts", std::move(parts));
+    return fields(
+        "identity", node.control.membership.self.identity, "ready", node.ready(now), "resting", node.resting_now.load(),
+        "stopping", node.stopping.load(), "configuration_in_force", etag_of(current->rules->sequence),
+        "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
+        now - node.control.news[configuration_part].live_at, "open_tickets", node.open_tickets.load(), "members",
+        std::move(members), "parts", std::move(parts));
 }
 
 }  // namespace
@@ -47,7 +63,10 @@
     co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(CallDone)>(
         [&](auto handler) {
             auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
-            node.make_call(call, [executor, shared](CallDone done) { asio::post(executor, [shared, done = std::move(done)]() mutable { std::move (*shared)(std::move(done)); }); });
+            node.make_call(call, [executor, shared](CallDone done) {
+                asio::post(
+                    executor, [shared, done = std::move(done)]() mutable { std::move (*shared)(std::move(done)); });
+            });
         },
         asio::use_awaitable);
 }
@@ -58,54 +77,77 @@
     if (target == "/health") co_return co_await answer(request, 200, fields("alive", true));
     if (target == "/ready") {
         auto const ready = node.ready(clock_now());
-        co_return co_await answer(request, ready ? 200 : 503, fields("ready", ready, "resting", node.resting_now.load(), "stopping", node.stopping.load()));
+        co_return co_await answer(
+            request, ready ? 200 : 503,
+            fields("ready", ready, "resting", node.resting_now.load(), "stopping", node.stopping.load()));
     }
-    if (target == "/metrics") co_return co_await answer_text(request, 200, node.metrics_text(clock_now()), "text/plain; version=0.0.4");
-    if (!operator_allowed(node.settings, request)) co_return co_await answer(request, 401, fields("error", "an operator's key is needed"));
+    if (target == "/metrics")
+        co_return co_await answer_text(request, 200, node.metrics_text(clock_now()), "text/plain; version=0.0.4");
+    if (!operator_allowed(node.settings, request))
+        co_return co_await answer(request, 401, fields("error", "an operator's key is needed"));
     if (target == "/control/status" && method == http::verb::get) {
         auto const executor = co_await asio::this_coro::executor;
         auto body = co_await asio::async_initiate<asio::use_awaitable_t<> const, void(std::string)>(
             [&](auto handler) {
                 auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
                 node.in_control([this, executor, shared] {
-                    asio::post(executor, [shared, text = json::serialize(status_of(node))]() mutable { std::move (*shared)(std::move(text)); });
+                    asio::post(executor, [shared, text = json::serialize(status_of(node))]() mutable {
+                        std::move (*shared)(std::move(text));
+                    });
                 });
             },
             asio::use_awaitable);
         co_return co_await answer_text(request, 200, std::move(body), "application/json");
     }
     if (target == "/control/check" && method == http::verb::post) {
-        if (request.body().size() > configuration_limit) co_return co_await answer(request, 413, fields("error", "the configuration is larger than 1048576 bytes"));
+        if (request.body().size() > configuration_limit)
+            co_return co_await answer(request, 413, fields("error", "the configuration is larger than 1048576 bytes"));
         auto const checked = check_configuration(request.body());
-        co_return co_await answer(request, checked.problems.empty() ? 200 : 400, fields("problems", write_problems(checked.problems)));
+        co_return co_await answer(
+            request, checked.problems.empty() ? 200 : 400, fields("problems", write_problems(checked.problems)));
     }
     Call call;
     auto const weights_prefix = std::string("/control/services/");
     auto identity = header(request, "Change-Identity");
-    if (identity.size() > 128) co_return co_await answer(request, 400, fields("error", "Change-Identity must be 128 characters at most"));
+    if (identity.size() > 128)
+        co_return co_await answer(request, 400, fields("error", "Change-Identity must be 128 characters at most"));
     if (target == "/control/configuration" && method == http::verb::get) {
         call = {configuration_part, "", "get", "", ""};
     } else if (target == "/control/configuration" && method == http::verb::put) {
-        if (request.body().size() > configuration_limit) co_return co_await answer(request, 413, fields("error", "the configuration is larger than 1048576 bytes"));
+        if (request.body().size() > configuration_limit)
+            co_return co_await answer(request, 413, fields("error", "the configuration is larger than 1048576 bytes"));
         auto const checked = check_configuration(request.body());  // answered here where it cannot be taken anywhere
-        if (!checked.problems.empty()) co_return co_await answer(request, 400, fields("error", "the configuration has errors; nothing was changed", "problems", write_problems(checked.problems)));
+        if (!checked.problems.empty())
+            co_return co_await answer(
+                request, 400,
+                fields(
+                    "error", "the configuration has errors; nothing was changed", "problems",
+                    write_problems(checked.problems)));
         call = {configuration_part, identity, "put", header(request, "If-Match"), request.body()};
     } else if (target.starts_with("/control/changes/") && method == http::verb::get) {
         call = {configuration_part, target.substr(17), "outcome", "", ""};
-    } else if (target.starts_with(weights_prefix) && target.ends_with("/weights") && target.size() > weights_prefix.size() + 8 && method == http::verb::put) {
+    } else if (
+        target.starts_with(weights_prefix) && target.ends_with("/weights") &&
+        target.size() > weights_prefix.size() + 8 && method == http::verb::put) {
         auto const service = target.substr(weights_prefix.size(), target.size() - weights_prefix.size() - 8);
         auto const parsed = parse_json(request.body());
         auto const* weights = parsed && parsed->is_object() ? parsed->as_object().if_contains("weights") : nullptr;
-        if (weights == nullptr || !weights->is_string() || weights->as_string().empty() || weights->as_string().size() > 128)
+        if (weights == nullptr || !weights->is_string() || weights->as_string().empty() ||
+            weights->as_string().size() > 128)
             co_return co_await answer(request, 400, weights_problem());
-        if (!node.snapshot.load()->rules->models.contains(service)) co_return co_await answer(request, 404, fields("error", "no model of this name in the configuration"));
-        call = {part_of_service(service), identity, "weights", header(request, "If-Match"), json::serialize(fields(service.c_str(), *weights))};
+        if (!node.snapshot.load()->rules->models.contains(service))
+            co_return co_await answer(request, 404, fields("error", "no model of this name in the configuration"));
+        call = {
+            part_of_service(service), identity, "weights", header(request, "If-Match"),
+            json::serialize(fields(service.c_str(), *weights))};
     } else {
-        auto const known = target == "/control/configuration" || target == "/control/status" || target == "/control/check" || target.starts_with("/control/changes/");
+        auto const known = target == "/control/configuration" || target == "/control/status" ||
+            target == "/control/check" || target.starts_with("/control/changes/");
         auto const* what = known ? "this path does not take that method" : "no such path";
         co_return co_await answer(request, known ? 405 : 404, fields("error", what));
     }
-    if (call.operation != "get" && call.identity.empty()) call.identity = "node-" + std::to_string(clock_now()) + "-" + std::to_string(node.next_ticket++);
+    if (call.operation != "get" && call.identity.empty())
+        call.identity = "node-" + std::to_string(clock_now()) + "-" + std::to_string(node.next_ticket++);
     auto done = co_await make_node_call(call);
     auto headers = Headers();
     if (!done.etag.empty()) headers.emplace_back("ETag", done.etag);
@@ -117,7 +159,9 @@
 
 auto Node::metrics_text(Microseconds now) -> std::string {
     std::string text;
-    auto const line = [&](std::string const& name, auto value) { text += "dockrock_" + name + " " + std::to_string(value) + "\n"; };
+    auto const line = [&](std::string const& name, auto value) {
+        text += "dockrock_" + name + " " + std::to_string(value) + "\n";
+    };
     line("tickets_total", counters.tickets.load());
     line("answered_total", counters.answered.load());
     line("shed_total", counters.shed.load());
@@ -151,8 +195,10 @@
     auto const guard = std::lock_guard(table.lock);
     line("waiting_tickets", table.granting.waiting_count());
     line("extra_tries_total", table.granting.extra_tries);
-    for (auto index = std::size_t{0}; index < filter_names.size(); ++index) line("filter_total{filter=\"" + std::string(filter_names[index]) + "\"}", table.granting.filtered[index]);
-    for (auto index = std::size_t{0}; index < shed_names.size(); ++index) line("shed_reason_total{reason=\"" + std::string(shed_names[index]) + "\"}", table.granting.shed_counts[index]);
+    for (auto index = std::size_t{0}; index < filter_names.size(); ++index)
+        line("filter_total{filter=\"" + std::string(filter_names[index]) + "\"}", table.granting.filtered[index]);
+    for (auto index = std::size_t{0}; index < shed_names.size(); ++index)
+        line("shed_reason_total{reason=\"" + std::string(shed_names[index]) + "\"}", table.granting.shed_counts[index]);
     return text;
 }
 
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -79,9 +79,11 @@
     if (!key.empty()) call.headers.emplace_back("Authorization", "Bearer " + key);
     auto context = asio::io_context(1);
     auto answer = HttpAnswer();
-    asio::co_spawn(context, http_call(address, std::move(call), 8 * one_second), [&](std::exception_ptr failure, HttpAnswer result) {
-        if (!failure) answer = std::move(result);
-    });
+    asio::co_spawn(
+        context, http_call(address, std::move(call), 8 * one_second),
+        [&](std::exception_ptr failure, HttpAnswer result) {
+            if (!failure) answer = std::move(result);
+        });
     context.run();
     return answer;
 }
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -35,11 +35,11 @@
     return call;
 }
 struct HttpAnswer {
-    int status = 0;      // 0: no answer
+    int status = 0;  // 0: no answer
     std::string body;
     std::string content_type;
     std::string etag;
-    bool sent = false;   // anything may have been written
+    bool sent = false;  // anything may have been written
 };
 
 auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint>;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -46,7 +46,9 @@
     while (!node.finished) {
         if (buffer.size() == 0) {  // idle between tickets; a resting or stopping node lets go sooner
             auto const quick = node.stopping || node.resting_now;
-            auto const idle = co_await (socket.async_wait(tcp::socket::wait_read, use_tuple) || wait_for(std::chrono::milliseconds(quick ? 200 : 2'000)));
+            auto const idle = co_await (
+                socket.async_wait(tcp::socket::wait_read, use_tuple) ||
+                wait_for(std::chrono::milliseconds(quick ? 200 : 2'000)));
             if (idle.index() == 1) {
                 if (node.stopping || node.resting_now) co_return;
                 continue;
@@ -56,7 +58,8 @@
         parser.body_limit(17U << 20U);
         parser.header_limit(16U << 10U);
         auto const counted = OpenRequest(node.open_requests);
-        auto const read = co_await (http::async_read(socket, buffer, parser, use_tuple) || wait_for(std::chrono::seconds(10)));
+        auto const read =
+            co_await (http::async_read(socket, buffer, parser, use_tuple) || wait_for(std::chrono::seconds(10)));
         auto request = HttpRequest(http::verb::get, "/", 11);
         request.keep_alive(false);
         if (read.index() == 1) {
@@ -65,17 +68,21 @@
         }
         auto const failure = std::get<0>(std::get<0>(read));
         if (failure == http::error::body_limit || failure == http::error::header_limit) {
-            co_await answer(request, failure == http::error::body_limit ? 413 : 431, fields("error", "the request is too large", "outcome", "shed"));
+            co_await answer(
+                request, failure == http::error::body_limit ? 413 : 431,
+                fields("error", "the request is too large", "outcome", "shed"));
             co_return;
         }
-        if (failure && failure.category() == beast::http::make_error_code(http::error::bad_method).category() && failure != http::error::end_of_stream && failure != http::error::partial_message) {
+        if (failure && failure.category() == beast::http::make_error_code(http::error::bad_method).category() &&
+            failure != http::error::end_of_stream && failure != http::error::partial_message) {
             co_await answer(request, 400, fields("error", "not HTTP/1.1", "outcome", "shed"));
             co_return;
         }
         if (failure) co_return;
         request = parser.release();
         auto const target = std::string_view(request.target().data(), request.target().size());
-        auto const own = target.starts_with("/control/") || target == "/health" || target == "/ready" || target == "/metrics";
+        auto const own =
+            target.starts_with("/control/") || target == "/health" || target == "/ready" || target == "/metrics";
         auto const usable = own ? co_await handle_control(request) : co_await handle_ticket(request);
         if (!usable || !request.keep_alive()) break;
     }
@@ -83,14 +90,16 @@
     socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-auto Session::answer_text(HttpRequest const& request, int status, std::string body, std::string type, Headers headers) -> awaitable<bool> {
+auto Session::answer_text(HttpRequest const& request, int status, std::string body, std::string type, Headers headers)
+    -> awaitable<bool> {
     auto response = HttpResponse(static_cast<http::status>(status), 11);
     response.set(http::field::content_type, type);
     for (auto const& [name, value] : headers) response.set(name, value);
     response.keep_alive(request.keep_alive() && !node.stopping && !node.resting_now);
     response.body() = std::move(body);
     response.prepare_payload();
-    auto const written = co_await (http::async_write(socket, response, use_tuple) || wait_for(std::chrono::seconds(10)));
+    auto const written =
+        co_await (http::async_write(socket, response, use_tuple) || wait_for(std::chrono::seconds(10)));
     if (written.index() == 1) co_return false;
     co_return !std::get<0>(std::get<0>(written)) && response.keep_alive();
 }
@@ -101,7 +110,9 @@
 
 auto Session::shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool> {
     ++node.counters.shed;
-    co_return co_await answer(request, 503, fields("outcome", "shed", "reason", reason, "retry_after_seconds", retry_after), retry_header(std::to_string(retry_after)));
+    co_return co_await answer(
+        request, 503, fields("outcome", "shed", "reason", reason, "retry_after_seconds", retry_after),
+        retry_header(std::to_string(retry_after)));
 }
 
 auto Session::unknown(HttpRequest const& request, std::string reason) -> awaitable<bool> {
@@ -111,8 +122,15 @@
 
 // The rules are run as a oneTBB task against the snapshot of this moment.
 auto Session::interpret_now(HttpRequest const& request) -> awaitable<std::pair<Verdict, SnapshotPointer>> {
-    auto arrival = Arrival{std::string(request.method_string()), std::string(request.target()), "", request.body(), std::string(request["Tenant"]), clock_now()};
-    auto const credentials = std::string_view(request[http::field::authorization].data(), request[http::field::authorization].size());
+    auto arrival = Arrival{
+        std::string(request.method_string()),
+        std::string(request.target()),
+        "",
+        request.body(),
+        std::string(request["Tenant"]),
+        clock_now()};
+    auto const credentials =
+        std::string_view(request[http::field::authorization].data(), request[http::field::authorization].size());
     if (credentials.starts_with("Bearer ")) arrival.key = std::string(credentials.substr(7));
     auto const executor = co_await asio::this_coro::executor;
     co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(std::pair<Verdict, SnapshotPointer>)>(
@@ -121,7 +139,9 @@
             node.ticket_work.put([this, arrival, executor, shared] {
                 auto const current = node.snapshot.load();
                 auto result = std::pair(interpret(*current->rules, arrival), current);
-                asio::post(executor, [shared, result = std::move(result)]() mutable { std::move (*shared)(std::move(result)); });
+                asio::post(executor, [shared, result = std::move(result)]() mutable {
+                    std::move (*shared)(std::move(result));
+                });
             });
         },
         asio::use_awaitable);
@@ -130,7 +150,10 @@
 auto Session::handle_ticket(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     // A node that has just started waits a little for its first configuration.
-    for (auto count = 0; count < 30 && node.snapshot.load()->rules->mappings.empty() && clock_now() - node.started_at < 4 * one_second; ++count) co_await wait_for(std::chrono::milliseconds(50));
+    for (auto count = 0;
+         count < 30 && node.snapshot.load()->rules->mappings.empty() && clock_now() - node.started_at < 4 * one_second;
+         ++count)
+        co_await wait_for(std::chrono::milliseconds(50));
     auto [verdict, current] = co_await interpret_now(request);
     node.last_ticket = clock_now();
     if (verdict.kind == Verdict::Kind::answer) {
@@ -143,8 +166,9 @@
     }
     if (node.stopping) co_return co_await shed(request, "stopping", 1);
     ++node.open_tickets;
-    auto const usable = verdict.kind == Verdict::Kind::forward ? co_await forward_application(request, std::move(verdict))
-                                                               : co_await run_ticket(request, std::move(verdict), current->rules->sequence);
+    auto const usable = verdict.kind == Verdict::Kind::forward
+        ? co_await forward_application(request, std::move(verdict))
+        : co_await run_ticket(request, std::move(verdict), current->rules->sequence);
     --node.open_tickets;
     co_return usable;
 }
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -10,7 +10,9 @@
 using HttpResponse = http::response<http::string_body>;
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
-inline auto retry_header(std::string seconds) -> Headers { return Headers(1, std::pair(std::string("Retry-After"), std::move(seconds))); }
+inline auto retry_header(std::string seconds) -> Headers {
+    return Headers(1, std::pair(std::string("Retry-After"), std::move(seconds)));
+}
 
 struct Session {
     Node& node;
@@ -19,8 +21,11 @@
 
     auto serve() -> awaitable<void>;
     // Whether the connection can be used further.
-    auto answer(HttpRequest const& request, int status, json::object body, Headers headers = Headers()) -> awaitable<bool>;
-    auto answer_text(HttpRequest const& request, int status, std::string body, std::string type, Headers headers = Headers()) -> awaitable<bool>;
+    auto answer(HttpRequest const& request, int status, json::object body, Headers headers = Headers())
+        -> awaitable<bool>;
+    auto answer_text(
+        HttpRequest const& request, int status, std::string body, std::string type, Headers headers = Headers())
+        -> awaitable<bool>;
     auto handle_control(HttpRequest const& request) -> awaitable<bool>;
     auto handle_ticket(HttpRequest const& request) -> awaitable<bool>;
     auto forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool>;
@@ -40,6 +45,7 @@
 };
 
 // Sends one try to its replica and relays the pieces (design 10).
-auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive) -> awaitable<TryResult>;
+auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive)
+    -> awaitable<TryResult>;
 
 }  // namespace dockrock
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 auto wait_until(Microseconds limit) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(std::max<Microseconds>(0, limit)));
+    auto timer = asio::steady_timer(
+        co_await asio::this_coro::executor, std::chrono::microseconds(std::max<Microseconds>(0, limit)));
     co_await timer.async_wait(use_tuple);
 }
 
@@ -19,12 +20,26 @@
     json::array tokens;
     for (auto const& part : ticket.body.prefix) tokens.push_back(part.tokens);
     return json::serialize(json::object{
-        {"identity", ticket.body.identity.empty() ? std::to_string(ticket.number) : ticket.tenant_path + "/" + ticket.body.identity},
-        {"run_once", ticket.body.run_once}, {"model", ticket.body.model}, {"kind", ticket.body.kind}, {"rank", ticket.rank},
-        {"weights", placement.weights}, {"incarnation", placement.incarnation}, {"wall", ticket.wall_domain}, {"tenant", ticket.tenant_path},
-        {"chain", std::move(chain)}, {"chain_tokens", std::move(tokens)}, {"prompt_tokens", ticket.prompt_tokens},
-        {"max_tokens", ticket.body.max_tokens}, {"slots", ticket.body.slots}, {"prompt", ticket.body.prompt},
-        {"fetch_source", placement.fetch.source}, {"fetch_tokens", placement.fetch.tokens}, {"fetch_limit_microseconds", placement.fetch.limit}});
+        {"identity",
+         ticket.body.identity.empty() ? std::to_string(ticket.number)
+                                      : ticket.tenant_path + "/" + ticket.body.identity},
+        {"run_once", ticket.body.run_once},
+        {"model", ticket.body.model},
+        {"kind", ticket.body.kind},
+        {"rank", ticket.rank},
+        {"weights", placement.weights},
+        {"incarnation", placement.incarnation},
+        {"wall", ticket.wall_domain},
+        {"tenant", ticket.tenant_path},
+        {"chain", std::move(chain)},
+        {"chain_tokens", std::move(tokens)},
+        {"prompt_tokens", ticket.prompt_tokens},
+        {"max_tokens", ticket.body.max_tokens},
+        {"slots", ticket.body.slots},
+        {"prompt", ticket.body.prompt},
+        {"fetch_source", placement.fetch.source},
+        {"fetch_tokens", placement.fetch.tokens},
+        {"fetch_limit_microseconds", placement.fetch.limit}});
 }
 
 auto ended(TryEnd end, std::string reason, bool usable = false) -> TryResult {
@@ -37,13 +52,15 @@
 
 }  // namespace
 
-auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive) -> awaitable<TryResult> {
+auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive)
+    -> awaitable<TryResult> {
     auto& node = session.node;
     auto const endpoint = endpoint_of(placement.address);
     if (!endpoint) co_return ended(TryEnd::not_sent, "bad-address");
     auto stream = beast::tcp_stream(co_await asio::this_coro::executor);
     stream.expires_after(std::chrono::milliseconds(500));
-    if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure) co_return ended(TryEnd::not_sent, "unreachable");
+    if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure)
+        co_return ended(TryEnd::not_sent, "unreachable");
     stream.socket().set_option(tcp::no_delay(true));
     auto const posted = http_ask(http::verb::post, "/run", run_body(ticket, placement));
     auto const request = make_request(posted, placement.address);
@@ -51,22 +68,27 @@
     // have run or not (design 10.2).
     auto const patience = std::max<Microseconds>(ticket.deadline - clock_now(), one_second) + 2 * one_second;
     stream.expires_after(std::chrono::microseconds(patience));
-    if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) co_return ended(TryEnd::unknown_before, "replica-broke-while-sending");
+    if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure)
+        co_return ended(TryEnd::unknown_before, "replica-broke-while-sending");
     auto buffer = beast::flat_buffer();
     auto parser = http::response_parser<http::string_body>();
     parser.body_limit(boost::none);
-    if (auto const [failure, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple); failure) co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
+    if (auto const [failure, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple); failure)
+        co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
     if (parser.get().result_int() != 200) {
         co_await http::async_read(stream, buffer, parser, use_tuple);
         auto const parsed = parse_json(parser.get().body());
         auto const* ran = parsed && parsed->is_object() ? parsed->as_object().if_contains("ran") : nullptr;
         auto const* reason = parsed && parsed->is_object() ? parsed->as_object().if_contains("reason") : nullptr;
-        auto const did_not_run = parser.get().result_int() == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
+        auto const did_not_run =
+            parser.get().result_int() == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
         auto const text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "replica-error";
         co_return ended(did_not_run ? TryEnd::did_not_run : TryEnd::unknown_before, text);
     }
     {
-        auto const number = [&](char const* name) { return std::strtoll(std::string(parser.get()[name]).c_str(), nullptr, 10); };
+        auto const number = [&](char const* name) {
+            return std::strtoll(std::string(parser.get()[name]).c_str(), nullptr, 10);
+        };
         auto const fetched = number("Fetched-Tokens");
         auto const took = number("Fetch-Microseconds");
         node.counters.kept_tokens += static_cast<std::uint64_t>(std::max(0LL, number("Kept-Tokens")));
@@ -101,14 +123,19 @@
                 head.keep_alive(stay);
                 head.chunked(true);
                 auto serializer = http::response_serializer<http::empty_body>(head);
-                auto const written = co_await (http::async_write_header(session.socket, serializer, use_tuple) || wait_until(10 * one_second));
-                if (written.index() == 1 || std::get<0>(std::get<0>(written))) co_return ended(TryEnd::caller_gone, "caller-gone");
+                auto const written = co_await (
+                    http::async_write_header(session.socket, serializer, use_tuple) || wait_until(10 * one_second));
+                if (written.index() == 1 || std::get<0>(std::get<0>(written)))
+                    co_return ended(TryEnd::caller_gone, "caller-gone");
                 head_sent = true;
             }
             // A caller that takes nothing for ten seconds is let go; closing
             // the replica's connection cancels the run.
-            auto const written = co_await (asio::async_write(session.socket, http::make_chunk(asio::buffer(whole)), use_tuple) || wait_until(10 * one_second));
-            if (written.index() == 1 || std::get<0>(std::get<0>(written))) co_return ended(TryEnd::caller_gone, "caller-gone");
+            auto const written = co_await (
+                asio::async_write(session.socket, http::make_chunk(asio::buffer(whole)), use_tuple) ||
+                wait_until(10 * one_second));
+            if (written.index() == 1 || std::get<0>(std::get<0>(written)))
+                co_return ended(TryEnd::caller_gone, "caller-gone");
         }
         if (failure) break;
     }
@@ -118,7 +145,8 @@
     }
     if (!head_sent) co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
     // Visibly incomplete: a final error piece and no last chunk (design 10.3).
-    auto const note = json::serialize(fields("error", "the answer broke", "outcome", "unknown", "pieces_sent", reader.next)) + "\n";
+    auto const note =
+        json::serialize(fields("error", "the answer broke", "outcome", "unknown", "pieces_sent", reader.next)) + "\n";
     co_await asio::async_write(session.socket, http::make_chunk(asio::buffer(note)), use_tuple);
     co_return ended(TryEnd::broken_after, "replica-broke", false);
 }
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -10,14 +10,15 @@
 auto Session::wait_for_slot(std::shared_ptr<Slot> slot, std::uint64_t ticket) -> awaitable<bool> {
     (void)ticket;
     while (!slot->ready) {
-        auto const event = co_await (slot->signal.async_wait(use_tuple) || socket.async_wait(tcp::socket::wait_read, use_tuple));
+        auto const event =
+            co_await (slot->signal.async_wait(use_tuple) || socket.async_wait(tcp::socket::wait_read, use_tuple));
         if (event.index() == 0 || slot->ready) continue;
         auto peeked = char{};
         boost::system::error_code failure;
         socket.non_blocking(true, failure);
         auto const size = socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, failure);
         if (failure == asio::error::would_block) continue;
-        if (failure || size == 0) co_return false;  // the caller went away
+        if (failure || size == 0) co_return false;    // the caller went away
         co_await slot->signal.async_wait(use_tuple);  // more sent early: read after this ticket
     }
     co_return true;
@@ -31,7 +32,11 @@
         auto guard = std::unique_lock(node.table.lock);
         auto const fresh = node.remember_identity(ticket.tenant_path + "\n" + ticket.body.identity);
         guard.unlock();
-        if (!fresh) co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
+        if (!fresh)
+            co_return co_await answer(
+                request, 409,
+                fields(
+                    "outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
     }
     auto again = std::string{};  // replica that said it did not run the last try
     auto charged = false;
@@ -58,8 +63,11 @@
         auto const entry = node.table.leave(ticket.number);
         auto const& placed = entry.placement;
         auto const& given_up = entry.shed;
-        if (given_up && may_have_run) co_return co_await unknown(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]));
-        if (given_up) co_return co_await shed(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]), given_up->retry_after);
+        if (given_up && may_have_run)
+            co_return co_await unknown(request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]));
+        if (given_up)
+            co_return co_await shed(
+                request, std::string(shed_names[static_cast<std::size_t>(given_up->reason)]), given_up->retry_after);
         auto const release = [&] {
             auto const guard = std::lock_guard(node.table.lock);
             node.table.granting.burden.release(placed->replica, ticket.number);
@@ -85,7 +93,9 @@
                 continue;
             }
         }
-        auto const listed = std::find_if(current->list.replicas.begin(), current->list.replicas.end(), [&](auto const& entry) { return entry.name == placed->replica; });
+        auto const listed = std::find_if(
+            current->list.replicas.begin(), current->list.replicas.end(),
+            [&](auto const& entry) { return entry.name == placed->replica; });
         if (listed == current->list.replicas.end() || listed->drain || node.proof_age(clock_now()) > proof_limit) {
             release();
             charged = false;  // nothing was sent: no extra try
@@ -99,7 +109,8 @@
             auto const now = clock_now();
             node.table.granting.finished(placed->replica, ticket, now - sent_at, now, result.end == TryEnd::answered);
             if (result.end == TryEnd::not_sent) node.table.granting.burden.report_failed(placed->replica, now);
-            if (result.end == TryEnd::did_not_run) node.table.granting.burden.refused(placed->replica, result.reason, now);
+            if (result.end == TryEnd::did_not_run)
+                node.table.granting.burden.refused(placed->replica, result.reason, now);
             if (node.table.granting.waiting_count() > 0) node.match_locked(now);
         }
         if (result.end == TryEnd::answered) ++node.counters.answered;
@@ -110,7 +121,11 @@
         auto const step = next_step(result.end, ticket.body.run_once, result.reason);
         if (step == NextStep::finished) co_return result.usable;
         if (step == NextStep::answer_unknown) co_return co_await unknown(request, result.reason);
-        if (step == NextStep::answer_seen) co_return co_await answer(request, 409, fields("outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
+        if (step == NextStep::answer_seen)
+            co_return co_await answer(
+                request, 409,
+                fields(
+                    "outcome", "unknown", "error", "a ticket of this identity was taken before; it is not run again"));
         may_have_run = may_have_run || result.end == TryEnd::unknown_before;
         again = placed->replica;
         charged = true;
--- a/source/process/log.cpp
+++ b/source/process/log.cpp
@@ -44,16 +44,20 @@
     else backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
     backend->auto_flush(true);
     boost::log::core::get()->remove_all_sinks();
-    boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    boost::log::core::get()->add_sink(
+        boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
 }
 
 auto write_log(Level level, std::string_view event, boost::json::object fields) -> void {
     auto& state = log_state();
     if (level < state.least) return;
-    auto const now = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    auto const now =
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
     boost::json::object line;
     line["time_microseconds"] = now;
-    line["level"] = boost::json::string_view(level_names[static_cast<std::size_t>(level)].data(), level_names[static_cast<std::size_t>(level)].size());
+    line["level"] = boost::json::string_view(
+        level_names[static_cast<std::size_t>(level)].data(), level_names[static_cast<std::size_t>(level)].size());
     line["node"] = state.node;
     line["event"] = boost::json::string_view(event.data(), event.size());
     for (auto& item : fields) line[item.key()] = std::move(item.value());
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -3,11 +3,13 @@
 
 namespace dockrock {
 
-auto Control::start(ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
-                    std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void {
+auto Control::start(
+    ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
+    std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void {
     settings = given;
     random.state = seed;
-    membership.self = Member{identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
+    membership.self = Member{
+        identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
     membership.seeds = given.seeds;
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto& part = parts[index];
@@ -39,37 +41,52 @@
 
 auto Control::best_record(int part) const -> Record const& {
     auto const index = static_cast<std::size_t>(part);
-    return news[index].record.epoch > parts[index].votes.decided.epoch ? news[index].record : parts[index].votes.decided;
+    return news[index].record.epoch > parts[index].votes.decided.epoch ? news[index].record
+                                                                       : parts[index].votes.decided;
 }
 
 auto Control::drain(Context& context, ControlOutput& output) -> void {
     for (auto& save : context.saves) output.saves.push_back(std::move(save));
     context.saves.clear();
     for (auto& done : context.done) {
-        if (done.origin == membership.self.control_address) finish_call(done.token, done.status, std::move(done.body), std::move(done.etag), output);
-        else output.sends.push_back({done.origin, CallAnswer{done.token, done.status, std::move(done.body), std::move(done.etag)}});
+        if (done.origin == membership.self.control_address)
+            finish_call(done.token, done.status, std::move(done.body), std::move(done.etag), output);
+        else
+            output.sends.push_back(
+                {done.origin, CallAnswer{done.token, done.status, std::move(done.body), std::move(done.etag)}});
     }
     context.done.clear();
     for (auto& send : context.sends) {
         if (send.identity == membership.self.identity) loopback.push_back(std::move(send));
-        else if (auto address = membership.address_of(send.identity); !address.empty()) output.sends.push_back({std::move(address), std::move(send.message)});
+        else if (auto address = membership.address_of(send.identity); !address.empty())
+            output.sends.push_back({std::move(address), std::move(send.message)});
     }
     context.sends.clear();
 }
 
 auto Control::with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void {
-    auto context = Context{now, membership.self.identity, random, [this] { return membership.alive_members(true); },
-                           [this](std::string const& identity) { return membership.alive(identity); }, {}, {}, {}};
+    auto context = Context{
+        now,
+        membership.self.identity,
+        random,
+        [this] { return membership.alive_members(true); },
+        [this](std::string const& identity) { return membership.alive(identity); },
+        {},
+        {},
+        {}};
     work(context);
     drain(context, output);
     while (!loopback.empty()) {  // a node is also a voter to itself, by the same messages
         auto pending = std::move(loopback);
         loopback.clear();
-        for (auto const& item : pending) deliver(now, membership.self.identity, membership.self.control_address, item.message, output);
+        for (auto const& item : pending)
+            deliver(now, membership.self.identity, membership.self.control_address, item.message, output);
     }
 }
 
-auto Control::deliver(Microseconds now, std::string const& from, std::string const& address, Message const& message, ControlOutput& output) -> void {
+auto Control::deliver(
+    Microseconds now, std::string const& from, std::string const& address, Message const& message,
+    ControlOutput& output) -> void {
     std::visit(
         [&](auto const& body) {
             using Body = std::decay_t<decltype(body)>;
@@ -78,7 +95,8 @@
             } else if constexpr (std::is_same_v<Body, ProbeFor>) {
                 membership.on(body, address, now, output.sends);
             } else if constexpr (std::is_same_v<Body, NewsAsk>) {
-                if (body.part >= 0 && body.part < static_cast<int>(part_count)) answer_news(now, address, body, output, true);
+                if (body.part >= 0 && body.part < static_cast<int>(part_count))
+                    answer_news(now, address, body, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
                 if (body.part >= 0 && body.part < static_cast<int>(part_count)) take_news(now, body, output);
             } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
@@ -87,8 +105,10 @@
                 if (body.call.part < 0 || body.call.part >= static_cast<int>(part_count)) return;
                 auto const& record = best_record(body.call.part);
                 auto& part = parts[static_cast<std::size_t>(body.call.part)];
-                if (part.is_owner(membership.self.identity) || body.hops >= 2 || record.primary == membership.self.identity) {
-                    with_parts(now, output, [&](Context& context) { part.call(context, body.origin, body.token, body.call); });
+                if (part.is_owner(membership.self.identity) || body.hops >= 2 ||
+                    record.primary == membership.self.identity) {
+                    with_parts(
+                        now, output, [&](Context& context) { part.call(context, body.origin, body.token, body.call); });
                 } else if (auto const owner = membership.address_of(record.primary); !owner.empty()) {
                     output.sends.push_back({owner, CallForward{body.token, body.hops + 1, body.origin, body.call}});
                 }
@@ -105,13 +125,16 @@
                     }
                 }
                 if (!settings.core || body.part < 0 || body.part >= static_cast<int>(part_count)) return;
-                with_parts(now, output, [&](Context& context) { parts[static_cast<std::size_t>(body.part)].on(context, from, body); });
+                with_parts(now, output, [&](Context& context) {
+                    parts[static_cast<std::size_t>(body.part)].on(context, from, body);
+                });
             }
         },
         message);
 }
 
-auto Control::receive(Microseconds now, std::string const& from, std::string const& address, Message const& message) -> ControlOutput {
+auto Control::receive(Microseconds now, std::string const& from, std::string const& address, Message const& message)
+    -> ControlOutput {
     ControlOutput output;
     membership.heard_from(from, now);
     deliver(now, from, address, message, output);
@@ -154,7 +177,8 @@
 // nobody reachable knows a fleet.
 auto Control::form(Microseconds now, Context& context) -> void {
     auto const members = membership.alive_members(false);
-    auto const somebody_knows = std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
+    auto const somebody_knows =
+        std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
     auto const& first = parts[0].votes.decided;
     if (somebody_knows && first.epoch == 0 && first.voters.empty()) {
         blank_since = now;
@@ -162,7 +186,9 @@
     }
     if (first.epoch == 0 && first.voters.empty()) {
         auto cores = membership.alive_members(true);
-        std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) { return left.control_address < right.control_address; });
+        std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
+            return left.control_address < right.control_address;
+        });
         if (cores.size() < majority_of(settings.core_count) || cores.front().identity != membership.self.identity) {
             blank_since = now;
             return;
@@ -205,15 +231,19 @@
     ControlOutput output;
     membership.self.state = static_cast<int>(MemberState::dead);
     for (auto const& member : membership.alive_members(false))
-        if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, Probe{0, {membership.self, membership.self, membership.self}}});
+        if (member.identity != membership.self.identity)
+            output.sends.push_back(
+                {member.control_address, Probe{0, {membership.self, membership.self, membership.self}}});
     return output;
 }
 
 // Resting nodes are left alone; they get the next one once they wake.
-auto Control::digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes) -> ControlOutput {
+auto Control::digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
+    -> ControlOutput {
     ControlOutput output;
     for (auto const& member : membership.alive_members(false))
-        if (member.identity != membership.self.identity && !resting_nodes.contains(member.identity)) output.sends.push_back({member.control_address, BurdenDigest{number, body}});
+        if (member.identity != membership.self.identity && !resting_nodes.contains(member.identity))
+            output.sends.push_back({member.control_address, BurdenDigest{number, body}});
     return output;
 }
 
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -8,14 +8,17 @@
 
 namespace dockrock {
 
-inline constexpr auto part_names = std::to_array<std::string_view>({"configuration", "service-0", "service-1", "service-2", "resting"});
+inline constexpr auto part_names =
+    std::to_array<std::string_view>({"configuration", "service-0", "service-1", "service-2", "resting"});
 inline constexpr auto part_count = part_names.size();
 inline constexpr auto configuration_part = 0;
 inline constexpr auto resting_part = 4;
 inline constexpr auto service_parts = 3;
 
 // The part that holds a service, by hash of its name (design 5).
-inline auto part_of_service(std::string_view service) -> int { return 1 + static_cast<int>(hash_text(service) % service_parts); }
+inline auto part_of_service(std::string_view service) -> int {
+    return 1 + static_cast<int>(hash_text(service) % service_parts);
+}
 
 struct ControlSettings {
     std::string control_address;
@@ -30,8 +33,8 @@
     Microseconds hold_limit = 300 * one_millisecond;
     Microseconds ask_limit = 500 * one_millisecond;
     Microseconds resting_interval = one_second;
-    Microseconds proof_limit = 1'500 * one_millisecond;   // older: no new entry is granted
-    Microseconds shed_limit = 4 * one_second;             // older: tickets are shed at once
+    Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted
+    Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
     Microseconds list_interval = 300 * one_millisecond;
     Microseconds list_fallback = 1'200 * one_millisecond;
     Microseconds call_limit = 4 * one_second;
@@ -57,9 +60,9 @@
 struct ControlOutput {
     AddressedMessages sends;
     std::vector<Save> saves;
-    std::vector<CallDone> results;                             // for calls made at this node
+    std::vector<CallDone> results;                              // for calls made at this node
     std::vector<std::pair<std::string, BurdenDigest>> digests;  // from other admitting nodes
-    bool news = false;                                         // something a snapshot is made of changed
+    bool news = false;                                          // something a snapshot is made of changed
 };
 
 struct Control {
@@ -89,33 +92,44 @@
     std::vector<IdentifiedMessage> loopback;
     bool resting = false;  // few wakeups: only what keeps this node in the fleet (design 12)
 
-    auto start(ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
-               std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
+    auto start(
+        ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
+        std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
     auto tick(Microseconds now) -> ControlOutput;
-    auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message) -> ControlOutput;
+    auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message)
+        -> ControlOutput;
     auto saved(Microseconds now, std::uint64_t token, bool ok) -> ControlOutput;
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
     auto list_read(Microseconds now, std::string const& text) -> ControlOutput;
     auto wants_list(Microseconds now) const -> bool;
-    auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes) -> ControlOutput;
+    auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
+        -> ControlOutput;
 
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
-    auto owns(int part, Microseconds now) const -> bool { return parts[static_cast<std::size_t>(part)].licensed(membership.self.identity, now); }
-    auto proof_age(int part, Microseconds now) const -> Microseconds { return now - news[static_cast<std::size_t>(part)].proven_at; }
+    auto owns(int part, Microseconds now) const -> bool {
+        return parts[static_cast<std::size_t>(part)].licensed(membership.self.identity, now);
+    }
+    auto proof_age(int part, Microseconds now) const -> Microseconds {
+        return now - news[static_cast<std::size_t>(part)].proven_at;
+    }
     auto knows_fleet() const -> bool;
     auto best_record(int part) const -> Record const&;
 
    private:
     auto with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void;
-    auto deliver(Microseconds now, std::string const& from, std::string const& address, Message const& message, ControlOutput& output) -> void;
+    auto deliver(
+        Microseconds now, std::string const& from, std::string const& address, Message const& message,
+        ControlOutput& output) -> void;
     auto drain(Context& context, ControlOutput& output) -> void;
     auto publish(Microseconds now, ControlOutput& output) -> void;
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
-    auto answer_news(Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
+    auto answer_news(
+        Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
-    auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output) -> void;
+    auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
+        -> void;
     auto tick_calls(Microseconds now, ControlOutput& output) -> void;
     auto form(Microseconds now, Context& context) -> void;
 };
--- a/source/process/machine/control_news.cpp
+++ b/source/process/machine/control_news.cpp
@@ -17,7 +17,8 @@
         if (item.told_epoch < item.record.epoch) {  // a new owner tells everyone where to ask (design 8.1)
             item.told_epoch = item.record.epoch;
             for (auto const& member : membership.alive_members(false))
-                if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, Decided{static_cast<int>(index), item.record}});
+                if (member.identity != membership.self.identity)
+                    output.sends.push_back({member.control_address, Decided{static_cast<int>(index), item.record}});
         }
         if (!changed) continue;
         output.news = true;
@@ -30,10 +31,12 @@
     }
 }
 
-auto Control::answer_news(Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
+auto Control::answer_news(
+    Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
     auto const index = static_cast<std::size_t>(ask.part);
     auto const& item = news[index];
-    auto const newer = item.copy.sequence > ask.have || item.live_number > ask.have_live || item.record.epoch > ask.epoch;
+    auto const newer =
+        item.copy.sequence > ask.have || item.live_number > ask.have_live || item.record.epoch > ask.epoch;
     if (may_wait && !newer && owns(ask.part, now)) {
         if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
         return;
@@ -100,7 +103,10 @@
         item.ask_token = random.next() | 1U;
         item.asked_at = now;
         item.asked_whom = target;
-        output.sends.push_back({target, NewsAsk{static_cast<int>(index), item.ask_token, item.record.epoch, item.copy.sequence, item.live_number}});
+        output.sends.push_back(
+            {target,
+             NewsAsk{
+                 static_cast<int>(index), item.ask_token, item.record.epoch, item.copy.sequence, item.live_number}});
     }
 }
 
@@ -152,7 +158,9 @@
     if (record.primary.empty()) return;
     if (record.primary == membership.self.identity) {
         ++pending.outstanding;
-        with_parts(now, output, [&](Context& context) { parts[static_cast<std::size_t>(call.part)].call(context, membership.self.control_address, token, call); });
+        with_parts(now, output, [&](Context& context) {
+            parts[static_cast<std::size_t>(call.part)].call(context, membership.self.control_address, token, call);
+        });
         return;
     }
     auto const owner = membership.address_of(record.primary);
@@ -161,7 +169,8 @@
     output.sends.push_back({owner, CallForward{token, 0, membership.self.control_address, call}});
 }
 
-auto Control::finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output) -> void {
+auto Control::finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
+    -> void {
     auto const found = calls.find(token);
     if (found == calls.end()) return;
     if (status == 503) {  // nothing was done there: asked again until the limit
@@ -187,8 +196,11 @@
         auto const& pending = calls.at(token);
         auto const reads = pending.call.operation == "get" || pending.call.operation == "outcome";
         auto const unknown = pending.outstanding > 0 && !reads;
-        output.results.push_back({"", pending.local_token, unknown ? 504 : 503,
-                                  unknown ? R"({"error":"outcome not known; ask again under the same change identity"})" : R"({"error":"no owner of this part can be reached; nothing was changed"})", ""});
+        output.results.push_back(
+            {"", pending.local_token, unknown ? 504 : 503,
+             unknown ? R"({"error":"outcome not known; ask again under the same change identity"})"
+                     : R"({"error":"no owner of this part can be reached; nothing was changed"})",
+             ""});
         calls.erase(token);
     }
     for (auto token : due) {
--- a/source/process/machine/membership.cpp
+++ b/source/process/machine/membership.cpp
@@ -53,7 +53,7 @@
     auto [place, fresh] = known.try_emplace(told.identity);
     auto& entry = place->second;
     auto const newer = fresh || told.incarnation > entry.member.incarnation ||
-                       (told.incarnation == entry.member.incarnation && told.state > entry.member.state);
+        (told.incarnation == entry.member.incarnation && told.state > entry.member.state);
     if (newer) {
         entry = KnownMember{told, now, 0};
         remembered_addresses[told.control_address] = told.area;
@@ -71,7 +71,8 @@
 auto Membership::rumours(std::size_t most) -> std::vector<Member> {
     std::vector<KnownMember*> entries;
     for (auto& [identity, entry] : known) entries.push_back(&entry);
-    std::stable_sort(entries.begin(), entries.end(), [](auto* left, auto* right) { return left->times_told < right->times_told; });
+    std::stable_sort(
+        entries.begin(), entries.end(), [](auto* left, auto* right) { return left->times_told < right->times_told; });
     std::vector<Member> told{self};
     for (auto* entry : entries) {
         if (told.size() > most) break;
@@ -98,7 +99,9 @@
         if (!waiting.asked_others && now - waiting.sent_at > times.probe_limit) {
             waiting.asked_others = true;
             auto helpers = alive_members(false);
-            std::erase_if(helpers, [&](auto const& member) { return member.identity == self.identity || member.identity == waiting.identity; });
+            std::erase_if(helpers, [&](auto const& member) {
+                return member.identity == self.identity || member.identity == waiting.identity;
+            });
             for (auto count = 0; count < 2 && !helpers.empty(); ++count) {
                 auto const chosen = random.below(helpers.size());
                 out.push_back({helpers[chosen].control_address, ProbeFor{token, found->second.member.control_address}});
@@ -148,14 +151,16 @@
         for (auto const& member : alive_members(false)) addresses.erase(member.control_address);
         auto count = 0;
         for (auto const& address : addresses)
-            if (known.empty() || (random.below(addresses.size()) < 4 && ++count <= 4)) out.push_back({address, Probe{0, rumours(4)}});
+            if (known.empty() || (random.below(addresses.size()) < 4 && ++count <= 4))
+                out.push_back({address, Probe{0, rumours(4)}});
     }
     if (now - last_probe < times.probe_interval) return;
     last_probe = now;
     while (!probe_order.empty() && !known.contains(probe_order.back())) probe_order.pop_back();
     if (probe_order.empty()) {
         for (auto const& [identity, entry] : known) probe_order.push_back(identity);
-        for (auto index = probe_order.size(); index > 1; --index) std::swap(probe_order[index - 1], probe_order[random.below(index)]);
+        for (auto index = probe_order.size(); index > 1; --index)
+            std::swap(probe_order[index - 1], probe_order[random.below(index)]);
     }
     if (probe_order.empty()) return;
     auto const target = probe_order.back();
@@ -166,16 +171,22 @@
     out.push_back({member.control_address, Probe{token, rumours(6)}});
 }
 
-auto Membership::on(Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void {
+auto Membership::on(
+    Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out)
+    -> void {
     auto const stranger = !known.contains(from);
     for (auto const& member : probe.members) learn(member, now);
     heard_from(from, now);
     auto const* asker = find(from);
     auto const thinks_little = stranger || probe.members.size() < 3;
-    out.push_back({asker != nullptr ? asker->control_address : address, ProbeAnswer{probe.token, thinks_little ? everyone() : rumours(6)}});
+    out.push_back(
+        {asker != nullptr ? asker->control_address : address,
+         ProbeAnswer{probe.token, thinks_little ? everyone() : rumours(6)}});
 }
 
-auto Membership::on(ProbeAnswer const& answer, std::string const& from, std::string const&, Microseconds now, AddressedMessages& out) -> void {
+auto Membership::on(
+    ProbeAnswer const& answer, std::string const& from, std::string const&, Microseconds now, AddressedMessages& out)
+    -> void {
     for (auto const& member : answer.members) learn(member, now);
     heard_from(from, now);
     if (auto const found = relayed.find(answer.token); found != relayed.end()) {
--- a/source/process/machine/membership.hpp
+++ b/source/process/machine/membership.hpp
@@ -31,7 +31,7 @@
     Member self;
     std::vector<std::string> seeds;
     MembershipTimes times;
-    std::map<std::string, KnownMember> known;  // by identity, without self
+    std::map<std::string, KnownMember> known;                 // by identity, without self
     std::map<std::string, std::string> remembered_addresses;  // address -> area, kept when a node is forgotten
     std::vector<std::string> probe_order;
     struct Pending {
@@ -52,8 +52,12 @@
     Microseconds last_seed = 0;
 
     auto tick(Microseconds now, Random& random, AddressedMessages& out) -> void;
-    auto on(Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
-    auto on(ProbeAnswer const& answer, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
+    auto on(
+        Probe const& probe, std::string const& from, std::string const& address, Microseconds now,
+        AddressedMessages& out) -> void;
+    auto on(
+        ProbeAnswer const& answer, std::string const& from, std::string const& address, Microseconds now,
+        AddressedMessages& out) -> void;
     auto on(ProbeFor const& ask, std::string const& address, Microseconds now, AddressedMessages& out) -> void;
     auto heard_from(std::string const& identity, Microseconds now) -> void;
     auto alive(std::string const& identity) const -> bool;
--- a/source/process/machine/messages.cpp
+++ b/source/process/machine/messages.cpp
@@ -4,7 +4,8 @@
 
 auto write_message(Message const& message) -> std::string {
     json::array pair;
-    pair.push_back(json::value(json::string_view(message_names[message.index()].data(), message_names[message.index()].size())));
+    pair.push_back(
+        json::value(json::string_view(message_names[message.index()].data(), message_names[message.index()].size())));
     std::visit([&](auto const& body) { pair.push_back(write_json(body)); }, message);
     return json::serialize(pair);
 }
--- a/source/process/machine/part.hpp
+++ b/source/process/machine/part.hpp
@@ -61,8 +61,8 @@
     Microseconds now = 0;
     std::string const& self;
     Random& random;
-    std::function<std::vector<Member>()> cores;             // core members held alive (a hint)
-    std::function<bool(std::string const&)> alive;          // a hint too
+    std::function<std::vector<Member>()> cores;     // core members held alive (a hint)
+    std::function<bool(std::string const&)> alive;  // a hint too
     std::vector<IdentifiedMessage> sends;
     std::vector<Save> saves;
     std::vector<CallDone> done;
@@ -82,10 +82,10 @@
     PartTimes times;
     ApplyChange apply;
     Votes votes;
-    Copy copy;                 // newest held, may be uncommitted
-    Sequence synced;           // of `copy`, what is on the disk
+    Copy copy;                      // newest held, may be uncommitted
+    Sequence synced;                // of `copy`, what is on the disk
     std::optional<Copy> committed;  // only on the owner, once proven
-    bool healthy = true;       // the disk answers
+    bool healthy = true;            // the disk answers
     Microseconds vote_from = 0;     // a restarted voter waits out one full grant
     Microseconds last_tick = 0;
     std::map<std::uint64_t, std::pair<Microseconds, Save>> saving;
@@ -143,7 +143,9 @@
     std::optional<Proposal> proposal;
     std::uint64_t highest_round = 0;
 
-    auto is_owner(std::string const& self) const -> bool { return votes.decided.epoch > 0 && votes.decided.primary == self; }
+    auto is_owner(std::string const& self) const -> bool {
+        return votes.decided.epoch > 0 && votes.decided.primary == self;
+    }
     auto licensed_until(std::string const& self) const -> Microseconds;
     auto licensed(std::string const& self, Microseconds now) const -> bool;
 
--- a/source/process/machine/part_change.cpp
+++ b/source/process/machine/part_change.cpp
@@ -47,7 +47,9 @@
 
 auto Part::call(Context& context, std::string const& origin, std::uint64_t token, Call const& asked) -> void {
     if (!is_owner(context.self) || queued.size() >= queue_limit) {
-        context.done.push_back({origin, token, 503, error_body(is_owner(context.self) ? "too many changes waiting" : "not the owner of this part"), ""});
+        context.done.push_back(
+            {origin, token, 503,
+             error_body(is_owner(context.self) ? "too many changes waiting" : "not the owner of this part"), ""});
         return;
     }
     queued.push_back({origin, token, asked, context.now});
@@ -64,10 +66,12 @@
         // What a change came to is told only once this epoch's first copy is on
         // both disks: until then the partner may hold a copy in which it lives.
         auto const own_epoch = committed && committed->sequence.epoch == votes.decided.epoch;
-        auto const readable = committed && licensed(context.self, context.now) && (own_epoch || item.call.operation == "get");
+        auto const readable =
+            committed && licensed(context.self, context.now) && (own_epoch || item.call.operation == "get");
         if (reads ? readable : ready) change(context, item);
         else if (context.now - item.since > queued_limit)
-            context.done.push_back({item.origin, item.token, 503, error_body("no licensed owner now; nothing was changed"), ""});
+            context.done.push_back(
+                {item.origin, item.token, 503, error_body("no licensed owner now; nothing was changed"), ""});
         else queued.push_back(std::move(item));
     }
     if (copy.sequence == before) return;
@@ -81,7 +85,9 @@
         context.done.push_back({item.origin, item.token, status, std::move(body), std::move(etag)});
     };
     auto const find_outcome = [&](Copy const& within) {
-        return std::find_if(within.outcomes.begin(), within.outcomes.end(), [&](auto const& outcome) { return outcome.identity == asked.identity; });
+        return std::find_if(within.outcomes.begin(), within.outcomes.end(), [&](auto const& outcome) {
+            return outcome.identity == asked.identity;
+        });
     };
     if (asked.operation == "get") return answer(200, committed->document, etag_of(committed->sequence));
     auto const digest = hash_text(asked.operation + "\n" + asked.if_match + "\n" + asked.body) >> 1U;
@@ -89,17 +95,29 @@
     if (asked.operation == "outcome") {
         if (done == copy.outcomes.end()) return answer(404, error_body("no such change is in force or under way"), "");
         auto const settled = done->sequence <= committed->sequence;
-        return answer(settled ? 200 : 202, json::serialize(json::object{{"identity", asked.identity}, {"state", settled ? "acknowledged" : "under way"}, {"sequence", etag_of(done->sequence)}}), etag_of(done->sequence));
+        return answer(
+            settled ? 200 : 202,
+            json::serialize(json::object{
+                {"identity", asked.identity},
+                {"state", settled ? "acknowledged" : "under way"},
+                {"sequence", etag_of(done->sequence)}}),
+            etag_of(done->sequence));
     }
-    auto const accepted_body = [&](Sequence const& sequence) { return json::serialize(json::object{{"identity", asked.identity}, {"state", "acknowledged"}, {"sequence", etag_of(sequence)}}); };
+    auto const accepted_body = [&](Sequence const& sequence) {
+        return json::serialize(
+            json::object{{"identity", asked.identity}, {"state", "acknowledged"}, {"sequence", etag_of(sequence)}});
+    };
     if (done != copy.outcomes.end()) {
-        if (done->digest != digest) return answer(422, error_body("this change identity was used for another change"), "");
-        if (done->sequence <= committed->sequence) return answer(200, accepted_body(done->sequence), etag_of(done->sequence));
+        if (done->digest != digest)
+            return answer(422, error_body("this change identity was used for another change"), "");
+        if (done->sequence <= committed->sequence)
+            return answer(200, accepted_body(done->sequence), etag_of(done->sequence));
         waiters.push_back({item.origin, item.token, done->sequence, accepted_body(done->sequence), context.now});
         return;
     }
     if (!asked.if_match.empty() && asked.if_match != "*" && asked.if_match != etag_of(copy.sequence))
-        return answer(412, error_body("the configuration has moved on; nothing was changed"), etag_of(committed->sequence));
+        return answer(
+            412, error_body("the configuration has moved on; nothing was changed"), etag_of(committed->sequence));
     auto result = apply(copy, asked);
     if (result.status != 200) return answer(result.status, std::move(result.body), "");
     copy.document = std::move(result.document);
--- a/source/process/machine/part_pair.cpp
+++ b/source/process/machine/part_pair.cpp
@@ -18,9 +18,13 @@
     committed.reset();
     in_flight = false;
     for (auto const& waiter : waiters)
-        context.done.push_back({waiter.origin, waiter.token, 504, error_body("outcome not known; ask again under the same change identity"), ""});
+        context.done.push_back(
+            {waiter.origin, waiter.token, 504,
+             error_body("outcome not known; ask again under the same change identity"), ""});
     waiters.clear();
-    for (auto const& item : queued) context.done.push_back({item.origin, item.token, 503, error_body("the owner of this part changed; nothing was changed"), ""});
+    for (auto const& item : queued)
+        context.done.push_back(
+            {item.origin, item.token, 503, error_body("the owner of this part changed; nothing was changed"), ""});
     queued.clear();
 }
 
@@ -33,7 +37,8 @@
         if (is_owner(context.self) && !licensed(context.self, context.now)) {
             std::erase_if(queued, [&](auto const& item) {
                 if (context.now - item.since <= queued_limit) return false;
-                context.done.push_back({item.origin, item.token, 503, error_body("the owner's disk does not answer"), ""});
+                context.done.push_back(
+                    {item.origin, item.token, 503, error_body("the owner's disk does not answer"), ""});
                 return true;
             });
         }
@@ -97,7 +102,8 @@
     auto const& record = votes.decided;
     if (context.now - last_ask >= times.renew_interval || last_ask == 0) {
         last_ask = context.now;
-        for (auto const& voter : record.voters) context.sends.push_back({voter, LicenceAsk{index, record, context.now}});
+        for (auto const& voter : record.voters)
+            context.sends.push_back({voter, LicenceAsk{index, record, context.now}});
         context.sends.push_back({record.understudy, Beat{index, record, copy.sequence}});
         if (committed && context.now - last_spare > times.spare_interval) {  // the sweep for old spare copies
             last_spare = context.now;
@@ -126,14 +132,19 @@
     take_queued(context);
     std::erase_if(waiters, [&](auto const& waiter) {
         if (context.now - waiter.since <= waiter_limit) return false;
-        context.done.push_back({waiter.origin, waiter.token, 504, error_body("outcome not known; ask again under the same change identity"), ""});
+        context.done.push_back(
+            {waiter.origin, waiter.token, 504,
+             error_body("outcome not known; ask again under the same change identity"), ""});
         return true;
     });
-    if (proposal || context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000))) return;
+    if (proposal ||
+        context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000)))
+        return;
     auto wanted = record;
     wanted.voters = renewed_voters(context);
     auto const understudy_silent = context.now - understudy_heard;
-    auto const understudy_lost = understudy_silent > times.understudy_limit || (understudy_silent > 2 * times.renew_interval && !context.alive(record.understudy));
+    auto const understudy_lost = understudy_silent > times.understudy_limit ||
+        (understudy_silent > 2 * times.renew_interval && !context.alive(record.understudy));
     auto const unlicensed = context.now - owner_since > times.grantor_term;
     auto const voters_changed = wanted.voters != record.voters && has_licence;
     if (!understudy_lost && !sealed_now && !unlicensed && !voters_changed) return;
@@ -148,7 +159,8 @@
 auto Part::pair_tick(Context& context) -> void {
     if (proposal) return;
     auto const silent = context.now - primary_heard;
-    if (silent <= times.silence_limit && (silent <= 2 * times.renew_interval || context.alive(votes.decided.primary))) return;
+    if (silent <= times.silence_limit && (silent <= 2 * times.renew_interval || context.alive(votes.decided.primary)))
+        return;
     if (context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000))) return;
     last_try = context.now;
     auto wanted = votes.decided;
@@ -200,7 +212,8 @@
 auto Part::on(Context& context, std::string const& from, Appended const& message) -> void {
     if (!is_owner(context.self) || message.epoch != votes.decided.epoch) return;
     if (from != votes.decided.understudy) {
-        if (committed && message.sequence != committed->sequence) context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
+        if (committed && message.sequence != committed->sequence)
+            context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
         return;
     }
     understudy_heard = context.now;
--- a/source/process/machine/part_propose.cpp
+++ b/source/process/machine/part_propose.cpp
@@ -27,12 +27,15 @@
     proposal->sent = context.now;
     auto const epoch = votes.decided.epoch + 1;
     if (proposal->stage == Proposal::Stage::copying) {
-        context.sends.push_back({proposal->value.understudy, CopyOffer{index, votes.decided.epoch, proposal->ballot, copy}});
+        context.sends.push_back(
+            {proposal->value.understudy, CopyOffer{index, votes.decided.epoch, proposal->ballot, copy}});
         return;
     }
     for (auto const& voter : votes.decided.voters) {
-        if (proposal->stage == Proposal::Stage::preparing && !proposal->promises.contains(voter)) context.sends.push_back({voter, Prepare{index, epoch, proposal->ballot, votes.decided}});
-        if (proposal->stage == Proposal::Stage::accepting && !proposal->accepts.contains(voter)) context.sends.push_back({voter, Accept{index, epoch, proposal->ballot, proposal->value, votes.decided}});
+        if (proposal->stage == Proposal::Stage::preparing && !proposal->promises.contains(voter))
+            context.sends.push_back({voter, Prepare{index, epoch, proposal->ballot, votes.decided}});
+        if (proposal->stage == Proposal::Stage::accepting && !proposal->accepts.contains(voter))
+            context.sends.push_back({voter, Accept{index, epoch, proposal->ballot, proposal->value, votes.decided}});
     }
 }
 
--- a/source/process/machine/part_vote.cpp
+++ b/source/process/machine/part_vote.cpp
@@ -101,7 +101,8 @@
         return;
     }
     votes.promised = message.ballot;
-    save(context, false, {{from, Promise{index, message.epoch, message.ballot, votes.accepted_ballot, votes.accepted}}});
+    save(
+        context, false, {{from, Promise{index, message.epoch, message.ballot, votes.accepted_ballot, votes.accepted}}});
 }
 
 auto Part::on(Context& context, std::string const& from, Accept const& message) -> void {
@@ -123,7 +124,8 @@
     proposal->refusals.insert(from);
     auto const count = votes.decided.voters.size();
     auto const hopeless = proposal->refusals.size() > count - majority_of(count);
-    if (message.promised > proposal->ballot || (hopeless && proposal->stage == Proposal::Stage::preparing)) proposal.reset();
+    if (message.promised > proposal->ballot || (hopeless && proposal->stage == Proposal::Stage::preparing))
+        proposal.reset();
 }
 
 auto Part::on(Context& context, std::string const&, Decided const& message) -> void { learn(context, message.record); }
--- a/source/process/machine/reading.hpp
+++ b/source/process/machine/reading.hpp
@@ -37,8 +37,8 @@
 
 template <typename Type>
 auto write_json(Type const& from) -> json::value {
-    if constexpr (std::is_same_v<Type, json::value> || std::is_same_v<Type, bool> ||
-                  std::is_same_v<Type, std::string>) {
+    if constexpr (
+        std::is_same_v<Type, json::value> || std::is_same_v<Type, bool> || std::is_same_v<Type, std::string>) {
         return json::value(from);
     } else if constexpr (std::is_arithmetic_v<Type>) {
         return json::value(from);
--- a/source/process/machine/resting.cpp
+++ b/source/process/machine/resting.cpp
@@ -18,7 +18,8 @@
     return std::min(edges.size(), std::max(needed, areas.size()) + slack);  // one in every area, and one to lose
 }
 
-auto Resting::step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now) -> std::optional<std::set<std::string>> {
+auto Resting::step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now)
+    -> std::optional<std::set<std::string>> {
     auto wanted = std::set<std::string>();
     std::map<std::string, int> awake_in_area;
     auto awake = std::size_t{0};
@@ -34,8 +35,11 @@
         }
     }
     auto const least = least_awake(edges);
-    auto const fewest_first = [&](auto const& left, auto const& right) { return awake_in_area[left->area] < awake_in_area[right->area]; };
-    while (awake < least || std::any_of(edges.begin(), edges.end(), [&](auto const& node) { return awake_in_area[node.area] == 0; })) {
+    auto const fewest_first = [&](auto const& left, auto const& right) {
+        return awake_in_area[left->area] < awake_in_area[right->area];
+    };
+    while (awake < least ||
+           std::any_of(edges.begin(), edges.end(), [&](auto const& node) { return awake_in_area[node.area] == 0; })) {
         std::vector<RestingNode const*> candidates;  // woken at once, the emptiest area first
         for (auto const& node : edges)
             if (wanted.contains(node.identity)) candidates.push_back(&node);
@@ -53,7 +57,9 @@
         RestingNode const* chosen = nullptr;  // the idlest node of the fullest area
         for (auto const& node : edges) {
             if (wanted.contains(node.identity) || awake_in_area[node.area] < 2) continue;
-            if (chosen == nullptr || std::pair(-awake_in_area[node.area], node.rate) < std::pair(-awake_in_area[chosen->area], chosen->rate)) chosen = &node;
+            if (chosen == nullptr ||
+                std::pair(-awake_in_area[node.area], node.rate) < std::pair(-awake_in_area[chosen->area], chosen->rate))
+                chosen = &node;
         }
         if (chosen != nullptr) {
             wanted.insert(chosen->identity);
--- a/source/process/machine/resting.hpp
+++ b/source/process/machine/resting.hpp
@@ -9,9 +9,9 @@
 namespace dockrock {
 
 struct RestingOptions {
-    double node_rate = 40.0;        // tickets each second that one node takes with ease
-    double headroom = 2.0;          // awake nodes could take this many times the traffic
-    int loss_slack = 1;             // and one of them may be lost
+    double node_rate = 40.0;              // tickets each second that one node takes with ease
+    double headroom = 2.0;                // awake nodes could take this many times the traffic
+    int loss_slack = 1;                   // and one of them may be lost
     Microseconds calm = 4 * one_second;   // how long the burden must be low before one more rests
     Microseconds step = one_second;       // at most one more node rests in this time
     Microseconds grace = 3 * one_second;  // traffic from before it rested is not held against a node
@@ -29,7 +29,8 @@
     std::map<std::string, Microseconds> rested_at;
 
     // The set that should rest, where it differs from `now_resting`.
-    auto step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now) -> std::optional<std::set<std::string>>;
+    auto step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now)
+        -> std::optional<std::set<std::string>>;
     auto least_awake(std::vector<RestingNode> const& edges) const -> std::size_t;
 };
 
--- a/source/process/machine/rollout.cpp
+++ b/source/process/machine/rollout.cpp
@@ -4,7 +4,8 @@
 
 namespace dockrock {
 
-auto Rollout::step(std::string const& wanted, std::vector<RolloutReplica> const& replicas, Microseconds now) -> std::vector<std::string> {
+auto Rollout::step(std::string const& wanted, std::vector<RolloutReplica> const& replicas, Microseconds now)
+    -> std::vector<std::string> {
     if (wanted != target) {
         target = wanted;
         ordered.clear();
--- a/source/process/machine/rollout.hpp
+++ b/source/process/machine/rollout.hpp
@@ -17,7 +17,8 @@
 
     // Names of the replicas to order now. At most a third at once; the next
     // wave begins when this one is done, or after four seconds.
-    auto step(std::string const& wanted, std::vector<RolloutReplica> const& replicas, Microseconds now) -> std::vector<std::string>;
+    auto step(std::string const& wanted, std::vector<RolloutReplica> const& replicas, Microseconds now)
+        -> std::vector<std::string>;
 };
 
 inline constexpr Microseconds wave_limit = 4 * one_second;
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -20,9 +20,16 @@
 
 auto apply_configuration(Copy const& current, Call const& call) -> ChangeResult {
     (void)current;
-    if (call.body.size() > configuration_limit) return {413, R"({"error":"the configuration is larger than 1048576 bytes"})", ""};
+    if (call.body.size() > configuration_limit)
+        return {413, R"({"error":"the configuration is larger than 1048576 bytes"})", ""};
     auto const checked = check_configuration(call.body);
-    if (!checked.problems.empty()) return {400, json::serialize(fields("error", "the configuration has errors; nothing was changed", "problems", write_problems(checked.problems))), ""};
+    if (!checked.problems.empty())
+        return {
+            400,
+            json::serialize(fields(
+                "error", "the configuration has errors; nothing was changed", "problems",
+                write_problems(checked.problems))),
+            ""};
     return {200, "", call.body};
 }
 
@@ -47,7 +54,8 @@
     if (core) {
         auto const result = storage.open(settings.data_folder);
         if (result == LoadResult::failed) return leaf::new_error(StartFailure{"cannot open the data folder"});
-        if (result == LoadResult::damaged) write_log(Level::failure, "disk-damaged", fields("effect", "a new identity; copies are fetched anew"));
+        if (result == LoadResult::damaged)
+            write_log(Level::failure, "disk-damaged", fields("effect", "a new identity; copies are fetched anew"));
         if (result == LoadResult::loaded) {
             identity = storage.state.identity;
             incarnation = storage.state.incarnation + 1;
@@ -57,17 +65,28 @@
     } else {
         incarnation = static_cast<std::uint64_t>(started_at);
     }
-    auto const given = ControlSettings{settings.control_address, settings.http_address, settings.area, settings.seeds, core, static_cast<std::size_t>(settings.core_count)};
+    auto const given = ControlSettings{
+        settings.control_address,
+        settings.http_address,
+        settings.area,
+        settings.seeds,
+        core,
+        static_cast<std::size_t>(settings.core_count)};
     auto device = std::random_device();
-    control.start(given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts, had_state, started_at);
-    for (auto index = std::size_t{0}; index < part_count; ++index) control.parts[index].apply = index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
+    control.start(
+        given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts,
+        had_state, started_at);
+    for (auto index = std::size_t{0}; index < part_count; ++index)
+        control.parts[index].apply =
+            index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
     table.granting.burden.self = identity;
     next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
     proven_at = started_at - 3'600 * one_second;
     auto empty = std::make_shared<Snapshot>();
     empty->rules = std::make_shared<Rules>();
     snapshot = empty;
-    parallelism = std::make_unique<tbb::global_control>(tbb::global_control::max_allowed_parallelism, static_cast<std::size_t>(settings.workers) + 1);
+    parallelism = std::make_unique<tbb::global_control>(
+        tbb::global_control::max_allowed_parallelism, static_cast<std::size_t>(settings.workers) + 1);
     control_work.start(graph, true);
     ticket_work.start(graph, false);
     auto const endpoint = endpoint_of(settings.http_address);
@@ -77,7 +96,8 @@
     acceptor->set_option(tcp::acceptor::reuse_address(true), failure);
     acceptor->bind(*endpoint, failure);
     if (!failure) acceptor->listen(1024, failure);
-    if (failure) return leaf::new_error(StartFailure{"cannot listen on " + settings.http_address + ": " + failure.message()});
+    if (failure)
+        return leaf::new_error(StartFailure{"cannot listen on " + settings.http_address + ": " + failure.message()});
     auto const problem = transport.start(settings.control_address, settings.fleet, [this](Frame&& frame) {
         auto message = read_message(frame.body);
         if (!message) {
@@ -88,9 +108,14 @@
             act_on(control.receive(clock_now(), frame.sender, frame.sender_address, message));
         });
     });
-    if (!problem.empty()) return leaf::new_error(StartFailure{"cannot listen on " + settings.control_address + ": " + problem});
+    if (!problem.empty())
+        return leaf::new_error(StartFailure{"cannot listen on " + settings.control_address + ": " + problem});
     if (core) disk_thread = std::thread([this] { run_disk(); });
-    write_log(Level::information, "started", fields("identity", identity, "incarnation", incarnation, "core", core, "area", settings.area, "had_state", had_state));
+    write_log(
+        Level::information, "started",
+        fields(
+            "identity", identity, "incarnation", incarnation, "core", core, "area", settings.area, "had_state",
+            had_state));
     return {};
 }
 
@@ -109,7 +134,10 @@
         auto const good = storage.write(saves);
         counters.saves += batch.size();
         ++counters.save_batches;
-        if (!good && !disk_failed.exchange(true)) write_log(Level::failure, "disk-failed", fields("effect", "this copy is given up; the node goes on serving tickets"));
+        if (!good && !disk_failed.exchange(true))
+            write_log(
+                Level::failure, "disk-failed",
+                fields("effect", "this copy is given up; the node goes on serving tickets"));
         in_control([this, good, batch = std::move(batch)] {
             for (auto const& save : batch) act_on(control.saved(clock_now(), save.token, good));
         });
@@ -119,7 +147,9 @@
 auto Node::act_on(ControlOutput output) -> void {
     auto const now = clock_now();
     for (auto const& send : output.sends) {
-        auto const frame = Frame{settings.fleet, control.membership.self.identity, settings.control_address, control.membership.self.incarnation, write_message(send.message)};
+        auto const frame = Frame{
+            settings.fleet, control.membership.self.identity, settings.control_address,
+            control.membership.self.incarnation, write_message(send.message)};
         transport.send(send.address, pack_frame(frame), now);
     }
     if (!output.saves.empty()) {
@@ -136,7 +166,8 @@
     }
     if (!output.digests.empty()) {
         auto const guard = std::lock_guard(table.lock);
-        for (auto const& [node, digest] : output.digests) table.granting.burden.take_digest(node, digest.number, digest.body, now);
+        for (auto const& [node, digest] : output.digests)
+            table.granting.burden.take_digest(node, digest.number, digest.body, now);
     }
     proven_at = control.news[configuration_part].proven_at;
     if (output.news) publish_snapshot();
@@ -146,7 +177,9 @@
     auto const old = snapshot.load();
     auto fresh = std::make_shared<Snapshot>();
     auto const& configuration = control.news[configuration_part];
-    fresh->rules = old->rules->sequence == configuration.copy.sequence ? old->rules : compile_rules(configuration.copy.sequence, configuration.copy.document);
+    fresh->rules = old->rules->sequence == configuration.copy.sequence
+        ? old->rules
+        : compile_rules(configuration.copy.sequence, configuration.copy.document);
     fresh->list = old->list;
     if (!configuration.live.empty()) {
         if (auto const parsed = parse_json(configuration.live)) {
@@ -156,18 +189,21 @@
             if (problems.empty()) fresh->list = std::move(list);
         }
     }
-    for (auto const& model : fresh->rules->checked.configuration.models) fresh->target_weights[model.name] = model.weights;
+    for (auto const& model : fresh->rules->checked.configuration.models)
+        fresh->target_weights[model.name] = model.weights;
     for (auto part = 1; part <= service_parts; ++part) {
         auto const parsed = parse_json(control.news[static_cast<std::size_t>(part)].copy.document);
         if (!parsed || !parsed->is_object()) continue;
         for (auto const& item : parsed->as_object())
-            if (item.value().is_string()) fresh->target_weights[std::string(item.key())] = std::string(item.value().as_string());
+            if (item.value().is_string())
+                fresh->target_weights[std::string(item.key())] = std::string(item.value().as_string());
     }
     if (auto const parsed = parse_json(control.news[resting_part].copy.document); parsed && parsed->is_object())
         if (auto const* names = parsed->as_object().if_contains("resting"); names != nullptr && names->is_array())
             for (auto const& name : names->as_array())
                 if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
-    if (fresh->rules != old->rules) write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
+    if (fresh->rules != old->rules)
+        write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
     snapshot = fresh;
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -34,10 +34,11 @@
 
     auto start(tbb::flow::graph& graph, bool one_at_a_time) -> void {
         serial = one_at_a_time;
-        node = std::make_unique<tbb::flow::function_node<int>>(graph, serial ? tbb::flow::serial : tbb::flow::unlimited, [this](int turn) {
-            take();
-            return turn;
-        });
+        node = std::make_unique<tbb::flow::function_node<int>>(
+            graph, serial ? tbb::flow::serial : tbb::flow::unlimited, [this](int turn) {
+                take();
+                return turn;
+            });
     }
     auto put(Work work) -> void {
         {
@@ -85,9 +86,11 @@
 };
 
 struct Counters {
-    std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0}, tries{0}, did_not_run{0}, connect_failures{0};
+    std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0},
+        tries{0}, did_not_run{0}, connect_failures{0};
     std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
-    std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0}, save_batches{0};
+    std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
+        save_batches{0};
 };
 
 struct Node {
@@ -95,12 +98,12 @@
     asio::io_context context;
     Storage storage;
     Transport transport;
-    Control control;                   // touched only inside control_work
+    Control control;  // touched only inside control_work
     std::atomic<Microseconds> proven_at{0};
     SnapshotHolder snapshot;
     Counters counters;
-    EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
-    std::set<std::string> seen_identities;                 // run-once tickets of this node, under table.lock
+    EntryTable<SystemPrimitives> table;     // lock order: table.lock, then nothing (design 14)
+    std::set<std::string> seen_identities;  // run-once tickets of this node, under table.lock
     std::deque<std::string> seen_order;
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
@@ -115,17 +118,17 @@
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;  // inside control_work
     std::array<std::uint64_t, part_count> logged_epochs{};                // inside control_work
     std::array<bool, part_count> logged_owned{};
-    Resting resting;                                                      // inside control_work
-    std::atomic<Microseconds> awake_until{0};                             // a ticket woke this node
-    std::map<std::string, Rollout> rollouts;                              // inside control_work
+    Resting resting;                           // inside control_work
+    std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
+    std::map<std::string, Rollout> rollouts;   // inside control_work
     std::mutex report_lock;
-    std::map<std::string, ReplicaReport> reports;                         // under report_lock
+    std::map<std::string, ReplicaReport> reports;  // under report_lock
 
     std::unique_ptr<tbb::global_control> parallelism;
     tbb::flow::graph graph;
     using Work = WorkQueue::Work;
-    WorkQueue control_work;  // one at a time: the control machines
-    WorkQueue ticket_work;   // side by side: interpreting tickets
+    WorkQueue control_work;                   // one at a time: the control machines
+    WorkQueue ticket_work;                    // side by side: interpreting tickets
     std::unique_ptr<tcp::acceptor> acceptor;  // on accept_strand alone, once running
     asio::strand<asio::io_context::executor_type> accept_strand{context.get_executor()};
     std::vector<std::thread> threads;
@@ -146,7 +149,7 @@
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
-    auto remember_identity(std::string const& identity) -> bool;    // false: seen before
+    auto remember_identity(std::string const& identity) -> bool;  // false: seen before
 
     auto run_disk() -> void;
     auto tick_loop() -> awaitable<void>;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -51,7 +51,8 @@
         auto const current = snapshot.load();
         for (auto const& entry : current->list.replicas) {
             auto const guard = std::lock_guard(loops_lock);
-            if (report_loops.insert(entry.name).second) asio::co_spawn(asio::make_strand(context), report_loop(entry.name), asio::detached);
+            if (report_loops.insert(entry.name).second)
+                asio::co_spawn(asio::make_strand(context), report_loop(entry.name), asio::detached);
         }
         co_await pause(resting_now ? 500 : 100);
     }
@@ -64,7 +65,9 @@
     auto address = std::string{};
     while (!finished) {
         auto const current = snapshot.load();
-        auto const entry = std::find_if(current->list.replicas.begin(), current->list.replicas.end(), [&](auto const& item) { return item.name == name; });
+        auto const entry = std::find_if(
+            current->list.replicas.begin(), current->list.replicas.end(),
+            [&](auto const& item) { return item.name == name; });
         if (entry == current->list.replicas.end()) break;
         if (entry->address != address) {
             connection.close();
@@ -78,7 +81,8 @@
         Problems problems;
         if (parsed) read_json(*parsed, report, "", problems);
         if (parsed && problems.empty()) {
-            if (report.incarnation != incarnation && !incarnation.empty() && next_event > 0) {  // restarted: its events begin anew
+            if (report.incarnation != incarnation && !incarnation.empty() &&
+                next_event > 0) {  // restarted: its events begin anew
                 next_event = 0;
                 incarnation = report.incarnation;
                 continue;
@@ -132,11 +136,14 @@
                     auto const guard = std::lock_guard(report_lock);
                     for (auto const& entry : current->list.replicas)
                         if (auto const found = reports.find(entry.name); entry.model == model && found != reports.end())
-                            replicas.push_back({entry.name, found->second.weights, found->second.changing, entry.drain});
+                            replicas.push_back(
+                                {entry.name, found->second.weights, found->second.changing, entry.drain});
                 }
                 for (auto const& name : rollouts[model].step(target, replicas, now))
                     for (auto const& entry : current->list.replicas)
-                        if (entry.name == name) orders->push_back({name, entry.address, target, model, control.best_record(part).epoch, part});
+                        if (entry.name == name)
+                            orders->push_back(
+                                {name, entry.address, target, model, control.best_record(part).epoch, part});
             }
             *done = true;
         });
@@ -144,14 +151,22 @@
         if (!done->load()) continue;
         for (auto const& order : *orders) {
             auto licensed = std::make_shared<std::atomic<int>>(-1);
-            in_control([this, licensed, order] { *licensed = control.owns(order.part, clock_now()) && control.best_record(order.part).epoch == order.fence ? 1 : 0; });
+            in_control([this, licensed, order] {
+                *licensed =
+                    control.owns(order.part, clock_now()) && control.best_record(order.part).epoch == order.fence ? 1
+                                                                                                                  : 0;
+            });
             for (auto count = 0; licensed->load() < 0 && count < 50; ++count) co_await pause(5);
             if (licensed->load() != 1) continue;
             ++counters.orders;
-            auto const body = json::serialize(fields("weights", order.weights, "fence", order.fence, "holder", settings.control_address));
+            auto const body = json::serialize(
+                fields("weights", order.weights, "fence", order.fence, "holder", settings.control_address));
             auto const posted = http_ask(http::verb::post, "/weights", body);
             auto const answer = co_await http_call(order.address, posted, 500 * one_millisecond);
-            write_log(Level::information, "weights-ordered", fields("replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
+            write_log(
+                Level::information, "weights-ordered",
+                fields(
+                    "replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
         }
     }
 }
--- a/source/process/node_rest.cpp
+++ b/source/process/node_rest.cpp
@@ -15,7 +15,8 @@
     auto const current = snapshot.load();
     auto const named = current->resting.contains(control.membership.self.identity);
     auto const heard = control.proof_age(resting_part, now) < unheard_limit;
-    auto const rests = named && heard && settings.resting && !stopping && now > awake_until && settings.data_folder.empty();
+    auto const rests =
+        named && heard && settings.resting && !stopping && now > awake_until && settings.data_folder.empty();
     control.resting = rests;
     control.membership.self.resting = rests;
     if (rests == resting_now.exchange(rests)) return;
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -18,10 +18,19 @@
         auto const number = static_cast<int>(index);
         auto const name = std::string(part_names[index]);
         auto const& record = control.best_record(number);
-        if (record.epoch != logged_epochs[index]) write_log(Level::information, "record", {{"part", name}, {"epoch", record.epoch}, {"primary", record.primary}, {"understudy", record.understudy}});
+        if (record.epoch != logged_epochs[index])
+            write_log(
+                Level::information, "record",
+                {{"part", name},
+                 {"epoch", record.epoch},
+                 {"primary", record.primary},
+                 {"understudy", record.understudy}});
         logged_epochs[index] = record.epoch;
         auto const owned = control.owns(number, now);
-        if (owned != logged_owned[index]) write_log(Level::information, owned ? "licence-held" : "licence-ended", {{"part", name}, {"epoch", record.epoch}});
+        if (owned != logged_owned[index])
+            write_log(
+                Level::information, owned ? "licence-held" : "licence-ended",
+                {{"part", name}, {"epoch", record.epoch}});
         logged_owned[index] = owned;
     }
 }
@@ -38,13 +47,15 @@
         auto const now = clock_now();
         auto guard = std::unique_lock(table.lock);
         if (table.granting.waiting_count() > 0) match_locked(now);
-        auto const due = now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
+        auto const due =
+            now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
         if (!due) continue;
         last_digest = now;
         auto body = table.granting.burden.make_digest(now);
         auto const number = static_cast<std::uint64_t>(now);
         guard.unlock();
-        in_control([this, body = std::move(body), number] { act_on(control.digest(body, number, snapshot.load()->resting)); });
+        in_control(
+            [this, body = std::move(body), number] { act_on(control.digest(body, number, snapshot.load()->resting)); });
     }
 }
 
@@ -59,7 +70,8 @@
 
 auto Node::ready(Microseconds now) const -> bool {
     auto const current = snapshot.load();
-    return !stopping && !resting_now && proof_age(now) < proof_limit && !current->rules->mappings.empty() && !current->list.replicas.empty();
+    return !stopping && !resting_now && proof_age(now) < proof_limit && !current->rules->mappings.empty() &&
+        !current->list.replicas.empty();
 }
 
 auto Node::remember_identity(std::string const& identity) -> bool {
@@ -89,7 +101,8 @@
     asio::co_spawn(asio::make_strand(context), order_loop(), asio::detached);
     asio::co_spawn(asio::make_strand(context), rest_loop(), asio::detached);
     asio::co_spawn(accept_strand, accept_loop(), asio::detached);
-    for (auto count = std::int64_t{0}; count < settings.workers; ++count) threads.emplace_back([this] { context.run(); });
+    for (auto count = std::int64_t{0}; count < settings.workers; ++count)
+        threads.emplace_back([this] { context.run(); });
     for (auto& thread : threads) thread.join();
     graph.wait_for_all();
     transport.stop();
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -25,18 +25,24 @@
     address(settings.control_address, "/control_address", true);
     address(settings.http_address, "/http_address", true);
     address(settings.platform_address, "/platform_address", false);
-    if (settings.control_address == settings.http_address && !settings.http_address.empty()) problems.push_back({"/http_address", "must differ from control_address"});
+    if (settings.control_address == settings.http_address && !settings.http_address.empty())
+        problems.push_back({"/http_address", "must differ from control_address"});
     if (settings.area.empty() || settings.area.size() > 64) problems.push_back({"/area", "must be 1 to 64 characters"});
-    if (settings.fleet.empty() || settings.fleet.size() > 64) problems.push_back({"/fleet", "must be 1 to 64 characters"});
+    if (settings.fleet.empty() || settings.fleet.size() > 64)
+        problems.push_back({"/fleet", "must be 1 to 64 characters"});
     if (settings.seeds.empty() || settings.seeds.size() > 16) problems.push_back({"/seeds", "1 to 16 are needed"});
     for (auto index = std::size_t{0}; index < settings.seeds.size(); ++index)
-        if (!is_address(settings.seeds[index])) problems.push_back({"/seeds/" + std::to_string(index), "must be IP:port"});
+        if (!is_address(settings.seeds[index]))
+            problems.push_back({"/seeds/" + std::to_string(index), "must be IP:port"});
     if (settings.core_count < 1 || settings.core_count > 15) problems.push_back({"/core_count", "must be 1 to 15"});
-    if (!settings.operator_key_sha256.empty() && settings.operator_key_sha256.size() != 64) problems.push_back({"/operator_key_sha256", "must be 64 hexadecimal digits"});
-    if (settings.stop_limit_milliseconds < 0 || settings.stop_limit_milliseconds > 600'000) problems.push_back({"/stop_limit_milliseconds", "must be 0 to 600000"});
+    if (!settings.operator_key_sha256.empty() && settings.operator_key_sha256.size() != 64)
+        problems.push_back({"/operator_key_sha256", "must be 64 hexadecimal digits"});
+    if (settings.stop_limit_milliseconds < 0 || settings.stop_limit_milliseconds > 600'000)
+        problems.push_back({"/stop_limit_milliseconds", "must be 0 to 600000"});
     if (settings.workers < 1 || settings.workers > 64) problems.push_back({"/workers", "must be 1 to 64"});
     auto const& level = settings.log_level;
-    if (level != "debug" && level != "information" && level != "warning" && level != "failure") problems.push_back({"/log_level", "must be debug, information, warning or failure"});
+    if (level != "debug" && level != "information" && level != "warning" && level != "failure")
+        problems.push_back({"/log_level", "must be debug, information, warning or failure"});
     return problems;
 }
 
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -6,8 +6,8 @@
 
 struct NodeSettings {
     std::string fleet = "dockrock";
-    std::string control_address;   // IP:port other nodes reach
-    std::string http_address;      // IP:port callers and operators reach
+    std::string control_address;  // IP:port other nodes reach
+    std::string http_address;     // IP:port callers and operators reach
     std::string area;
     std::vector<std::string> seeds;
     std::string data_folder;       // present on core nodes only
@@ -18,7 +18,7 @@
     std::string log_level = "information";
     std::int64_t stop_limit_milliseconds = 20'000;
     std::int64_t workers = 2;
-    bool resting = true;           // this node may be rested
+    bool resting = true;  // this node may be rested
 };
 
 auto check_settings(NodeSettings const& settings) -> Problems;
@@ -27,5 +27,6 @@
 
 }  // namespace dockrock
 
-BOOST_HANA_ADAPT_STRUCT(dockrock::NodeSettings, fleet, control_address, http_address, area, seeds, data_folder, platform_address, core_count,
-                        operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting);
+BOOST_HANA_ADAPT_STRUCT(
+    dockrock::NodeSettings, fleet, control_address, http_address, area, seeds, data_folder, platform_address,
+    core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting);
--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -128,7 +128,8 @@
 
 auto Storage::open_log(bool truncate) -> bool {
     if (log_descriptor >= 0) ::close(log_descriptor);
-    log_descriptor = ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0), 0600);
+    log_descriptor =
+        ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0), 0600);
     log_size = 0;
     return log_descriptor >= 0 && ::fdatasync(log_descriptor) == 0 && sync_folder(folder);
 }
@@ -138,7 +139,8 @@
     auto const path = slot_path(folder, generation);
     auto const descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (descriptor < 0) return false;
-    auto const good = write_all(descriptor, seal(generation, json::serialize(write_json(state)))) && ::fsync(descriptor) == 0;
+    auto const good =
+        write_all(descriptor, seal(generation, json::serialize(write_json(state)))) && ::fsync(descriptor) == 0;
     ::close(descriptor);
     return good && sync_folder(folder) && open_log(true);
 }
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -10,7 +10,8 @@
     if (auto const failure = nng_pull0_open(&listener); failure != 0) return nng_strerror(failure);
     nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, frame_limit);
     nng_socket_set_int(listener, NNG_OPT_RECVBUF, 256);
-    if (auto const failure = nng_listen(listener, ("tcp://" + address).c_str(), nullptr, 0); failure != 0) return nng_strerror(failure);
+    if (auto const failure = nng_listen(listener, ("tcp://" + address).c_str(), nullptr, 0); failure != 0)
+        return nng_strerror(failure);
     reader = std::thread([this, heard = std::move(heard)] {
         while (!stopping) {
             char* bytes = nullptr;
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -30,7 +30,8 @@
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> malformed{0};
 
-    auto start(std::string const& address, std::string const& fleet_name, Heard heard) -> std::string;  // empty, or what failed
+    auto start(std::string const& address, std::string const& fleet_name, Heard heard)
+        -> std::string;  // empty, or what failed
     auto send(std::string const& address, std::string const& frame, Microseconds now) -> void;
     auto stop() -> void;
 };
