--- a/source/sequence/configuration.cpp
+++ b/source/sequence/configuration.cpp
@@ -30,24 +30,31 @@
     std::set<std::string> tenant_names;
     std::map<std::string, std::string> key_places;
 
-    auto problem(std::string const& path, std::string what) -> void { result.problems.push_back({path, std::move(what)}); }
+    auto problem(std::string const& path, std::string what) -> void {
+        result.problems.push_back({path, std::move(what)});
+    }
 
     auto name(std::string const& value, std::string const& path) -> void {
-        auto const good = !value.empty() && value.size() <= 64 && std::all_of(value.begin(), value.end(), [](unsigned char character) {
-            return std::isalnum(character) != 0 || character == '-' || character == '_' || character == '.';
-        });
+        auto const good = !value.empty() && value.size() <= 64 &&
+            std::all_of(value.begin(), value.end(), [](unsigned char character) {
+                return std::isalnum(character) != 0 || character == '-' || character == '_' || character == '.';
+            });
         if (!good) problem(path + "/name", "must be 1 to 64 letters, digits, '-', '_' or '.'");
     }
 
     template <typename Branch>
-    auto inherit(Branch const& branch, Inherited from, std::string const& path, std::string const& tree_path) -> Inherited {
+    auto inherit(Branch const& branch, Inherited from, std::string const& path, std::string const& tree_path)
+        -> Inherited {
         name(branch.name, path);
         if (branch.wall) {
             auto const found = std::find(wall_names.begin(), wall_names.end(), *branch.wall);
             if (found == wall_names.end()) {
                 problem(path + "/wall", "must be shared, group or isolated");
             } else if (auto const wall = static_cast<Wall>(found - wall_names.begin()); wall < from.wall) {
-                problem(path + "/wall", "walls only tighten downward: a branch above sets " + std::string(wall_names[static_cast<std::size_t>(from.wall)]));
+                problem(
+                    path + "/wall",
+                    "walls only tighten downward: a branch above sets " +
+                        std::string(wall_names[static_cast<std::size_t>(from.wall)]));
             } else {
                 if (wall == Wall::group) from.wall_domain = "group:" + tree_path;
                 from.wall = wall;
@@ -64,33 +71,40 @@
         if (branch.keys) {
             from.keys = *branch.keys;
             from.keys_from = tree_path;
-            for (auto index = std::size_t{0}; index < branch.keys->size(); ++index) key((*branch.keys)[index], path + "/keys/" + std::to_string(index));
+            for (auto index = std::size_t{0}; index < branch.keys->size(); ++index)
+                key((*branch.keys)[index], path + "/keys/" + std::to_string(index));
         }
         if (branch.models) {
             from.models = *branch.models;
             for (auto index = std::size_t{0}; index < branch.models->size(); ++index)
-                if (!model_names.contains((*branch.models)[index])) problem(path + "/models/" + std::to_string(index), "no model of this name");
+                if (!model_names.contains((*branch.models)[index]))
+                    problem(path + "/models/" + std::to_string(index), "no model of this name");
         }
         return from;
     }
 
     auto key(Key const& entry, std::string const& path) -> void {
-        if (entry.identity.empty() || entry.identity.size() > 64) problem(path + "/identity", "must be 1 to 64 characters");
-        auto const good = entry.sha256.size() == 64 && std::all_of(entry.sha256.begin(), entry.sha256.end(), [](char character) {
-            return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f');
-        });
+        if (entry.identity.empty() || entry.identity.size() > 64)
+            problem(path + "/identity", "must be 1 to 64 characters");
+        auto const good =
+            entry.sha256.size() == 64 && std::all_of(entry.sha256.begin(), entry.sha256.end(), [](char character) {
+                return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f');
+            });
         if (!good) return problem(path + "/sha256", "must be 64 lower-case hexadecimal digits");
         auto const [place, fresh] = key_places.emplace(entry.sha256, path);
         if (!fresh) problem(path + "/sha256", "the same key is set at " + place->second);
     }
 
-    auto group(GroupBranch const& branch, Inherited const& above, std::string const& path, std::string const& tree_path, int depth) -> void {
+    auto group(
+        GroupBranch const& branch, Inherited const& above, std::string const& path, std::string const& tree_path,
+        int depth) -> void {
         if (depth > deepest_branch) return problem(path, "the tree is deeper than 16 groups");
         auto const here = inherit(branch, above, path, tree_path);
         std::set<std::string> names;
         for (auto index = std::size_t{0}; index < branch.groups.size(); ++index) {
             auto const place = path + "/groups/" + std::to_string(index);
-            if (!names.insert(branch.groups[index].name).second) problem(place + "/name", "another group here has this name");
+            if (!names.insert(branch.groups[index].name).second)
+                problem(place + "/name", "another group here has this name");
             group(branch.groups[index], here, place, tree_path + "/" + branch.groups[index].name, depth + 1);
         }
         for (auto index = std::size_t{0}; index < branch.tenants.size(); ++index) {
@@ -101,13 +115,17 @@
             if (!tenant_names.insert(tenant.name).second) problem(place + "/name", "another tenant has this name");
             if (result.tenants.size() >= most_tenants) return problem(place, "more than 4096 tenants");
             auto const domain = mine.wall == Wall::isolated ? "tenant:" + tenant_path : mine.wall_domain;
-            result.tenants.push_back({tenant_path, tenant.name, mine.wall, domain, mine.rank, mine.share, mine.keys, mine.keys_from, mine.models});
+            result.tenants.push_back(
+                {tenant_path, tenant.name, mine.wall, domain, mine.rank, mine.share, mine.keys, mine.keys_from,
+                 mine.models});
         }
     }
 };
 
-auto check_range(Checker& checker, std::int64_t value, std::int64_t least, std::int64_t most, std::string const& path) -> void {
-    if (value < least || value > most) checker.problem(path, "must be " + std::to_string(least) + " to " + std::to_string(most));
+auto check_range(Checker& checker, std::int64_t value, std::int64_t least, std::int64_t most, std::string const& path)
+    -> void {
+    if (value < least || value > most)
+        checker.problem(path, "must be " + std::to_string(least) + " to " + std::to_string(most));
 }
 
 }  // namespace
@@ -125,24 +143,31 @@
     for (auto index = std::size_t{0}; index < configuration.models.size(); ++index) {
         auto const place = "/models/" + std::to_string(index);
         checker.name(configuration.models[index].name, place);
-        if (!checker.model_names.insert(configuration.models[index].name).second) checker.problem(place + "/name", "another model has this name");
-        if (configuration.models[index].weights.empty() || configuration.models[index].weights.size() > 128) checker.problem(place + "/weights", "must be 1 to 128 characters");
+        if (!checker.model_names.insert(configuration.models[index].name).second)
+            checker.problem(place + "/name", "another model has this name");
+        if (configuration.models[index].weights.empty() || configuration.models[index].weights.size() > 128)
+            checker.problem(place + "/weights", "must be 1 to 128 characters");
     }
     std::set<std::string> kinds;
     for (auto index = std::size_t{0}; index < configuration.kinds.size(); ++index) {
         auto const place = "/kinds/" + std::to_string(index);
         checker.name(configuration.kinds[index].name, place);
-        if (!kinds.insert(configuration.kinds[index].name).second) checker.problem(place + "/name", "another kind has this name");
-        check_range(checker, configuration.kinds[index].deadline_milliseconds, 10, 600'000, place + "/deadline_milliseconds");
+        if (!kinds.insert(configuration.kinds[index].name).second)
+            checker.problem(place + "/name", "another kind has this name");
+        check_range(
+            checker, configuration.kinds[index].deadline_milliseconds, 10, 600'000, place + "/deadline_milliseconds");
     }
     std::set<std::string> paths;
     for (auto index = std::size_t{0}; index < configuration.mappings.size(); ++index) {
         auto const& mapping = configuration.mappings[index];
         auto const place = "/mappings/" + std::to_string(index);
-        if (mapping.path.empty() || mapping.path.front() != '/' || mapping.path.size() > 256) checker.problem(place + "/path", "must begin with '/' and be 256 characters at most");
-        if (mapping.path.starts_with("/control/")) checker.problem(place + "/path", "paths below /control/ are the node's own");
+        if (mapping.path.empty() || mapping.path.front() != '/' || mapping.path.size() > 256)
+            checker.problem(place + "/path", "must begin with '/' and be 256 characters at most");
+        if (mapping.path.starts_with("/control/"))
+            checker.problem(place + "/path", "paths below /control/ are the node's own");
         if (!paths.insert(mapping.path).second) checker.problem(place + "/path", "another mapping has this path");
-        if (mapping.to != "models" && mapping.to != "application") checker.problem(place + "/to", "must be models or application");
+        if (mapping.to != "models" && mapping.to != "application")
+            checker.problem(place + "/to", "must be models or application");
     }
     check_range(checker, configuration.limits.body_bytes, 1'024, 16'777'216, "/limits/body_bytes");
     check_range(checker, configuration.limits.prefix_parts, 0, 1'024, "/limits/prefix_parts");
--- a/source/sequence/configuration.hpp
+++ b/source/sequence/configuration.hpp
@@ -65,7 +65,7 @@
     int rank = 0;
     int share = 1;
     std::vector<Key> keys;
-    std::string keys_from;    // path of the branch that sets them
+    std::string keys_from;  // path of the branch that sets them
     std::vector<std::string> models;
 };
 
--- a/source/sequence/plan.cpp
+++ b/source/sequence/plan.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 inline constexpr auto wall_words = std::to_array<char const*>({"shared", "group", "isolated"});
-inline constexpr auto subjects = std::to_array<char const*>({"models", "kinds", "mappings", "limits", "tenants", "keys", "walls", "parts"});
+inline constexpr auto subjects =
+    std::to_array<char const*>({"models", "kinds", "mappings", "limits", "tenants", "keys", "walls", "parts"});
 
 using Facts = std::map<std::string, json::object>;  // name -> what is known of it
 
@@ -32,7 +33,8 @@
             from[item.key()] = item.value();
             to[item.key()] = other != nullptr ? *other : json::value(nullptr);
         }
-        if (!from.empty()) moves.push_back(json::object{{"name", name}, {"move", "changed"}, {"from", from}, {"to", to}});
+        if (!from.empty())
+            moves.push_back(json::object{{"name", name}, {"move", "changed"}, {"from", from}, {"to", to}});
     }
     for (auto const& [name, facts] : after)
         if (!before.contains(name)) moves.push_back(json::object{{"name", name}, {"move", "added"}, {"to", facts}});
@@ -42,14 +44,19 @@
 auto tenant_facts(CheckedConfiguration const& checked) -> Facts {
     Facts facts;
     for (auto const& tenant : checked.tenants)
-        facts[tenant.path] = {{"rank", tenant.rank}, {"share", tenant.share}, {"keys_from", tenant.keys_from}, {"models", write_json(tenant.models)}};
+        facts[tenant.path] = {
+            {"rank", tenant.rank},
+            {"share", tenant.share},
+            {"keys_from", tenant.keys_from},
+            {"models", write_json(tenant.models)}};
     return facts;
 }
 
 auto wall_facts(CheckedConfiguration const& checked) -> Facts {
     Facts facts;
     for (auto const& tenant : checked.tenants)
-        facts[tenant.path] = {{"wall", wall_words[static_cast<std::size_t>(tenant.wall)]}, {"memory_shared_within", tenant.wall_domain}};
+        facts[tenant.path] = {
+            {"wall", wall_words[static_cast<std::size_t>(tenant.wall)]}, {"memory_shared_within", tenant.wall_domain}};
     return facts;
 }
 
@@ -64,7 +71,10 @@
         }
     }
     Facts facts;
-    for (auto const& [name, paths] : tenants) facts[name] = {{"opens", write_json(std::vector<std::string>(paths.begin(), paths.end()))}, {"sha256_begins", hashes[name]}};
+    for (auto const& [name, paths] : tenants)
+        facts[name] = {
+            {"opens", write_json(std::vector<std::string>(paths.begin(), paths.end()))},
+            {"sha256_begins", hashes[name]}};
     return facts;
 }
 
@@ -76,7 +86,8 @@
 
 auto kind_facts(CheckedConfiguration const& checked) -> Facts {
     Facts facts;
-    for (auto const& kind : checked.configuration.kinds) facts[kind.name] = {{"deadline_milliseconds", kind.deadline_milliseconds}};
+    for (auto const& kind : checked.configuration.kinds)
+        facts[kind.name] = {{"deadline_milliseconds", kind.deadline_milliseconds}};
     return facts;
 }
 
@@ -109,7 +120,9 @@
 
 }  // namespace
 
-auto plan_change(CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts) -> json::object {
+auto plan_change(
+    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts)
+    -> json::object {
     json::object plan;
     plan["models"] = compare(model_facts(before), model_facts(after));
     plan["kinds"] = compare(kind_facts(before), kind_facts(after));
@@ -127,7 +140,8 @@
     for (auto const* subject : subjects) {
         for (auto const& item : plan.at(subject).as_array()) {
             auto const& move = item.as_object();
-            text += std::string(subject) + ": " + std::string(move.at("name").as_string()) + " " + std::string(move.at("move").as_string());
+            text += std::string(subject) + ": " + std::string(move.at("name").as_string()) + " " +
+                std::string(move.at("move").as_string());
             if (move.contains("from")) text += " from " + json::serialize(move.at("from"));
             if (move.contains("to")) text += " to " + json::serialize(move.at("to"));
             text += "\n";
--- a/source/sequence/plan.hpp
+++ b/source/sequence/plan.hpp
@@ -13,7 +13,9 @@
 
 // An object with the lists models, kinds, mappings, limits, tenants, keys,
 // walls and parts; each names what is added, removed or changed.
-auto plan_change(CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts) -> json::object;
+auto plan_change(
+    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts)
+    -> json::object;
 
 // The plan for people, a line for each thing that moves.
 auto plan_text(json::object const& plan) -> std::string;
--- a/source/sequence/rules.cpp
+++ b/source/sequence/rules.cpp
@@ -35,11 +35,15 @@
     if (document.empty()) return rules;
     rules->checked = check_configuration(document);
     auto const& configuration = rules->checked.configuration;
-    for (auto const& mapping : configuration.mappings) rules->mappings.push_back({mapping.path, rules_for(mapping, configuration.limits)});
-    std::stable_sort(rules->mappings.begin(), rules->mappings.end(), [](auto const& left, auto const& right) { return left.path.size() > right.path.size(); });
+    for (auto const& mapping : configuration.mappings)
+        rules->mappings.push_back({mapping.path, rules_for(mapping, configuration.limits)});
+    std::stable_sort(rules->mappings.begin(), rules->mappings.end(), [](auto const& left, auto const& right) {
+        return left.path.size() > right.path.size();
+    });
     for (auto place = std::size_t{0}; place < rules->checked.tenants.size(); ++place)
         for (auto const& key : rules->checked.tenants[place].keys) rules->tenants_by_key[key.sha256].push_back(place);
-    for (auto const& kind : configuration.kinds) rules->deadlines[kind.name] = kind.deadline_milliseconds * one_millisecond;
+    for (auto const& kind : configuration.kinds)
+        rules->deadlines[kind.name] = kind.deadline_milliseconds * one_millisecond;
     for (auto const& model : configuration.models) rules->models.insert(model.name);
     return rules;
 }
--- a/source/sequence/rules.hpp
+++ b/source/sequence/rules.hpp
@@ -10,9 +10,21 @@
 
 namespace dockrock {
 
-enum class Operation : int { method, body_limit, read_ticket, check_key, match_tenant, check_kind, check_model, check_sizes, enter_buffer, forward_application };
-inline constexpr auto operation_names = std::to_array<std::string_view>({"method", "body-limit", "read-ticket", "check-key", "match-tenant", "check-kind",
-                                                                         "check-model", "check-sizes", "enter-buffer", "forward-application"});
+enum class Operation : int {
+    method,
+    body_limit,
+    read_ticket,
+    check_key,
+    match_tenant,
+    check_kind,
+    check_model,
+    check_sizes,
+    enter_buffer,
+    forward_application
+};
+inline constexpr auto operation_names = std::to_array<std::string_view>(
+    {"method", "body-limit", "read-ticket", "check-key", "match-tenant", "check-kind", "check-model", "check-sizes",
+     "enter-buffer", "forward-application"});
 
 struct Rule {
     Operation operation;
@@ -28,7 +40,7 @@
 struct Rules {
     Sequence sequence;
     CheckedConfiguration checked;
-    std::vector<Mapping> mappings;  // longest path first
+    std::vector<Mapping> mappings;                                   // longest path first
     std::map<std::string, std::vector<std::size_t>> tenants_by_key;  // sha256 -> places in checked.tenants
     std::map<std::string, std::int64_t> deadlines;                   // by kind, microseconds
     std::set<std::string> models;
--- a/source/ticket/answering.cpp
+++ b/source/ticket/answering.cpp
@@ -15,7 +15,8 @@
         auto const* piece = object != nullptr ? object->if_contains("piece") : nullptr;
         auto const* count = object != nullptr ? object->if_contains("pieces") : nullptr;
         auto const* number = piece != nullptr ? piece : count;
-        if (number == nullptr || !number->is_int64() || number->as_int64() < 0 || static_cast<std::uint64_t>(number->as_int64()) != next) {
+        if (number == nullptr || !number->is_int64() || number->as_int64() < 0 ||
+            static_cast<std::uint64_t>(number->as_int64()) != next) {
             wrong = true;
             break;
         }
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -63,7 +63,8 @@
     found->second.kept_unsure = true;
 }
 
-auto BurdenTable::take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void {
+auto BurdenTable::take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now)
+    -> void {
     auto& digest = others[node];
     if (number <= digest.number && digest.number != 0) return;
     auto const parsed = parse_json(body);
@@ -117,7 +118,8 @@
     for (auto const& [ticket, placed] : state.placed) sum += placed.slots;
     for (auto const& [node, digest] : others) {
         if (now - digest.at > options.digest_lost) continue;
-        if (auto const found = digest.replicas.find(state.entry.name); found != digest.replicas.end()) sum += found->second.slots;
+        if (auto const found = digest.replicas.find(state.entry.name); found != digest.replicas.end())
+            sum += found->second.slots;
     }
     return sum;
 }
@@ -151,7 +153,8 @@
         if (found == digest.replicas.end()) continue;
         free -= found->second.memory;
         if (digest.at > state.reported_at && found->second.count > 0)
-            reported -= found->second.memory / found->second.count * std::min(found->second.recent, found->second.count);
+            reported -=
+                found->second.memory / found->second.count * std::min(found->second.recent, found->second.count);
     }
     return std::min(free, reported);
 }
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -48,7 +48,7 @@
     Microseconds digest_interval = 200 * one_millisecond;
     Microseconds digest_old = one_second;
     Microseconds digest_lost = 10 * one_second;
-    double wait_token_rate = 400.0;   // tokens that one second of waiting counts for
+    double wait_token_rate = 400.0;  // tokens that one second of waiting counts for
     double share_bound = 2.0;
     double rank_weight = 1.0;
     Microseconds share_half_life = 10 * one_second;
@@ -60,7 +60,8 @@
 };
 
 enum class Filter : int { available, reachable, busy, memory, capacity, weights, passed };
-inline constexpr auto filter_names = std::to_array<std::string_view>({"available", "reachable", "busy", "memory", "capacity", "weights", "passed"});
+inline constexpr auto filter_names =
+    std::to_array<std::string_view>({"available", "reachable", "busy", "memory", "capacity", "weights", "passed"});
 
 struct OtherBurden {
     std::int64_t count = 0;
@@ -128,5 +129,6 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::ServiceEntry, address);
 BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaList, sequence, replicas, application, store);
 BOOST_HANA_ADAPT_STRUCT(dockrock::PrefixEvent, number, kind, chain);
-BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaReport, incarnation, weights, changing, free_memory, fence, first_event, next_event, events);
+BOOST_HANA_ADAPT_STRUCT(
+    dockrock::ReplicaReport, incarnation, weights, changing, free_memory, fence, first_event, next_event, events);
 BOOST_HANA_ADAPT_STRUCT(dockrock::OtherBurden, count, slots, memory, recent);
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -43,12 +43,14 @@
         for (auto const& other : buffer.waiting)
             if (score(other, now) >= score(mine, now)) ++ahead;
         auto const wait = static_cast<Microseconds>(static_cast<double>(ahead) / buffer.drain_rate * 1'000'000.0);
-        if (now + wait + expected > ticket.deadline) return shed(decisions, buffer, ticket.number, ShedReason::deadline);
+        if (now + wait + expected > ticket.deadline)
+            return shed(decisions, buffer, ticket.number, ShedReason::deadline);
     }
     if (buffer.waiting.size() >= buffer_length) {
-        auto const lowest = std::min_element(buffer.waiting.begin(), buffer.waiting.end(), [&](auto const& left, auto const& right) {
-            return std::pair(left.ticket.rank, score(left, now)) < std::pair(right.ticket.rank, score(right, now));
-        });
+        auto const lowest =
+            std::min_element(buffer.waiting.begin(), buffer.waiting.end(), [&](auto const& left, auto const& right) {
+                return std::pair(left.ticket.rank, score(left, now)) < std::pair(right.ticket.rank, score(right, now));
+            });
         if (lowest->ticket.rank >= ticket.rank) return shed(decisions, buffer, ticket.number, ShedReason::buffer_full);
         shed(decisions, buffer, lowest->ticket.number, ShedReason::outranked);
         buffer.waiting.erase(lowest);
@@ -57,7 +59,8 @@
 }
 
 // Only for a ticket that is known not to have run.
-auto Granting::enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions) -> bool {
+auto Granting::enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions)
+    -> bool {
     auto& buffer = buffers[ticket.body.model];
     if (!budget.take()) {
         shed(decisions, buffer, ticket.number, ShedReason::budget);
@@ -71,7 +74,8 @@
 
 auto Granting::withdraw(std::uint64_t ticket) -> bool {
     for (auto& [model, buffer] : buffers)
-        if (std::erase_if(buffer.waiting, [&](auto const& item) { return item.ticket.number == ticket; }) > 0) return true;
+        if (std::erase_if(buffer.waiting, [&](auto const& item) { return item.ticket.number == ticket; }) > 0)
+            return true;
     return false;
 }
 
@@ -137,12 +141,14 @@
 auto Granting::plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept) const -> FetchPlan {
     FetchPlan plan;
     for (auto const& [name, state] : burden.replicas) {
-        if (name == target.entry.name || state.entry.model != ticket.body.model || state.unreachable || !state.report) continue;
+        if (name == target.entry.name || state.entry.model != ticket.body.model || state.unreachable || !state.report)
+            continue;
         if (state.report->weights != target.report->weights) continue;
         auto const there = burden.kept_tokens(state, ticket);
         if (there > kept + plan.tokens) plan = {state.entry.address, there - kept, 0};
     }
-    if (plan.source.empty() && !store_address.empty() && ticket.prefix_tokens > kept) plan = {store_address, ticket.prefix_tokens - kept, 0};
+    if (plan.source.empty() && !store_address.empty() && ticket.prefix_tokens > kept)
+        plan = {store_address, ticket.prefix_tokens - kept, 0};
     if (plan.source.empty()) return plan;
     auto const rate = fetch_rate > 0.0 ? fetch_rate : options.fetch_tokens_each_second;
     auto const fetch = static_cast<double>(plan.tokens) / rate;
@@ -152,14 +158,16 @@
     return plan;
 }
 
-auto Granting::match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void {
+auto Granting::match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions)
+    -> void {
     auto const any_replica = std::any_of(burden.replicas.begin(), burden.replicas.end(), [&](auto const& item) {
         return item.second.entry.model == model && !item.second.entry.drain && !item.second.unreachable;
     });
     if (any_replica) buffer.empty_pool_since = 0;
     else if (buffer.empty_pool_since == 0) buffer.empty_pool_since = now;
     std::vector<std::pair<double, std::size_t>> order;
-    for (auto index = std::size_t{0}; index < buffer.waiting.size(); ++index) order.emplace_back(-score(buffer.waiting[index], now), index);
+    for (auto index = std::size_t{0}; index < buffer.waiting.size(); ++index)
+        order.emplace_back(-score(buffer.waiting[index], now), index);
     auto const depth = std::min(options.depth, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(depth), order.end());
     std::set<std::uint64_t> gone;
@@ -169,11 +177,15 @@
         if (found == nullptr) continue;
         auto const& ticket = waiting.ticket;
         auto const kept = burden.kept_tokens(*found, ticket);
-        decisions.placements.push_back({ticket.number, found->entry.name, found->entry.address, found->report->weights, found->report->incarnation, kept, plan_fetch(*found, ticket, kept)});
+        decisions.placements.push_back(
+            {ticket.number, found->entry.name, found->entry.address, found->report->weights, found->report->incarnation,
+             kept, plan_fetch(*found, ticket, kept)});
         auto const memory = ticket.declared() - kept;
         burden.place(found->entry.name, ticket, memory, now);
         auto& used = usage[ticket.tenant_path];
-        used = {decayed(used.amount, now - used.at, options.share_half_life) + static_cast<double>(ticket.declared()), now, ticket.share};
+        used = {
+            decayed(used.amount, now - used.at, options.share_half_life) + static_cast<double>(ticket.declared()), now,
+            ticket.share};
         ++placed_count;
         gone.insert(ticket.number);
     }
@@ -211,12 +223,14 @@
         if (!buffer.waiting.empty()) match_model(model, buffer, now, decisions);
 }
 
-auto Granting::finished(std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered) -> void {
+auto Granting::finished(
+    std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered) -> void {
     (void)now;
     burden.release(replica, ticket.number);
     if (!answered) return;
     auto& buffer = buffers[ticket.body.model];
-    auto const each = static_cast<double>(service) / static_cast<double>(std::max<std::int64_t>(1, ticket.body.max_tokens));
+    auto const each =
+        static_cast<double>(service) / static_cast<double>(std::max<std::int64_t>(1, ticket.body.max_tokens));
     buffer.service_each_token = buffer.service_each_token == 0.0 ? each : buffer.service_each_token * 0.9 + each * 0.1;
 }
 
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -23,7 +23,8 @@
     FetchPlan fetch;
 };
 enum class ShedReason : int { buffer_full, deadline, not_fresh, no_replica, key_gone, outranked, budget };
-inline constexpr auto shed_names = std::to_array<std::string_view>({"buffer-full", "deadline", "not-fresh", "no-replica", "key-gone", "outranked", "extra-tries-spent"});
+inline constexpr auto shed_names = std::to_array<std::string_view>(
+    {"buffer-full", "deadline", "not-fresh", "no-replica", "key-gone", "outranked", "extra-tries-spent"});
 struct Shed {
     std::uint64_t ticket = 0;
     ShedReason reason = ShedReason::deadline;
@@ -83,7 +84,9 @@
     auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now, Decisions& decisions) -> bool;
     auto withdraw(std::uint64_t ticket) -> bool;
     auto match(Microseconds now, Microseconds proof_age, Decisions& decisions) -> void;
-    auto finished(std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered) -> void;
+    auto finished(
+        std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered)
+        -> void;
     auto waiting_count() const -> std::size_t;
     auto score(Waiting const& waiting, Microseconds now) const -> double;
     auto retry_after(ModelBuffer const& buffer) const -> std::int64_t;
--- a/source/ticket/interpreter.cpp
+++ b/source/ticket/interpreter.cpp
@@ -37,12 +37,14 @@
         if (body.model.empty()) verdict.problems.push_back({"/model", "must be named"});
         if (body.max_tokens < 1) verdict.problems.push_back({"/max_tokens", "must be at least 1"});
         if (body.slots < 1) verdict.problems.push_back({"/slots", "must be at least 1"});
-        if (body.deadline_milliseconds < 0) verdict.problems.push_back({"/deadline_milliseconds", "must not be negative"});
+        if (body.deadline_milliseconds < 0)
+            verdict.problems.push_back({"/deadline_milliseconds", "must not be negative"});
         if (body.identity.size() > 128) verdict.problems.push_back({"/identity", "must be 128 characters at most"});
         for (auto index = std::size_t{0}; index < body.prefix.size(); ++index) {
             auto const& part = body.prefix[index];
             if (part.name.empty() || part.tokens < 1 || part.tokens > 1'000'000)
-                verdict.problems.push_back({"/prefix/" + std::to_string(index), "needs a name and 1 to 1000000 tokens"});
+                verdict.problems.push_back(
+                    {"/prefix/" + std::to_string(index), "needs a name and 1 to 1000000 tokens"});
         }
         return verdict.problems.empty() || refuse(400, "the ticket has errors");
     }
@@ -71,7 +73,8 @@
             if (found == rules.deadlines.end()) return refuse(400, "unknown kind of ticket");
             limit = found->second;
         }
-        if (ticket.body.deadline_milliseconds > 0 && ticket.body.deadline_milliseconds < limit / one_millisecond) limit = ticket.body.deadline_milliseconds * one_millisecond;
+        if (ticket.body.deadline_milliseconds > 0 && ticket.body.deadline_milliseconds < limit / one_millisecond)
+            limit = ticket.body.deadline_milliseconds * one_millisecond;
         ticket.deadline = arrival.now + limit;
         return true;
     }
@@ -80,14 +83,16 @@
         auto const& model = verdict.ticket.body.model;
         if (!rules.models.contains(model)) return refuse(404, "unknown model");
         auto const& allowed = tenant->models;
-        if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), model) == allowed.end()) return refuse(403, "this tenant may not use that model");
+        if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), model) == allowed.end())
+            return refuse(403, "this tenant may not use that model");
         return true;
     }
 
     auto check_sizes(std::int64_t most_tokens) -> bool {
         auto& ticket = verdict.ticket;
         if (ticket.body.max_tokens > most_tokens) return refuse(413, "max_tokens is above the limit");
-        if (ticket.body.prefix.size() > static_cast<std::size_t>(rules.checked.configuration.limits.prefix_parts)) return refuse(413, "too many prefix parts");
+        if (ticket.body.prefix.size() > static_cast<std::size_t>(rules.checked.configuration.limits.prefix_parts))
+            return refuse(413, "too many prefix parts");
         if (ticket.body.slots > 1'024) return refuse(413, "slots is above the limit");
         ticket.prompt_tokens = static_cast<std::int64_t>(ticket.body.prompt.size() / 4 + 1);
         auto chain = hash_text(ticket.wall_domain + "\n" + ticket.body.model);
@@ -102,7 +107,9 @@
     auto step(Rule const& rule) -> bool {
         switch (rule.operation) {
             case Operation::method: return arrival.method == rule.text || refuse(405, "this path takes " + rule.text);
-            case Operation::body_limit: return arrival.body.size() <= static_cast<std::size_t>(rule.number) || refuse(413, "the body is above the limit");
+            case Operation::body_limit:
+                return arrival.body.size() <= static_cast<std::size_t>(rule.number) ||
+                    refuse(413, "the body is above the limit");
             case Operation::read_ticket: return read_ticket();
             case Operation::check_key: return check_key();
             case Operation::match_tenant: return match_tenant();
@@ -131,14 +138,18 @@
             if (!run.step(rule)) return std::move(run.verdict);
         break;
     }
-    run.refuse(rules.mappings.empty() ? 503 : 404, rules.mappings.empty() ? "no configuration is in force yet" : "no mapping for this path");
+    run.refuse(
+        rules.mappings.empty() ? 503 : 404,
+        rules.mappings.empty() ? "no configuration is in force yet" : "no mapping for this path");
     return std::move(run.verdict);
 }
 
 auto key_holds(Rules const& rules, std::string const& key_hash, std::string const& tenant_path) -> bool {
     auto const found = rules.tenants_by_key.find(key_hash);
     if (found == rules.tenants_by_key.end()) return false;
-    return std::any_of(found->second.begin(), found->second.end(), [&](auto place) { return rules.checked.tenants[place].path == tenant_path; });
+    return std::any_of(found->second.begin(), found->second.end(), [&](auto place) {
+        return rules.checked.tenants[place].path == tenant_path;
+    });
 }
 
 }  // namespace dockrock
--- a/source/ticket/ticket.hpp
+++ b/source/ticket/ticket.hpp
@@ -14,12 +14,12 @@
     std::string model;
     std::string kind;
     std::string prompt;
-    std::string tenant;                 // needed where a key serves several
-    std::string weights;                // optional: only these weights will do
-    std::string identity;               // optional: the caller's name for this ticket
+    std::string tenant;    // needed where a key serves several
+    std::string weights;   // optional: only these weights will do
+    std::string identity;  // optional: the caller's name for this ticket
     std::vector<PrefixPart> prefix;
     std::int64_t max_tokens = 0;
-    std::int64_t slots = 1;             // how much capacity it takes
+    std::int64_t slots = 1;                  // how much capacity it takes
     std::int64_t deadline_milliseconds = 0;  // optional: shorter than the kind's
     bool run_once = true;
 };
@@ -43,4 +43,6 @@
 }  // namespace dockrock
 
 BOOST_HANA_ADAPT_STRUCT(dockrock::PrefixPart, name, tokens);
-BOOST_HANA_ADAPT_STRUCT(dockrock::TicketBody, model, kind, prompt, tenant, weights, identity, prefix, max_tokens, slots, deadline_milliseconds, run_once);
+BOOST_HANA_ADAPT_STRUCT(
+    dockrock::TicketBody, model, kind, prompt, tenant, weights, identity, prefix, max_tokens, slots,
+    deadline_milliseconds, run_once);
--- a/tests/interleaving.hpp
+++ b/tests/interleaving.hpp
@@ -13,11 +13,11 @@
 struct Checker {
     std::mutex lock;
     std::condition_variable changed;
-    int running = -1;                        // -1: the checker decides
+    int running = -1;  // -1: the checker decides
     std::vector<bool> finished;
     std::vector<void const*> blocked_on;
-    std::vector<std::size_t> choices;        // of this execution
-    std::vector<std::size_t> widths;         // how many could have gone on
+    std::vector<std::size_t> choices;  // of this execution
+    std::vector<std::size_t> widths;   // how many could have gone on
     bool deadlock = false;
 
     static auto current() -> Checker*& {
