--- a/programs/dockrock_plan.cpp
+++ b/programs/dockrock_plan.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 
 #include "connection/http_client.hpp"
+#include "sequence/patch.hpp"
 #include "sequence/plan.hpp"
 
 namespace {
@@ -51,17 +52,25 @@
         "", "current", "the current tree from a file, instead of a node", false, "", "FILE", command);
     auto key = TCLAP::ValueArg<std::string>("", "key-file", "file with the operator's key", false, "", "FILE", command);
     auto as_json = TCLAP::SwitchArg("", "json", "print the plan as JSON", command);
-    auto proposed = TCLAP::UnlabeledValueArg<std::string>("proposed", "the proposed tree", true, "", "FILE", command);
+    auto as_patch = TCLAP::SwitchArg("", "patch", "the file is a JSON Patch on the current tree", command);
+    auto proposed =
+        TCLAP::UnlabeledValueArg<std::string>("proposed", "the proposed tree or patch", true, "", "FILE", command);
     command.parse(argument_count, arguments);
     try {
         auto secret = key.isSet() ? read_file(key.getValue()) : std::string();
         while (!secret.empty() && (secret.back() == '\n' || secret.back() == '\r')) secret.pop_back();
-        auto const after = check_configuration(read_file(proposed.getValue()));
-        for (auto const& problem : after.problems) std::cerr << problem.path << ": " << problem.what << "\n";
-        if (!after.problems.empty()) return 2;
         if (!node.isSet() && !current.isSet()) throw std::runtime_error("give --node or --current");
         auto const text =
             current.isSet() ? read_file(current.getValue()) : ask(node.getValue(), secret, "/control/configuration");
+        auto wanted = Patched{200, {}, read_file(proposed.getValue())};
+        if (as_patch.getValue()) wanted = apply_patch(text, wanted.document);
+        if (wanted.status != 200) {
+            std::cerr << wanted.problem.path << ": " << wanted.problem.what << "\n";
+            return 2;
+        }
+        auto const after = check_configuration(wanted.document);
+        for (auto const& problem : after.problems) std::cerr << problem.path << ": " << problem.what << "\n";
+        if (!after.problems.empty()) return 2;
         auto const before = text == "null" ? CheckedConfiguration() : check_configuration(text);
         auto const parts =
             node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPart>();
--- a/scripts/bad_input.py
+++ b/scripts/bad_input.py
@@ -3,6 +3,7 @@
 import random
 import socket
 
+from observe import patch_configuration
 from fleet import call, wait_until
 
 
@@ -79,6 +80,21 @@
         400,
     )
     expect("stale condition", fleet.put_configuration(fleet.edges[0], fleet.configuration(), if_match='"0.1"')[0], 412)
+    edge = fleet.edges[0]
+    rank = [{"op": "replace", "path": "/root/rank", "value": 99}]
+    status, _, text = patch_configuration(fleet, edge, rank)
+    expect("patch against the rules", status, 400)
+    expect("its path is told", "/root/rank" in text, True)
+    expect("patch of another kind", patch_configuration(fleet, edge, rank, kind="application/json")[0], 415)
+    expect("patch that is no JSON", patch_configuration(fleet, edge, "[")[0], 400)
+    expect("patch too large", patch_configuration(fleet, edge, " " * ((1 << 20) + 1))[0], 413)
+    expect("stale patch", patch_configuration(fleet, edge, rank, {"If-Match": '"0.1"'})[0], 412)
+    wrong = [{"op": "test", "path": "/root/rank", "value": 77}]
+    expect("patch with a failing test", patch_configuration(fleet, edge, wrong)[0], 412)
+    right = [{"op": "test", "path": "/root/name", "value": fleet.configuration()["root"]["name"]}]
+    expect("patch", patch_configuration(fleet, edge, right, {"Change-Identity": "patched"})[0], 200)
+    expect("its identity for another", patch_configuration(fleet, edge, wrong, {"Change-Identity": "patched"})[0], 422)
+    expect("nothing was changed", fleet.get_configuration(edge)[2] == fleet.configuration(), True)
     # callers who vanish while waiting and while being answered: their runs are cancelled
     head = "POST /v1/generate HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n"
     long_ticket = json.dumps(dict(good, max_tokens=2000))
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -210,7 +210,7 @@
         return {
             line.rsplit(" ", 1)[0].removeprefix("dockrock_"): float(line.rsplit(" ", 1)[1])
             for line in text.splitlines()
-            if line
+            if line and line[0] != "#"
         }
 
     def start_caller(self, label, rate, seconds, seed=1, targets=None, kinds=None, tenants=None, extra=None):
--- a/scripts/observe.py
+++ b/scripts/observe.py
@@ -1,6 +1,8 @@
 """What scenarios ask of a running fleet."""
 import time
 
+from fleet import call
+
 
 def clock():
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
@@ -77,3 +79,8 @@
         if answer[0] in (200, 400, 412, 422):
             return answer
     raise TimeoutError("configuration not taken")
+
+
+def patch_configuration(fleet, name, patch, headers=None, kind="application/json-patch+json"):
+    headers = {"Content-Type": kind, **(headers or {})}
+    return call(fleet.http[name], "PATCH", "/control/configuration", patch, headers)
--- a/scripts/scenarios_changes.py
+++ b/scripts/scenarios_changes.py
@@ -7,7 +7,7 @@
 import time
 
 from fleet import call, wait_until
-from observe import change_tree, clock, in_force_everywhere
+from observe import change_tree, clock, in_force_everywhere, patch_configuration
 
 
 def revoke(fleet, options, facts):
@@ -108,6 +108,27 @@
     fleet.wait_caller("load", options.seconds + 60)
 
 
+def patch_both(fleet, chance, facts, last):
+    """Two patches at once at different branches: both hold, whatever their order."""
+    rank, length = chance.randrange(10), chance.randrange(100, 300)
+    wanted = {"/root/rank": rank, "/limits/buffer_length": length}
+    told = []
+
+    def one(path, name):
+        told.append(patch_configuration(fleet, name, [{"op": "replace", "path": path, "value": wanted[path]}])[0])
+
+    threads = [threading.Thread(target=one, args=(path, chance.choice(fleet.names))) for path in wanted]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if told != [200, 200]:
+        facts.setdefault("wrong_reads", []).append(("two patches at once", told))
+    tree = json.loads(json.dumps(last))
+    tree["root"]["rank"], tree["limits"]["buffer_length"] = rank, length
+    return tree
+
+
 def races(fleet, options, facts):
     """Operators racing with the same condition, bad and large configurations, read back at the end."""
     chance = random.Random(options.seed)
@@ -145,6 +166,7 @@
         )
         if status != 413:
             facts.setdefault("wrong_reads", []).append(("large configuration", status))
+        last = patch_both(fleet, chance, facts, last)
         for name in chance.sample(fleet.names, 3):
             status, _, got = fleet.get_configuration(name)
             facts["reads"] += 1
