--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -4,6 +4,24 @@
 
 namespace dockrock {
 
+// What a deployment asks of the fleet; the limits in the code derive from these.
+struct FleetBounds {
+    Microseconds apply = 2 * one_second;          // an acknowledged configuration is in force
+    Microseconds revoke = 5 * one_second;         // a key taken away is dead, everywhere
+    Microseconds drain = 3 * one_second;          // a leaving replica gets nothing new
+    Microseconds acknowledge = 4 * one_second;    // an operator's change is answered
+    Microseconds contact = 3 * one_second;        // after trouble, until machines count as in touch
+    Microseconds lease = 3 * one_second;          // between the orders of two holders
+    Microseconds weights = 20 * one_second;       // named weights serve everywhere
+    Microseconds stop = 20 * one_second;          // a polite stop takes at most
+    Microseconds recover = 12 * one_second;       // service again after a total loss
+    Microseconds address_reuse = 2 * one_second;  // an ended replica's address may serve another
+    double retry_ratio = 0.2;
+    Microseconds retry_window = 10 * one_second;
+    std::int64_t retry_slack = 10;
+    std::int64_t machines_lost = 1;  // with a disk, at once
+};
+
 struct NodeSettings {
     std::string fleet = "dockrock";
     std::string control_address;  // IP:port other nodes reach
@@ -19,7 +37,14 @@
     std::string log_level = "information";
     std::int64_t stop_limit_milliseconds = 20'000;
     std::int64_t workers = 2;
-    bool resting = true;  // this node may be rested
+    bool resting = true;               // this node may be rested
+    bool may_form = true;              // a fleet that nobody knows may be formed by this node
+    std::string front_address;         // for a fleet that relays requests: where clients come,
+    std::string ready_address;         // where the platform asks whether they may,
+    std::string operator_address;      // and where the operator calls; each may be empty
+    std::string node_name;             // in logs
+    std::int64_t platform_calls = 50;  // a second, from all nodes together
+    FleetBounds bounds;
 };
 
 auto check_settings(NodeSettings const& settings) -> Problems;
@@ -28,6 +53,10 @@
 
 }  // namespace dockrock
 
+BOOST_HANA_ADAPT_STRUCT(
+    dockrock::FleetBounds, apply, revoke, drain, acknowledge, contact, lease, weights, stop, recover, address_reuse,
+    retry_ratio, retry_window, retry_slack, machines_lost);
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::NodeSettings, fleet, control_address, http_address, control_listen, area, seeds, data_folder,
-    platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting);
+    platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting,
+    may_form, front_address, ready_address, operator_address, node_name, platform_calls, bounds);
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -16,6 +16,7 @@
     std::int64_t capacity = 1;
     std::int64_t memory = 0;
     bool drain = false;
+    std::map<std::string, std::int64_t> weights;  // version by model, where the list tells it
 };
 struct ServiceEntry {
     std::string address;
@@ -127,7 +128,7 @@
 
 }  // namespace dockrock
 
-BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaEntry, name, address, model, area, capacity, memory, drain);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaEntry, name, address, model, area, capacity, memory, drain, weights);
 BOOST_HANA_ADAPT_STRUCT(dockrock::ServiceEntry, address);
 BOOST_HANA_ADAPT_STRUCT(dockrock::ReplicaList, sequence, replicas, application, store);
 BOOST_HANA_ADAPT_STRUCT(dockrock::PrefixEvent, number, kind, chain);
