--- a/source/process/machine/messages.hpp
+++ b/source/process/machine/messages.hpp
@@ -138,6 +138,7 @@
     std::string operation;
     std::string if_match;
     std::string body;
+    std::string base;  // the operator's own version that the change builds on
 };
 struct CallForward {
     std::uint64_t token = 0;
--- a/source/process/machine/messages_adapted.hpp
+++ b/source/process/machine/messages_adapted.hpp
@@ -22,7 +22,7 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::NewsAsk, part, token, epoch, have, live_digest, live_age, whole);
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::NewsAnswer, part, token, record, proven, age, sequence, copy, live_digest, live, live_age);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Call, part, identity, operation, if_match, body);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Call, part, identity, operation, if_match, body, base);
 BOOST_HANA_ADAPT_STRUCT(dockrock::CallForward, token, hops, origin, call);
 BOOST_HANA_ADAPT_STRUCT(dockrock::CallAnswer, token, status, body, etag);
 BOOST_HANA_ADAPT_STRUCT(dockrock::BurdenDigest, number, body);
--- a/source/process/machine/part_change.cpp
+++ b/source/process/machine/part_change.cpp
@@ -90,7 +90,9 @@
         });
     };
     if (asked.operation == "get") return answer(200, committed->document, etag_of(committed->sequence));
-    auto const digest = hash_text(asked.operation + "\n" + asked.if_match + "\n" + asked.body) >> 1U;
+    // Without a base the digest is the one that older copies hold.
+    auto const on_base = asked.base.empty() ? std::string() : " on " + asked.base;
+    auto const digest = hash_text(asked.operation + on_base + "\n" + asked.if_match + "\n" + asked.body) >> 1U;
     auto const done = find_outcome(copy);
     if (asked.operation == "outcome") {
         if (done == copy.outcomes.end()) return answer(404, error_body("no such change is in force or under way"), "");
--- a/source/version/services.hpp
+++ b/source/version/services.hpp
@@ -53,6 +53,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::int64_t rank = 0;  // goes before the route's
+    bool ranked = true;     // else the route's rank counts
     bool isolated = false;  // shares no kept prompt with others
 };
 struct ServiceDocument {
@@ -80,6 +81,9 @@
 };
 auto compile_services(ServiceDocument document) -> std::shared_ptr<ServiceRules const>;
 
+// The rank under which a tenant's request on a route waits; without a tenant the route's.
+auto rank_of(Route const& route, ServiceTenant const* tenant) -> std::int64_t;
+
 // Which service of a split takes a request: by weight, from a number that
 // stays the same for one request.
 auto choose_service(Route const& route, std::uint64_t number) -> std::string const&;
