Weights by version: the platform's calls, a paced list, a roll-out of three at once

Cause: a fleet on the users' platform reads a priced and limited list, and the owner of a service's part has to bring replicas to the version named by fenced orders, with reports that cost and orders that may have been taken.

Change: platform/calls fills the form's functions; list_pace, tenure, versions_rollout and weights_duty decide when the list is read, who may order, and whom; node_list and node_weights drive them where a node has a form.

--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -221,9 +221,7 @@
     line("claims_seen_total", counters.claims_seen.load());
     line("claims_unknown_total", counters.claims_unknown.load());
     line("control_calls_total", counters.calls.load());
-    line("weights_orders_total", counters.orders.load());
-    line("list_reads_total", counters.list_reads.load());
-    line("list_failures_total", counters.list_failures.load());
+    poll_metrics(text);
     line("wakeups_total", counters.wakeups.load());
     line("disk_saves_total", counters.saves.load());
     line("disk_syncs_total", counters.save_batches.load());
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -32,20 +32,27 @@
     open = false;
 }
 
+// For what has to be decided at the last moment: the call itself follows at once.
+auto HttpConnection::open_to(std::string address, Microseconds limit) -> awaitable<bool> {
+    if (open) co_return true;
+    auto const endpoint = endpoint_of(address);
+    if (!endpoint) co_return false;
+    stream.expires_after(std::chrono::microseconds(limit));
+    if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure) {
+        close();
+        co_return false;
+    }
+    stream.socket().set_option(tcp::no_delay(true));
+    open = true;
+    co_return true;
+}
+
 auto HttpConnection::call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer> {
     HttpAnswer answer;
     auto const endpoint = endpoint_of(address);
     if (!endpoint) co_return answer;
     stream.expires_after(std::chrono::microseconds(limit));
-    if (!open) {
-        auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple);
-        if (failure) {
-            close();
-            co_return answer;
-        }
-        stream.socket().set_option(tcp::no_delay(true));
-        open = true;
-    }
+    if (!co_await open_to(address, limit)) co_return answer;
     auto const request = make_request(wanted, address);
     answer.sent = true;
     if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) {
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -51,6 +51,7 @@
     beast::flat_buffer buffer;
     bool open = false;
     explicit HttpConnection(asio::any_io_executor executor) : stream(std::move(executor)) {}
+    auto open_to(std::string address, Microseconds limit) -> awaitable<bool>;
     auto call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer>;
     auto close() -> void;
 };
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -116,7 +116,11 @@
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
     auto form_anew(Microseconds now, std::uint64_t local_token) -> ControlOutput;
     auto claim(Microseconds now, std::uint64_t local_token, ClaimAsk ask) -> ControlOutput;
-    auto list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
+    // A part's live text, as its reader or owner knows it now (design 8.4 and 11).
+    auto live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
+    auto list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
+        return live_read(configuration_part, now, asked_at, text);
+    }
     auto wants_list(Microseconds now) const -> bool;
     auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
         -> ControlOutput;
--- a/source/process/machine/control_news.cpp
+++ b/source/process/machine/control_news.cpp
@@ -134,12 +134,12 @@
     return now - news[configuration_part].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
 }
 
-// A list that was read whole. What can't be read never reaches this machine,
-// so silence undoes no mark (design 8).
-auto Control::list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
+// A list that was read whole, or the word of a part's owner. What can't be read
+// never reaches this machine, so silence undoes no mark (design 8).
+auto Control::live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
     ControlOutput output;
-    last_list_read = now;
-    auto& item = news[configuration_part];
+    if (part == configuration_part) last_list_read = now;
+    auto& item = news[static_cast<std::size_t>(part)];
     if (asked_at <= item.live_at) return output;  // overtaken by a later reading
     item.live_at = asked_at;
     auto const digest = digest_of(text);
@@ -147,7 +147,7 @@
     item.live = text;
     item.live_digest = digest;
     output.news = true;
-    answer_waiting(now, configuration_part, output);
+    answer_waiting(now, part, output);
     return output;
 }
 
--- /dev/null
+++ b/source/process/machine/list_pace.cpp
@@ -0,0 +1,58 @@
+#include "process/machine/list_pace.hpp"
+
+#include <algorithm>
+
+namespace dockrock {
+
+namespace {
+constexpr Microseconds first_backoff = 400 * one_millisecond;
+constexpr Microseconds longest_backoff = 3 * one_second;
+}  // namespace
+
+// Shares of the time in which a leaving replica must get nothing new (design 8.4).
+auto ListPace::bound(Microseconds drain, std::int64_t calls) -> void {
+    interval = std::min(900 * one_millisecond, drain * 3 / 10);
+    fallback = std::min(2 * one_second, drain * 2 / 3);
+    spread = drain / 6;
+    page_limit = drain / 4;
+    calls_each_second = std::max<std::int64_t>(1, calls);
+}
+
+// So long that all nodes together stay within half of the calls.
+auto ListPace::spread_over(std::size_t members) const -> Microseconds {
+    auto const calls = static_cast<Microseconds>(members * pages);
+    return std::max(spread, calls * 2 * one_second / calls_each_second);
+}
+
+auto ListPace::due(ListView const& view, Microseconds now, Random& random) -> bool {
+    if (view.owner) {
+        turn.reset();
+        return now >= not_before && now - began_at >= interval;
+    }
+    if (view.resting || now - view.list_at <= fallback) {
+        turn.reset();
+        return false;
+    }
+    if (!turn)
+        turn = now + static_cast<Microseconds>(random.below(static_cast<std::uint64_t>(spread_over(view.members))));
+    return now >= *turn && now >= not_before;
+}
+
+auto ListPace::began(Microseconds now) -> void {
+    began_at = now;
+    turn.reset();
+}
+
+auto ListPace::good(std::size_t read_pages) -> void {
+    pages = std::max<std::size_t>(1, read_pages);
+    backoff = 0;
+}
+
+// Doubled each time, and never in step with other nodes.
+auto ListPace::failed(ListView const& view, Microseconds now, Random& random) -> void {
+    auto const most = view.owner ? longest_backoff : std::max(longest_backoff, spread_over(view.members));
+    backoff = std::min(most, backoff == 0 ? first_backoff : 2 * backoff);
+    not_before = now + backoff / 2 + static_cast<Microseconds>(random.below(static_cast<std::uint64_t>(backoff / 2)));
+}
+
+}  // namespace dockrock
--- a/source/process/machine/part_news.hpp
+++ b/source/process/machine/part_news.hpp
@@ -14,7 +14,7 @@
     std::deque<std::pair<Sequence, std::string>> past;  // documents held before, for differences
     bool whole_wanted = false;                          // a difference did not fit
     Microseconds proven_at = -3'600 * one_second;
-    std::string live;  // the replica list, told apart by its digest
+    std::string live;  // the replica list, or the word of the part's owner; told apart by its digest
     std::uint64_t live_digest = 0;
     Microseconds live_at = -3'600 * one_second;
     std::uint64_t ask_token = 0;
--- a/source/process/machine/snapshot.cpp
+++ b/source/process/machine/snapshot.cpp
@@ -18,8 +18,23 @@
     if (problems.empty()) into = std::move(list);  // what can't be read is kept as it was
 }
 
+auto take_words(Snapshot& fresh, std::string const& text) -> void {
+    for (auto const& [replica, word] : read_words(text))
+        if (auto const found = fresh.replica_weights.find(replica); found != fresh.replica_weights.end())
+            apply_word(found->second, word);
+}
+
 }  // namespace
 
+auto read_words(std::string const& text) -> WeightsWords {
+    auto const parsed = text.empty() ? std::nullopt : parse_json(text);
+    if (!parsed) return {};
+    WeightsWords words;
+    Problems problems;
+    read_json(*parsed, words, "", problems);
+    return problems.empty() ? words : WeightsWords();
+}
+
 auto make_snapshot(Control const& control, Snapshot const& old) -> std::shared_ptr<Snapshot> {
     auto fresh = std::make_shared<Snapshot>();
     auto const& configuration = control.news[configuration_part];
@@ -31,8 +46,12 @@
     for (auto const& model : fresh->rules->checked.configuration.models)
         fresh->target_weights[model.name] = model.weights;
     for (auto part = std::size_t{1}; part <= service_parts; ++part)
-        for (auto const& item : read_object(control.news[part].copy.document))
+        for (auto const& item : read_object(control.news[part].copy.document)) {
             if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
+            if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
+        }
+    for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
+    for (auto part = std::size_t{1}; part <= service_parts; ++part) take_words(*fresh, control.news[part].live);
     auto const resting = read_object(control.news[resting_part].copy.document);
     if (auto const* names = resting.if_contains("resting"); names != nullptr && names->is_array())
         for (auto const& name : names->as_array())
--- a/source/process/machine/snapshot.hpp
+++ b/source/process/machine/snapshot.hpp
@@ -2,6 +2,7 @@
 // What tickets are read against: made from a node's news, immutable, swapped
 // whole. docs/design.md section 14.
 #include "process/machine/control.hpp"
+#include "process/machine/replica_weights.hpp"
 #include "sequence/rules.hpp"
 #include "ticket/burden.hpp"
 
@@ -11,11 +12,21 @@
     std::shared_ptr<Rules const> rules;
     ReplicaList list;
     std::map<std::string, std::string> target_weights;
+    std::map<std::string, std::int64_t> target_versions;  // by model, where a version was named
+    WeightsWords replica_weights;                         // of the replicas listed
     std::set<std::string> resting;
+
+    auto target_version(std::string const& model) const -> std::int64_t {
+        auto const found = target_versions.find(model);
+        return found == target_versions.end() ? first_version : found->second;
+    }
 };
 using SnapshotPointer = std::shared_ptr<Snapshot const>;
 
 // What did not change since `old` is taken over from it unread.
 auto make_snapshot(Control const& control, Snapshot const& old) -> std::shared_ptr<Snapshot>;
 
+// An owner's words of its replicas; none where the text can't be read.
+auto read_words(std::string const& text) -> WeightsWords;
+
 }  // namespace dockrock
--- /dev/null
+++ b/source/process/machine/versions_rollout.cpp
@@ -0,0 +1,206 @@
+#include "process/machine/versions_rollout.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace dockrock {
+
+namespace {
+using Stage = VersionsRollout::Course::Stage;
+
+auto polled(VersionsRollout::Course const& course) -> bool {
+    return course.stage == Stage::unsure || course.stage == Stage::loading;
+}
+}  // namespace
+
+auto VersionsRollout::holds_place(Course const& course, Microseconds now) const -> bool {
+    if (course.stage == Stage::idle) return false;
+    return !polled(course) || now - course.heard_at <= times.silence;
+}
+
+auto VersionsRollout::take_list(std::vector<ListedReplica> const& replicas, Microseconds now) -> void {
+    std::set<std::string_view> named;
+    for (auto const& replica : replicas) {
+        named.insert(replica.name);
+        auto& course = courses[replica.name];
+        course.service = replica.service;
+        course.area = replica.area;
+        course.drain = replica.drain;
+        course.listed = replica.version;
+        course.version = std::max(course.version, replica.version);
+        if (polled(course) && course.version >= course.wanted) course.stage = Stage::idle;
+        if (course.stage != Stage::idle || !course.told || course.listed < course.version) {
+            course.shown_at = 0;
+        } else if (course.shown_at == 0) {
+            course.shown_at = now;
+        } else if (now - course.shown_at > times.shown) {
+            course.told = false;
+        }
+    }
+    std::erase_if(courses, [&](auto const& item) { return !named.contains(item.first); });
+}
+
+auto VersionsRollout::step(
+    std::int64_t wanted, std::uint64_t under_fence, bool may_order, std::size_t at_once,
+    std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions {
+    fence = under_fence;
+    take_list(replicas, now);
+    if (wanted > target) {
+        target = wanted;
+        for (auto& [name, course] : courses) course.failures = 0;
+    }
+    may_order = may_order && fence > stopped_fence;
+    RolloutActions actions;
+    for (auto& [name, course] : courses) {
+        if (polled(course) && !course.asking && now >= course.next) {
+            course.asking = true;
+            actions.reports.push_back(name);
+        }
+        if (course.stage != Stage::announced || now < course.next) continue;
+        if (!may_order || course.version >= target || course.drain) {
+            course.stage = Stage::idle;
+            continue;
+        }
+        course.stage = Stage::ordering;
+        course.wanted = target;
+        course.ordered_at = course.heard_at = now;
+        actions.orders.push_back({name, target, course.orders});
+    }
+    if (may_order) announce(at_once, now);
+    return actions;
+}
+
+// Freed places are filled at once, from the areas with the fewest under way.
+// A replica that is leaving is not worth a load.
+auto VersionsRollout::announce(std::size_t at_once, Microseconds now) -> void {
+    std::map<std::string_view, std::size_t> busy;
+    std::map<std::pair<std::string_view, std::string_view>, std::size_t> busy_there;
+    for (auto const& [name, course] : courses) {
+        if (!holds_place(course, now)) continue;
+        ++busy[course.service];
+        ++busy_there[{course.service, course.area}];
+    }
+    while (true) {
+        Course* best = nullptr;
+        for (auto& [name, course] : courses) {
+            if (course.stage != Stage::idle || course.drain || course.version >= target || now < course.next) continue;
+            if (busy[course.service] >= at_once) continue;
+            auto const fewer = [&](Course const& item) {
+                return std::tuple(item.failures, busy_there[{item.service, item.area}]);
+            };
+            if (best == nullptr || fewer(course) < fewer(*best)) best = &course;
+        }
+        if (best == nullptr) return;
+        best->stage = Stage::announced;
+        best->told = true;
+        best->wanted = target;
+        best->next = now + times.announce;
+        ++busy[best->service];
+        ++busy_there[{best->service, best->area}];
+    }
+}
+
+auto VersionsRollout::give_up(Course& course, Microseconds now) -> void {
+    course.stage = Stage::idle;
+    auto const doublings = std::min(course.failures, 6);
+    course.next = now + std::min(times.longest_pause, times.least_pause << doublings);
+    ++course.failures;
+}
+
+auto VersionsRollout::order_ended(std::string const& replica, OrderEnd end, Microseconds now) -> void {
+    auto const found = courses.find(replica);
+    if (found == courses.end() || found->second.stage != Stage::ordering) return;
+    auto& course = found->second;
+    switch (end) {
+        case OrderEnd::taken:
+            course.stage = Stage::loading;
+            course.heard_at = now;
+            course.next = course.ordered_at + (quickest == 0 ? times.first_poll : quickest * 9 / 10);
+            break;
+        case OrderEnd::holds:
+            course.stage = Stage::idle;
+            course.version = std::max(course.version, course.wanted);
+            course.failures = 0;
+            course.next = now;
+            break;
+        case OrderEnd::conflict:
+        case OrderEnd::unknown:
+            course.stage = Stage::unsure;
+            course.next = now + times.settle;
+            break;
+        case OrderEnd::fenced:
+            course.stage = Stage::idle;
+            stopped_fence = std::max(stopped_fence, fence);
+            break;
+        case OrderEnd::elsewhere:
+        case OrderEnd::refused:
+        case OrderEnd::unreachable: give_up(course, now); break;
+        case OrderEnd::not_sent:
+            course.stage = Stage::idle;
+            course.next = now;
+            break;
+    }
+}
+
+auto VersionsRollout::reported(
+    std::string const& replica, std::optional<ReportedWeights> const& report, Microseconds asked_at, Microseconds now)
+    -> void {
+    auto const found = courses.find(replica);
+    if (found == courses.end()) return;
+    auto& course = found->second;
+    course.asking = false;
+    if (!report) {
+        course.next = now + (holds_place(course, now) ? times.poll : one_second);
+        return;
+    }
+    course.heard_at = now;
+    course.orders = report->orders;
+    course.version = std::max(course.version, report->version);
+    if (!polled(course)) return;
+    if (course.version >= course.wanted) {
+        auto const took = now - course.ordered_at;
+        if (course.stage == Stage::loading && course.ordered_at != 0)
+            quickest = quickest == 0 ? took : std::min(quickest, took);
+        course.stage = Stage::idle;
+        course.failures = 0;
+        course.next = now;
+    } else if (report->busy) {
+        course.stage = Stage::loading;
+        course.next = now + times.poll;
+    } else if (asked_at - course.ordered_at < times.believe) {
+        course.next = now + times.poll;  // it may tell of the moment before the order
+    } else {
+        give_up(course, now);  // not taken, or ended undone: ordered anew, on the count just told
+    }
+}
+
+auto VersionsRollout::adopt(ListedReplica const& replica, std::int64_t version, bool loading, Microseconds now)
+    -> void {
+    auto& course = courses[replica.name];
+    course.service = replica.service;
+    course.version = std::max({course.version, replica.version, version});
+    course.told = true;
+    if (!loading || course.stage != Stage::idle) return;
+    course.stage = Stage::unsure;
+    course.wanted = std::max(target, course.version + 1);
+    course.ordered_at = course.heard_at = course.next = now;
+}
+
+auto VersionsRollout::words(std::string const& model, WeightsWords& into) const -> void {
+    for (auto const& [name, course] : courses) {
+        if (!course.told && course.stage == Stage::idle && course.version <= course.listed) continue;
+        auto& word = into[name];
+        word.versions[model] = course.version;
+        word.loading = word.loading || course.stage != Stage::idle;
+    }
+}
+
+auto VersionsRollout::under_way() const -> bool {
+    return std::any_of(courses.begin(), courses.end(), [&](auto const& item) {
+        auto const& course = item.second;
+        return course.stage != Stage::idle || (course.version < target && !course.drain);
+    });
+}
+
+}  // namespace dockrock
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -6,8 +6,11 @@
 #include <set>
 
 #include "connection/http_client.hpp"
+#include "process/form.hpp"
+#include "process/machine/list_pace.hpp"
 #include "process/machine/orders.hpp"
 #include "process/machine/resting.hpp"
+#include "process/machine/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -46,10 +49,19 @@
     std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
     std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
         save_batches{0};
+    std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
+    std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
+};
+
+// A list that was read whole, as the product's own text.
+struct ListReading {
+    std::string text;
+    std::size_t pages = 0;
 };
 
 struct Node {
     NodeSettings settings;
+    RelayForm const* form = nullptr;
     asio::io_context context;
     Storage storage;
     Transport transport;
@@ -76,6 +88,9 @@
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
+    ListPace list_pace;                        // inside control_work; its bounds are set once
+    WeightsDuty weights_duty;                  // inside control_work
+    std::atomic<bool> weights_under_way{false};
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;  // under report_lock
 
@@ -119,6 +134,14 @@
     auto report_manager() -> awaitable<void>;
     auto order_loop() -> awaitable<void>;
     auto send_order(Order order) -> awaitable<void>;
+    auto relay_list_loop() -> awaitable<void>;
+    auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
+    auto weights_loop() -> awaitable<void>;
+    auto step_weights() -> void;
+    auto licence_checked(int part, std::uint64_t fence) -> awaitable<bool>;
+    auto send_duty_order(DutyOrder order) -> awaitable<void>;
+    auto ask_duty_report(DutyReport asked) -> awaitable<void>;
+    auto poll_metrics(std::string& text) const -> void;
     auto rest_loop() -> awaitable<void>;
     auto step_resting() -> void;
     auto wake() -> void;
--- /dev/null
+++ b/source/process/node_list.cpp
@@ -0,0 +1,102 @@
+// The platform's list where it is told through a form: pages read whole by one
+// node for all. docs/design.md section 8.4.
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+
+constexpr auto most_pages = std::size_t{1'000};
+
+auto pause(Microseconds length) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
+    co_await timer.async_wait(use_tuple);
+}
+
+// One that shows on two pages moved while they were read: the later word
+// counts, but a mark to leave is not undone by it.
+auto add_page(std::map<std::string, ReplicaEntry>& read, std::vector<ReplicaEntry> page) -> void {
+    for (auto& entry : page) {
+        auto& place = read[entry.name];
+        entry.drain = entry.drain || place.drain;
+        place = std::move(entry);
+    }
+}
+
+}  // namespace
+
+// Every page or nothing: a replica is gone only where all of the list says so.
+auto Node::read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>> {
+    std::map<std::string, ReplicaEntry> read;
+    std::string next;
+    ListReading reading;
+    auto const began = clock_now();
+    while (reading.pages < most_pages) {
+        auto const asked_at = clock_now();
+        auto const ask = form->list_call(next);
+        ++counters.list_calls;
+        auto const answer = co_await connection.call(settings.platform_address, ask, list_pace.page_limit);
+        if (answer.status == 429) ++counters.list_limited;
+        auto page = answer.status == 200 ? form->read_list_page(answer.body) : std::nullopt;
+        if (!page) co_return std::nullopt;
+        ++reading.pages;
+        add_page(read, std::move(page->replicas));
+        if (page->next.empty()) break;
+        auto const pages = static_cast<Microseconds>(reading.pages);
+        auto const repeated = page->next == next;
+        if (repeated || clock_now() - began > 2 * list_pace.page_limit + pages * list_pace.call_gap())
+            co_return std::nullopt;
+        next = page->next;
+        co_await pause(std::max<Microseconds>(0, asked_at + list_pace.call_gap() - clock_now()));
+    }
+    if (reading.pages == most_pages) co_return std::nullopt;
+    ReplicaList list;
+    for (auto& [name, entry] : read) list.replicas.push_back(std::move(entry));
+    reading.text = json::serialize(write_json(list));  // the product's own list, the same at every reader
+    co_return reading;
+}
+
+auto Node::relay_list_loop() -> awaitable<void> {
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    list_pace.bound(settings.bounds.drain, settings.platform_calls);
+    auto wanted = std::make_shared<std::atomic<bool>>(false);
+    auto const view = [this](Microseconds now) {
+        ListView seen;
+        seen.owner = control.owns(configuration_part, now);
+        seen.resting = control.resting;
+        seen.list_at = control.news[configuration_part].live_at;
+        if (!seen.owner && now - seen.list_at > list_pace.fallback)
+            seen.members = control.membership.alive_members(false).size();
+        return seen;
+    };
+    while (!finished) {
+        co_await pause((resting_now ? 500 : 100) * one_millisecond);
+        if (!wanted->load()) {
+            in_control([this, wanted, view] {
+                auto const now = clock_now();
+                if (!list_pace.due(view(now), now, control.random)) return;
+                list_pace.began(now);
+                *wanted = true;
+            });
+            if (!wanted->load()) continue;
+        }
+        auto const asked_at = clock_now();
+        auto reading = co_await read_whole_list(connection);
+        if (reading) ++counters.list_reads;
+        else ++counters.list_failures;
+        auto const done = std::make_shared<std::atomic<bool>>(false);
+        in_control([this, wanted, done, view, asked_at, reading = std::move(reading)] {
+            auto const now = clock_now();
+            *wanted = false;
+            if (reading) list_pace.good(reading->pages);
+            else list_pace.failed(view(now), now, control.random);
+            if (reading) act_on(control.list_read(now, asked_at, reading->text));
+            *done = true;
+        });
+        while (!done->load() && !finished) co_await pause(5 * one_millisecond);
+    }
+}
+
+}  // namespace dockrock
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -26,6 +26,7 @@
 
 auto Node::list_loop() -> awaitable<void> {
     if (settings.platform_address.empty()) co_return;
+    if (form != nullptr) co_return co_await relay_list_loop();
     auto connection = HttpConnection(co_await asio::this_coro::executor);
     auto wanted = std::make_shared<std::atomic<bool>>(false);
     auto last_good = std::string();  // read whole once, not again while it stays the same
@@ -51,6 +52,7 @@
 }
 
 auto Node::report_manager() -> awaitable<void> {
+    if (form != nullptr) co_return;  // reports have a price there: asked for while an order is under way
     while (!finished) {
         auto const current = snapshot.load();
         for (auto const& entry : current->list.replicas) {
@@ -115,6 +117,7 @@
 // Orders come from the licensed owner of the service's part alone, and carry
 // its epoch as the fence and the life of their receiver (design 11).
 auto Node::order_loop() -> awaitable<void> {
+    if (form != nullptr) co_return co_await weights_loop();
     while (!finished) {
         co_await pause(200);
         auto due = std::make_shared<std::vector<Order>>();
--- /dev/null
+++ b/source/process/node_weights.cpp
@@ -0,0 +1,148 @@
+// Orders to replicas where they are given through a form, and the reports
+// asked for while one is under way. docs/design.md section 11.
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+
+constexpr Microseconds connect_limit = 300 * one_millisecond;
+constexpr Microseconds order_limit = 400 * one_millisecond;  // in flight
+constexpr Microseconds report_limit = 400 * one_millisecond;
+constexpr Microseconds check_age = 5 * one_millisecond;  // of the licence, when an order is written
+constexpr auto checks = 3;
+
+auto pause(Microseconds length) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
+    co_await timer.async_wait(use_tuple);
+}
+
+auto end_of(HttpAnswer const& answer) -> OrderEnd {
+    switch (answer.status) {
+        case 0: return answer.sent ? OrderEnd::unknown : OrderEnd::unreachable;
+        case 200: return OrderEnd::holds;
+        case 202: return OrderEnd::taken;
+        case 400: return OrderEnd::refused;
+        case 409: return OrderEnd::conflict;
+        case 412: return OrderEnd::fenced;
+        case 421: return OrderEnd::elsewhere;
+        default: return OrderEnd::unknown;
+    }
+}
+
+auto written(DutyOrder const& due, std::string const& holder) -> WeightsOrder {
+    return {due.model, due.order.version, holder, due.fence, due.order.orders, due.order.replica};
+}
+
+}  // namespace
+
+auto Node::step_weights() -> void {
+    auto const now = clock_now();
+    auto due = weights_duty.step(control, *snapshot.load(), now);
+    weights_under_way = due.under_way;
+    for (auto const& [part, text] : due.words) act_on(control.live_read(part, now, now, text));
+    for (auto& order : due.orders)
+        asio::co_spawn(asio::make_strand(context), send_duty_order(std::move(order)), asio::detached);
+    for (auto& report : due.reports)
+        asio::co_spawn(asio::make_strand(context), ask_duty_report(std::move(report)), asio::detached);
+}
+
+auto Node::weights_loop() -> awaitable<void> {
+    if (settings.data_folder.empty()) co_return;  // the duty lies with the core
+    in_control([this] {
+        weights_duty.at_once = static_cast<std::size_t>(settings.weights_at_once);
+        weights_duty.wait = settings.bounds.lease + 200 * one_millisecond;
+    });
+    while (!finished) {
+        co_await pause((weights_under_way ? 25 : 200) * one_millisecond);
+        in_control([this] { step_weights(); });
+    }
+}
+
+// True only where the licence was seen held a moment ago: a node that was
+// frozen in between looks again.
+auto Node::licence_checked(int part, std::uint64_t fence) -> awaitable<bool> {
+    for (auto count = 0; count < checks; ++count) {
+        auto const seen = std::make_shared<std::atomic<Microseconds>>(-1);
+        in_control([this, seen, part, fence] {
+            auto const now = clock_now();
+            *seen = may_order(control, part, fence, now) ? now : 0;
+        });
+        for (auto waited = 0; seen->load() < 0 && waited < 100; ++waited) co_await pause(one_millisecond);
+        if (seen->load() == 0) co_return false;
+        if (seen->load() > 0 && clock_now() - seen->load() <= check_age) co_return true;
+    }
+    co_return false;
+}
+
+auto Node::send_duty_order(DutyOrder order) -> awaitable<void> {
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    auto end = OrderEnd::unreachable;
+    auto status = 0;
+    if (co_await connection.open_to(order.address, connect_limit)) {
+        // What was not read when the limit passes is not sent on by the system.
+        boost::system::error_code ignored;
+        connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        auto const call = form->order_call(written(order, control.membership.self.identity));
+        if (co_await licence_checked(order.part, order.fence)) {
+            ++counters.orders;
+            auto const answer = co_await connection.call(order.address, call, order_limit);
+            status = answer.status;
+            end = end_of(answer);
+        } else {
+            end = OrderEnd::not_sent;
+        }
+    }
+    connection.close();
+    ++counters.order_ends[static_cast<std::size_t>(end)];
+    write_log(
+        Level::information, "weights-ordered",
+        fields(
+            "replica", order.order.replica, "model", order.model, "version", order.order.version, "fence", order.fence,
+            "status", status, "end", std::string(order_end_names[static_cast<std::size_t>(end)])));
+    in_control([this, order = std::move(order), end] {
+        weights_duty.order_ended(order, end, clock_now());
+        step_weights();
+    });
+}
+
+auto Node::ask_duty_report(DutyReport asked) -> awaitable<void> {
+    auto ask = form->report_call();
+    if (!form->headers.replica_wanted.empty()) ask.headers.emplace_back(form->headers.replica_wanted, asked.replica);
+    auto const asked_at = clock_now();
+    ++counters.weights_reports;
+    auto const answer = co_await http_call(asked.address, ask, report_limit);
+    auto const read = answer.status == 200 ? form->read_report(answer.body) : std::nullopt;
+    std::optional<ReportedWeights> report;
+    if (read) {
+        auto const version = read->versions.find(asked.model);
+        report = ReportedWeights{version == read->versions.end() ? 0 : version->second, read->busy, read->orders};
+    } else {
+        ++counters.weights_report_failures;
+    }
+    in_control([this, asked = std::move(asked), report, asked_at] {
+        weights_duty.reported(asked, report, asked_at, clock_now());
+        step_weights();
+    });
+}
+
+auto Node::poll_metrics(std::string& text) const -> void {
+    auto const line = [&](std::string const& name, auto value) {
+        text += "dockrock_" + name + " " + std::to_string(value) + "\n";
+    };
+    line("weights_orders_total", counters.orders.load());
+    for (auto index = std::size_t{0}; index < order_end_names.size(); ++index)
+        line(
+            "weights_order_ends_total{end=\"" + std::string(order_end_names[index]) + "\"}",
+            counters.order_ends[index].load());
+    line("weights_reports_total", counters.weights_reports.load());
+    line("weights_report_failures_total", counters.weights_report_failures.load());
+    line("list_reads_total", counters.list_reads.load());
+    line("list_failures_total", counters.list_failures.load());
+    line("list_calls_total", counters.list_calls.load());
+    line("list_limited_total", counters.list_limited.load());
+}
+
+}  // namespace dockrock
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -41,6 +41,8 @@
     if (settings.stop_limit_milliseconds < 0 || settings.stop_limit_milliseconds > 600'000)
         problems.push_back({"/stop_limit_milliseconds", "must be 0 to 600000"});
     if (settings.workers < 1 || settings.workers > 64) problems.push_back({"/workers", "must be 1 to 64"});
+    if (settings.weights_at_once < 1 || settings.weights_at_once > 1'000)
+        problems.push_back({"/weights_at_once", "must be 1 to 1000"});
     auto const& level = settings.log_level;
     if (level != "debug" && level != "information" && level != "warning" && level != "failure")
         problems.push_back({"/log_level", "must be debug, information, warning or failure"});
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -44,6 +44,7 @@
     std::string operator_address;      // and where the operator calls; each may be empty
     std::string node_name;             // in logs
     std::int64_t platform_calls = 50;  // a second, from all nodes together
+    std::int64_t weights_at_once = 3;  // replicas of one service that load weights at a time
     FleetBounds bounds;
 };
 
@@ -59,4 +60,4 @@
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::NodeSettings, fleet, control_address, http_address, control_listen, area, seeds, data_folder,
     platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting,
-    may_form, front_address, ready_address, operator_address, node_name, platform_calls, bounds);
+    may_form, front_address, ready_address, operator_address, node_name, platform_calls, weights_at_once, bounds);
--- /dev/null
+++ b/tests/weights_duty_test.cpp
@@ -0,0 +1,198 @@
+#include <catch2/catch.hpp>
+
+#include "process/machine/list_pace.hpp"
+#include "process/machine/weights_duty.hpp"
+#include "world_helpers.hpp"
+
+using namespace dockrock;
+using namespace dockrock::simulation;
+
+namespace {
+
+auto const model = std::string("m");
+
+auto list_text() -> std::string {
+    ReplicaList list;
+    for (auto const* name : {"a", "b", "c", "d"}) {
+        ReplicaEntry entry;
+        entry.name = name;
+        entry.address = std::string("10.0.0.1:80");
+        entry.model = "service";
+        entry.weights[model] = 1;
+        list.replicas.push_back(entry);
+    }
+    return json::serialize(write_json(list));
+}
+
+auto snapshot_of(SimulatedNode const& node) -> Snapshot {
+    auto const old = Snapshot();
+    auto empty = Snapshot();
+    empty.rules = std::make_shared<Rules>();
+    return *make_snapshot(node.control, empty);
+}
+
+struct Duties {
+    World& world;
+    std::map<std::size_t, WeightsDuty> duties;
+    struct Sent {
+        Microseconds at = 0;
+        std::size_t node = 0;
+        std::uint64_t fence = 0;
+    };
+    std::vector<Sent> sent;
+
+    // Orders are lost on their way, so that every holder goes on ordering.
+    auto step() -> void {
+        world.run_until(world.now + 25 * one_millisecond);
+        for (auto index = std::size_t{0}; index < world.nodes.size(); ++index) {
+            auto& node = *world.nodes[index];
+            if (!node.running) {
+                duties.erase(index);
+                continue;
+            }
+            auto const now = world.local(node);
+            auto due = duties[index].step(node.control, snapshot_of(node), now);
+            for (auto const& [part, text] : due.words) world.act(index, node.control.live_read(part, now, now, text));
+            for (auto const& order : due.orders) {
+                if (!may_order(node.control, order.part, order.fence, now)) continue;
+                sent.push_back({world.now, index, order.fence});
+                duties[index].order_ended(order, OrderEnd::unknown, now);
+            }
+            for (auto const& report : due.reports)
+                duties[index].reported(report, ReportedWeights{1, false, 0}, now, now);
+        }
+    }
+    auto run(Microseconds length) -> void {
+        for (auto const end = world.now + length; world.now < end;) step();
+    }
+};
+
+auto name_version(World& world, std::int64_t version) -> void {
+    auto const part = part_of_service(model);
+    for (auto const& node : world.nodes)  // as the operator's call does it, in numbers
+        node->control.parts[static_cast<std::size_t>(part)].apply = [](Copy const&, Call const& call) {
+            return ChangeResult{200, "", call.body};
+        };
+    auto done = false;
+    world.call(
+        *world.owner(part), Call{part, "name", "weights", "", json::serialize(json::object{{model, version}})},
+        [&](CallDone const& result) { done = result.status == 200; });
+    REQUIRE(world.run_until_true([&] { return done; }, 4 * one_second));
+}
+
+}  // namespace
+
+TEST_CASE("the first holder orders at once, and the next one only a lease after it took over") {
+    auto world = formed(11);
+    auto const part = part_of_service(model);
+    auto const holder = *world->owner(part);
+    for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) {
+        auto& node = *world->nodes[index];
+        world->act(index, node.control.list_read(world->local(node), world->local(node), list_text()));
+    }
+    name_version(*world, 2);
+    auto duties = Duties{*world};
+    auto const first_epoch = world->nodes[holder]->control.best_record(part).epoch;
+    auto const began = world->now;
+    duties.run(2 * one_second);
+    REQUIRE_FALSE(duties.sent.empty());
+    if (first_epoch == 1) CHECK(duties.sent[0].at - began < one_second);
+    auto spread = 0;
+    for (auto const& node : world->nodes) spread += snapshot_of(*node).replica_weights.at("a").versions.at(model) == 1;
+    CHECK(spread == static_cast<int>(world->nodes.size()));
+    auto told = 0;
+    for (auto const& node : world->nodes)
+        for (auto const& [replica, word] : snapshot_of(*node).replica_weights) told += word.loading ? 1 : 0;
+    CHECK(told > 0);
+
+    SECTION("after a crash") { world->kill(holder, false); }
+    SECTION("after a polite handover") {
+        auto pending = false;
+        auto const until = world->now + 2 * one_second;
+        while (world->now < until && world->owner(part) == holder) {
+            auto& node = *world->nodes[holder];
+            world->act(holder, node.control.hand_over(world->local(node), pending));
+            duties.step();
+        }
+    }
+    duties.run(10 * one_second);
+    auto last_of = std::map<std::size_t, Microseconds>();
+    auto holders = std::set<std::size_t>();
+    auto highest = std::uint64_t{0};
+    for (auto const& order : duties.sent) {
+        for (auto const& [other, at] : last_of)
+            if (other != order.node) CHECK(order.at - at >= 3 * one_second);
+        last_of[order.node] = order.at;
+        holders.insert(order.node);
+        CHECK(order.fence >= highest);
+        highest = order.fence;
+    }
+    CHECK(holders.size() == 2);
+    CHECK(world->violations.empty());
+}
+
+TEST_CASE("an owner's word of its replicas reaches every node at once, and a word of a gone replica is none") {
+    auto world = formed(12);
+    auto const part = part_of_service(model);
+    auto const holder = *world->owner(part);
+    auto& node = *world->nodes[holder];
+    auto const text =
+        std::string(R"({"a":{"versions":{"m":2},"loading":true},"gone":{"versions":{"m":9},"loading":true}})");
+    for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) {
+        auto& other = *world->nodes[index];
+        world->act(index, other.control.list_read(world->local(other), world->local(other), list_text()));
+    }
+    world->run_until(world->now + one_second);
+    world->act(holder, node.control.live_read(part, world->local(node), world->local(node), text));
+    world->run_until(world->now + 100 * one_millisecond);
+    for (auto const& other : world->nodes) {
+        auto const snapshot = snapshot_of(*other);
+        CHECK(snapshot.replica_weights.at("a") == ReplicaWeights{{{model, 2}}, true});
+        CHECK(snapshot.replica_weights.at("b") == ReplicaWeights{{{model, 1}}, false});
+        CHECK_FALSE(snapshot.replica_weights.contains("gone"));
+        CHECK(snapshot.target_version(model) == 1);
+    }
+}
+
+TEST_CASE("a list that can't be read is asked for ever more rarely, and thirteen nodes stay within the calls") {
+    auto random = Random{3};
+    std::vector<ListPace> paces(13);
+    for (auto& pace : paces) pace.bound(3 * one_second, 47);
+    auto calls = std::vector<Microseconds>();
+    auto view = ListView{false, false, 0, 13};
+    for (auto now = 100 * one_second; now < 160 * one_second; now += 50 * one_millisecond)
+        for (auto index = std::size_t{0}; index < paces.size(); ++index) {
+            view.owner = index == 0;
+            if (!paces[index].due(view, now, random)) continue;
+            paces[index].began(now);
+            paces[index].failed(view, now, random);
+            calls.push_back(now);
+        }
+    auto most = std::size_t{0};
+    for (auto const from : calls)
+        most = std::max(most, static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(), [&](auto at) {
+                            return at >= from && at < from + one_second;
+                        })));
+    CHECK(most <= 47);
+    CHECK(calls.size() < 13 * 60 / 2);  // of 60 s
+}
+
+TEST_CASE("a node without news of the list reads it itself within the drain bound, the owner every interval") {
+    auto random = Random{5};
+    auto pace = ListPace();
+    pace.bound(3 * one_second, 47);
+    CHECK(pace.interval == 900 * one_millisecond);
+    auto view = ListView{false, false, 10 * one_second, 13};
+    auto now = 10 * one_second;
+    while (!pace.due(view, now, random)) now += 10 * one_millisecond;
+    CHECK(now - view.list_at > 2 * one_second);
+    CHECK(now - view.list_at <= 2'600 * one_millisecond);
+    view.list_at = now - one_second;  // news came meanwhile
+    CHECK_FALSE(pace.due(view, now, random));
+    view.owner = true;
+    CHECK(pace.due(view, now, random));
+    pace.began(now);
+    pace.good(1);
+    CHECK_FALSE(pace.due(view, now + 800 * one_millisecond, random));
+    CHECK(pace.due(view, now + 900 * one_millisecond, random));
+}
