--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
+#include <filesystem>
 #include <set>
 
 #include "connection/http_client.hpp"
@@ -64,8 +65,10 @@
 };
 
 struct Node {
-    NodeSettings settings;
-    RelayForm const* form = nullptr;  // set before the start: requests are relayed as they are
+    NodeSettings settings;                          // as started; what a reload changes is told to its own machine
+    std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
+    std::string settings_file;                      // looked at now and then; may be empty
+    RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
     Transport transport;
@@ -77,6 +80,7 @@
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};  // stopping, and the notice is over: nothing new is taken
     std::atomic<bool> finished{false};
     std::atomic<bool> resting_now{false};
     std::atomic<bool> disk_failed{false};
@@ -131,6 +135,7 @@
     auto try_ended(
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
+    auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
@@ -160,8 +165,14 @@
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto stop_politely() -> awaitable<void>;
+    auto take_limits() -> void;
+    auto reload() -> void;
+    auto look_at_settings(Microseconds now) -> void;
+    auto wait_reload(asio::signal_set& signals) -> void;
     auto metrics_text(Microseconds now) -> std::string;
 
+    std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
+    Microseconds settings_looked = 0;
     std::set<std::string> report_loops;  // on the context's strand of report_manager
     std::mutex loops_lock;
 };
