The platform's settings, forming without a told number, reload, limits from bounds

Cause: a fleet on a platform is told neither how many core nodes there are nor when its settings file changes by anything but SIGHUP, which ended every node; and limits stood as constants beside the bounds they should follow.

SIGHUP or a changed file has the settings read again (seeds and log level hold at once). core_count 0 means not told: the core nodes seen for 1.2 s form the fleet, and their number never grows; may_form false names no first voters. A probe answered by another identity shows the probed one dead: a wiped core node whose new life has a lower number than the old one's was else held beside it. Proof limits, extra tries and the notice before the door shuts come from settings.

--- a/programs/dockrock_node.cpp
+++ b/programs/dockrock_node.cpp
@@ -1,17 +1,13 @@
 // dockrock-node: the one daemon, edge or core by its settings. docs/design.md section 1.
 #include <tclap/CmdLine.h>
 
-#include <csignal>
-#include <iostream>
-
-#include "process/log.hpp"
-#include "process/node.hpp"
+#include "process/run_node.hpp"
 
 namespace {
 
 using namespace dockrock;
 
-auto read_settings(int argument_count, char** arguments, NodeSettings& settings, bool& check_only) -> Problems {
+auto read_settings(int argument_count, char** arguments, NodeSettings& settings, NodeProgram& program) -> Problems {
     auto command = TCLAP::CmdLine(
         "dockrock-node: a router node of a dockrock fleet. With a data folder it is a core node and holds control "
         "state.",
@@ -47,7 +43,8 @@
         "", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
     auto no_resting = TCLAP::SwitchArg("", "no-resting", "this node is never rested", command);
     command.parse(argument_count, arguments);
-    check_only = check.getValue();
+    program.check_only = check.getValue();
+    program.settings_file = file.getValue();
     auto problems = file.isSet() ? read_settings_file(file.getValue(), settings) : Problems{};
     if (control_address.isSet()) settings.control_address = control_address.getValue();
     if (control_listen.isSet()) settings.control_listen = control_listen.getValue();
@@ -70,32 +67,7 @@
 }  // namespace
 
 auto main(int argument_count, char** arguments) -> int {
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGXFSZ, SIG_IGN);
-    NodeSettings settings;
-    auto check_only = false;
-    auto const problems = read_settings(argument_count, arguments, settings, check_only);
-    for (auto const& problem : problems) std::cerr << problem.path << ": " << problem.what << "\n";
-    if (!problems.empty()) return 2;
-    if (check_only) {
-        std::cout << "the settings are good\n";
-        return 0;
-    }
-    dockrock::start_log(settings.log_file, settings.http_address, dockrock::level_of(settings.log_level));
-    auto const node = std::make_unique<dockrock::Node>();
-    node->settings = settings;
-    return dockrock::leaf::try_handle_all(
-        [&]() -> dockrock::leaf::result<int> {
-            BOOST_LEAF_CHECK(node->start());
-            return node->run();
-        },
-        [](dockrock::StartFailure const& failure) {
-            dockrock::write_log(dockrock::Level::failure, "start-failed", {{"what", failure.what}});
-            std::cerr << failure.what << "\n";
-            return 1;
-        },
-        [] {
-            std::cerr << "start failed\n";
-            return 1;
-        });
+    auto program = NodeProgram();
+    program.read = [&](NodeSettings& settings) { return read_settings(argument_count, arguments, settings, program); };
+    return run_node(program);
 }
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -48,7 +48,7 @@
         else if (!lives(record.primary)) told("the primary is lost");
         else if (!lives(record.understudy)) told("the understudy is lost");
         else if (voters < majority_of(record.voters.size()) + 1) told("too few voters live");
-        else if (control.proof_age(number, now) > proof_limit) told("no proof of a licensed owner");
+        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a licensed owner");
     }
     return problems;
 }
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -178,7 +178,7 @@
 auto Session::forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool> {
     auto const current = node.snapshot.load();
     auto const age = node.proof_age(clock_now());
-    if (age > proof_limit) co_return co_await shed(request, "not-fresh", 1);
+    if (age > node.proof_limit()) co_return co_await shed(request, "not-fresh", 1);
     if (!current->list.application) co_return co_await shed(request, "no-application", 5);
     auto call = http_ask(request.method(), verdict.forward_path, request.body());
     call.content_type = std::string(request[http::field::content_type]);
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -36,6 +36,7 @@
     auto facts = CourseFacts();
     facts.now = now;
     facts.proof_age = node.proof_age(now);
+    facts.proof_limit = node.proof_limit();
     facts.rules = current->rules->sequence;
     for (auto const& entry : current->list.replicas)
         if (entry.name == replica) facts.listed = !entry.drain;
--- a/source/process/log.cpp
+++ b/source/process/log.cpp
@@ -1,6 +1,7 @@
 #include "process/log.hpp"
 
 #include <array>
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
@@ -19,7 +20,7 @@
 
 struct LogState {
     std::string node;
-    Level least = Level::information;
+    std::atomic<Level> least{Level::information};
     boost::log::sources::logger_mt logger;
 };
 auto log_state() -> LogState& {
@@ -48,6 +49,8 @@
         boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
 }
 
+auto set_log_level(Level least) -> void { log_state().least = least; }
+
 auto write_log(Level level, std::string_view event, boost::json::object fields) -> void {
     auto& state = log_state();
     if (level < state.least) return;
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -10,6 +10,7 @@
     random.state = seed;
     membership.self = Member{
         identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
+    if (given.core && !given.may_form) membership.self.never_forms = true;
     membership.seeds = given.seeds;
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto& part = parts[index];
@@ -30,7 +31,7 @@
         }
     }
     membership.self.knows_fleet = knows_fleet();
-    blank_since = now;
+    blank_since = cores_since = now;
 }
 
 auto Control::knows_fleet() const -> bool {
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -27,14 +27,16 @@
     std::string area;
     std::vector<std::string> seeds;
     bool core = false;
-    std::size_t core_count = 4;
+    std::size_t core_count = 4;  // 0: not told (design 5.7)
+    std::size_t machines_lost = 1;
+    bool may_form = true;
 };
 
 struct NewsTimes {
     Microseconds hold_limit = 300 * one_millisecond;
     Microseconds ask_limit = 500 * one_millisecond;
     Microseconds resting_interval = one_second;
-    Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted
+    Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
     Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
     Microseconds list_interval = 300 * one_millisecond;
     Microseconds list_fallback = 1'200 * one_millisecond;
@@ -99,6 +101,8 @@
     std::optional<PendingAnew> anew;
     bool forms_anew = false;  // this core node holds the copies to form from
     Microseconds blank_since = 0;
+    std::vector<std::string> cores_seen;  // the last set of core nodes seen, while this node is blank
+    Microseconds cores_since = 0;
     Microseconds last_list_read = -3'600 * one_second;
     Microseconds last_forming = 0;
     std::vector<IdentifiedMessage> loopback;
@@ -152,6 +156,8 @@
     auto take_claim_answer(ClaimAnswer const& answer, ControlOutput& output) -> void;
     auto tick_claims(Microseconds now, ControlOutput& output) -> void;
     auto form(Microseconds now, Context& context) -> void;
+    auto may_form_now(Microseconds now, std::vector<Member> const& cores) -> bool;
+    auto cores_needed() const -> std::size_t;
     auto held_parts() const -> std::vector<PartHeld>;
     auto take_anew(std::vector<PartHeld> const& told) -> void;
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
--- a/source/process/machine/control_anew.cpp
+++ b/source/process/machine/control_anew.cpp
@@ -44,7 +44,7 @@
     if (!knows_fleet()) return refused("this node knows no fleet that was; blank core nodes form by themselves");
     if (auto const voter = old_voter_alive(fresh.best); !voter.empty())
         return refused("core node " + voter + " of the fleet that was still answers");
-    if (membership.alive_members(true).size() < majority_of(settings.core_count))
+    if (membership.alive_members(true).size() < cores_needed())
         return refused("fewer than a majority of core nodes are there");
     for (auto const& member : membership.alive_members(false)) {
         if (member.identity == membership.self.identity) continue;
--- a/source/process/machine/control_form.cpp
+++ b/source/process/machine/control_form.cpp
@@ -5,6 +5,39 @@
 
 namespace dockrock {
 
+namespace {
+constexpr Microseconds calm_limit = 1'200 * one_millisecond;  // the set of core nodes must stay as it is
+constexpr Microseconds seed_patience = 3 * one_second;        // on top, while a seed was not heard of
+}  // namespace
+
+// Where the number of core nodes is not told: as many as still have a majority
+// after the losses to be borne.
+auto Control::cores_needed() const -> std::size_t {
+    return settings.core_count != 0 ? majority_of(settings.core_count) : 2 * settings.machines_lost + 1;
+}
+
+// Whether this node may now name the first voters: the core nodes it sees.
+auto Control::may_form_now(Microseconds now, std::vector<Member> const& cores) -> bool {
+    std::vector<std::string> seen;
+    for (auto const& member : cores) seen.push_back(member.identity);
+    if (seen != cores_seen) cores_since = now;
+    cores_seen = std::move(seen);
+    auto const former = std::find_if(
+        cores.begin(), cores.end(), [](auto const& member) { return !member.never_forms.value_or(false); });
+    if (cores.size() < cores_needed() || former == cores.end() || former->identity != membership.self.identity) {
+        blank_since = now;
+        return false;
+    }
+    // Long enough for any edge node that knows a fleet to be heard first.
+    if (settings.core_count != 0)
+        return now - blank_since >= (cores.size() >= settings.core_count ? 3 * one_second : 5 * one_second);
+    std::set<std::string> heard{membership.self.control_address};
+    for (auto const& [identity, entry] : membership.known) heard.insert(entry.member.control_address);
+    auto const all_heard = std::all_of(
+        membership.seeds.begin(), membership.seeds.end(), [&](auto const& seed) { return heard.contains(seed); });
+    return now - cores_since >= calm_limit + (all_heard ? 0 : seed_patience);
+}
+
 // First forming (design 5.7): only among blank core nodes, and only where
 // nobody reachable knows a fleet.
 auto Control::form(Microseconds now, Context& context) -> void {
@@ -13,7 +46,7 @@
         std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
     auto const& first = parts[0].votes.decided;
     if (somebody_knows && !forms_anew && first.epoch == 0 && first.voters.empty()) {
-        blank_since = now;
+        blank_since = cores_since = now;
         return;
     }
     if (first.epoch == 0 && first.voters.empty()) {
@@ -21,13 +54,7 @@
         std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
             return left.control_address < right.control_address;
         });
-        if (cores.size() < majority_of(settings.core_count) || cores.front().identity != membership.self.identity) {
-            blank_since = now;
-            return;
-        }
-        // Long enough for any edge node that knows a fleet to be heard first.
-        auto const patience = cores.size() >= settings.core_count ? 3 * one_second : 5 * one_second;
-        if (now - blank_since < patience) return;
+        if (!may_form_now(now, cores)) return;
         Record blank;
         for (auto const& member : cores) blank.voters.push_back(member.identity);
         for (auto& part : parts) part.learn(context, blank);
--- a/source/process/machine/membership.cpp
+++ b/source/process/machine/membership.cpp
@@ -200,7 +200,20 @@
         relayed.erase(found);
         return;
     }
-    pending.erase(answer.token);
+    auto const found = pending.find(answer.token);
+    if (found == pending.end()) return;
+    // Another node answers at that address: whoever was probed is gone, whatever
+    // the numbers of its lives say (a lost disk starts them anew).
+    auto const probed = known.find(found->second.identity);
+    auto const* answerer = find(from);
+    if (probed != known.end() && answerer != nullptr && probed->first != from &&
+        probed->second.member.control_address == answerer->control_address &&
+        probed->second.member.state != state_dead) {
+        probed->second.member.state = state_dead;
+        probed->second.changed_at = now;
+        probed->second.times_told = 0;
+    }
+    pending.erase(found);
 }
 
 auto Membership::on(ProbeFor const& ask, std::string const& address, Microseconds now, AddressedMessages& out) -> void {
--- a/source/process/machine/part.hpp
+++ b/source/process/machine/part.hpp
@@ -89,7 +89,7 @@
 
 struct Part {
     int index = 0;
-    std::size_t core_count = 4;
+    std::size_t core_count = 4;  // 0: not told, then the first voters' number stays
     PartTimes times;
     ApplyChange apply;
     Votes votes;
--- a/source/process/machine/part_pair.cpp
+++ b/source/process/machine/part_pair.cpp
@@ -92,7 +92,8 @@
         voter = fresh.back();
         fresh.pop_back();
     }
-    while (voters.size() < core_count && !fresh.empty()) {
+    auto const most = core_count != 0 ? core_count : votes.decided.voters.size();
+    while (voters.size() < most && !fresh.empty()) {
         voters.push_back(fresh.back());
         fresh.pop_back();
     }
--- a/source/process/machine/records.hpp
+++ b/source/process/machine/records.hpp
@@ -42,6 +42,7 @@
     bool resting = false;
     std::uint64_t incarnation = 0;
     int state = 0;
+    std::optional<bool> never_forms;  // a blank core node that waits for a fleet to join (design 5.7)
 };
 
 inline auto etag_of(Sequence const& sequence) -> std::string {
@@ -56,4 +57,5 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::Outcome, identity, sequence, digest);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Copy, sequence, document, outcomes);
 BOOST_HANA_ADAPT_STRUCT(
-    dockrock::Member, identity, control_address, http_address, area, core, knows_fleet, resting, incarnation, state);
+    dockrock::Member, identity, control_address, http_address, area, core, knows_fleet, resting, incarnation, state,
+    never_forms);
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -47,7 +47,9 @@
         settings.area,
         settings.seeds,
         core,
-        static_cast<std::size_t>(settings.core_count)};
+        static_cast<std::size_t>(settings.core_count),
+        static_cast<std::size_t>(settings.bounds.machines_lost),
+        settings.may_form};
     auto device = std::random_device();
     control.start(
         given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts,
@@ -56,6 +58,7 @@
         control.parts[index].apply =
             index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
     table.granting.burden.self = identity;
+    take_limits();
     next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
     proven_at = started_at - 3'600 * one_second;
     auto empty = std::make_shared<Snapshot>();
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -3,9 +3,11 @@
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
+#include <filesystem>
 #include <set>
 
 #include "connection/http_client.hpp"
+#include "process/form.hpp"
 #include "process/machine/orders.hpp"
 #include "process/machine/resting.hpp"
 #include "process/measures.hpp"
@@ -49,7 +51,10 @@
 };
 
 struct Node {
-    NodeSettings settings;
+    NodeSettings settings;                          // as started; what a reload changes is told to its own machine
+    std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
+    std::string settings_file;                      // looked at now and then; may be empty
+    RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
     Transport transport;
@@ -61,6 +66,7 @@
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};  // stopping, and the notice is over: nothing new is taken
     std::atomic<bool> finished{false};
     std::atomic<bool> resting_now{false};
     std::atomic<bool> disk_failed{false};
@@ -107,6 +113,7 @@
     auto try_ended(
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
+    auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
@@ -125,8 +132,14 @@
     auto judge_resting(Microseconds now) -> void;
     auto accept_loop() -> awaitable<void>;
     auto stop_politely() -> awaitable<void>;
+    auto take_limits() -> void;
+    auto reload() -> void;
+    auto look_at_settings(Microseconds now) -> void;
+    auto wait_reload(asio::signal_set& signals) -> void;
     auto metrics_text(Microseconds now) -> std::string;
 
+    std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
+    Microseconds settings_looked = 0;
     std::set<std::string> report_loops;  // on the context's strand of report_manager
     std::mutex loops_lock;
 };
--- /dev/null
+++ b/source/process/node_reload.cpp
@@ -0,0 +1,66 @@
+// Settings in a running node: what derives from the bounds, and what a reload
+// changes. docs/design.md sections 8.3, 10.4 and 13.
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr Microseconds look_interval = 2 * one_second;
+
+auto time_of(std::string const& file) -> std::filesystem::file_time_type {
+    std::error_code failure;
+    auto const time = std::filesystem::last_write_time(file, failure);
+    return failure ? std::filesystem::file_time_type() : time;
+}
+}  // namespace
+
+// Before the first thread runs.
+auto Node::take_limits() -> void {
+    auto const& bounds = settings.bounds;
+    auto& granting = table.granting;
+    granting.budget.each_ticket = bounds.retry_ratio;
+    granting.budget.stored = granting.budget.most = most_extra_tries(bounds);
+    if (form != nullptr) {  // the product's own interface keeps its tighter limits
+        auto const limits = proof_limits_of(bounds);
+        granting.proof_limit = control.times.proof_limit = limits.entry;
+        granting.proof_shed_limit = control.times.shed_limit = limits.shed;
+    }
+    if (!settings_file.empty()) settings_time = time_of(settings_file);
+    settings_looked = clock_now();
+}
+
+auto Node::wait_reload(asio::signal_set& signals) -> void {
+    signals.async_wait([this, &signals](auto failure, int) {
+        if (failure) return;
+        in_control([this] { reload(); });
+        wait_reload(signals);
+    });
+}
+
+// A file may change without any signal.
+auto Node::look_at_settings(Microseconds now) -> void {
+    if (settings_file.empty() || now - settings_looked < look_interval) return;
+    settings_looked = now;
+    auto const time = time_of(settings_file);
+    if (time == settings_time) return;
+    settings_time = time;
+    in_control([this] { reload(); });
+}
+
+// In control_work. What can't be read changes nothing; the rest of the settings
+// holds from the next start.
+auto Node::reload() -> void {
+    if (!reread) return;
+    auto fresh = NodeSettings();
+    auto const problems = reread(fresh);
+    for (auto const& problem : problems)
+        write_log(Level::warning, "settings-not-taken", fields("path", problem.path, "problem", problem.what));
+    if (!problems.empty()) return;
+    set_log_level(level_of(fresh.log_level));
+    write_log(Level::information, "settings-taken", fields("seeds", write_json(fresh.seeds)));
+    control.membership.seeds = std::move(fresh.seeds);
+}
+
+}  // namespace dockrock
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -52,6 +52,7 @@
         ++counters.wakeups;
         if (!tick_waiting.exchange(true)) in_control([this] { tick_control(); });
         auto const now = clock_now();
+        look_at_settings(now);
         auto guard = std::unique_lock(table.lock);
         if (table.granting.waiting_count() > 0) match_locked(now);
         auto const due =
@@ -77,7 +78,7 @@
 
 auto Node::ready(Microseconds now) const -> bool {
     auto const current = snapshot.load();
-    return !stopping && !resting_now && proof_age(now) < proof_limit && !current->rules->mappings.empty() &&
+    return !stopping && !resting_now && proof_age(now) < proof_limit() && !current->rules->mappings.empty() &&
         !current->list.replicas.empty();
 }
 
@@ -112,6 +113,8 @@
         });
     };
     wait_signal();
+    auto reload_signals = asio::signal_set(context, SIGHUP);
+    wait_reload(reload_signals);
     asio::co_spawn(asio::make_strand(context), tick_loop(), asio::detached);
     asio::co_spawn(asio::make_strand(context), list_loop(), asio::detached);
     asio::co_spawn(asio::make_strand(context), report_manager(), asio::detached);
@@ -141,8 +144,8 @@
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
     auto const limit = clock_now() + settings.stop_limit_milliseconds * one_millisecond;
     auto duties = std::make_shared<std::atomic<bool>>(true);
-    // Not ready for a while before the door shuts: the platform looks now and then.
-    auto const notice = std::min(limit, clock_now() + 1'200 * one_millisecond);
+    // Not ready for a while before the door shuts: whoever sends clients looks now and then.
+    auto const notice = std::min(limit, clock_now() + settings.stop_notice_milliseconds * one_millisecond);
     auto const handing_limit = std::min(limit, clock_now() + 3 * one_second);
     while (clock_now() < limit) {
         if (duties->load()) {
@@ -154,8 +157,10 @@
         }
         timer.expires_after(std::chrono::milliseconds(50));
         co_await timer.async_wait(use_tuple);
-        if (!duties->load() && open_tickets == 0 && clock_now() > notice) break;
+        if (clock_now() > notice) closing = true;
+        if (!duties->load() && open_tickets == 0 && closing) break;
     }
+    closing = true;
     if (open_tickets > 0) write_log(Level::warning, "stop-limit-reached", fields("open_tickets", open_tickets.load()));
     in_control([this] { act_on(control.leave()); });
     // The door is shut first; whoever was inside is still answered.
@@ -164,7 +169,8 @@
         acceptor->close(ignored);
     });
     auto quiet = 0;
-    for (auto count = 0; count < 100 && quiet < 6; ++count) {
+    auto const end = std::max(limit, clock_now() + one_second / 2);
+    while (clock_now() < end && quiet < 6) {
         timer.expires_after(std::chrono::milliseconds(50));
         co_await timer.async_wait(use_tuple);
         quiet = open_requests == 0 ? quiet + 1 : 0;
--- /dev/null
+++ b/source/process/run_node.cpp
@@ -0,0 +1,45 @@
+#include "process/run_node.hpp"
+
+#include <csignal>
+#include <iostream>
+
+#include "process/log.hpp"
+
+namespace dockrock {
+
+auto run_node(NodeProgram& program) -> int {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until the node listens for it; it never ends one
+    NodeSettings settings;
+    auto const problems = program.read(settings);
+    for (auto const& problem : problems) std::cerr << problem.path << ": " << problem.what << "\n";
+    if (!problems.empty()) return 2;
+    if (program.check_only) {
+        std::cout << "the settings are good\n";
+        return 0;
+    }
+    auto const& name = settings.node_name.empty() ? settings.http_address : settings.node_name;
+    start_log(settings.log_file, name, level_of(settings.log_level));
+    auto const node = std::make_unique<Node>();
+    node->settings = settings;
+    node->settings_file = program.settings_file;
+    node->reread = program.read;
+    node->form = program.form;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_CHECK(node->start());
+            return node->run();
+        },
+        [](StartFailure const& failure) {
+            write_log(Level::failure, "start-failed", {{"what", failure.what}});
+            std::cerr << failure.what << "\n";
+            return 1;
+        },
+        [] {
+            std::cerr << "start failed\n";
+            return 1;
+        });
+}
+
+}  // namespace dockrock
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -1,5 +1,6 @@
 #include "process/settings.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
@@ -35,11 +36,14 @@
     for (auto index = std::size_t{0}; index < settings.seeds.size(); ++index)
         if (!is_address(settings.seeds[index]))
             problems.push_back({"/seeds/" + std::to_string(index), "must be IP:port"});
-    if (settings.core_count < 1 || settings.core_count > 15) problems.push_back({"/core_count", "must be 1 to 15"});
+    if (settings.core_count < 0 || settings.core_count > 15)
+        problems.push_back({"/core_count", "must be 1 to 15, or 0 where it is not told"});
     if (!settings.operator_key_sha256.empty() && settings.operator_key_sha256.size() != 64)
         problems.push_back({"/operator_key_sha256", "must be 64 hexadecimal digits"});
     if (settings.stop_limit_milliseconds < 0 || settings.stop_limit_milliseconds > 600'000)
         problems.push_back({"/stop_limit_milliseconds", "must be 0 to 600000"});
+    if (settings.stop_notice_milliseconds < 0 || settings.stop_notice_milliseconds > 60'000)
+        problems.push_back({"/stop_notice_milliseconds", "must be 0 to 60000"});
     if (settings.workers < 1 || settings.workers > 64) problems.push_back({"/workers", "must be 1 to 64"});
     auto const& level = settings.log_level;
     if (level != "debug" && level != "information" && level != "warning" && level != "failure")
@@ -47,6 +51,20 @@
     return problems;
 }
 
+// A key must be dead everywhere `revoke` after it was taken away: a proof older
+// than that, less the way of a request to its replica, proves nothing.
+auto proof_limits_of(FleetBounds const& bounds) -> ProofLimits {
+    auto const entry = std::max(bounds.revoke / 2, bounds.revoke - 500 * one_millisecond);
+    return {entry, std::max(entry, bounds.revoke - 200 * one_millisecond)};
+}
+
+// The slack is one for the whole fleet, and each node may spend its store at one
+// moment. A store below one pays for nothing, so one is the least; a slack of 26
+// for each stored try leaves it to 26 nodes. A start, not measured.
+auto most_extra_tries(FleetBounds const& bounds) -> double {
+    return std::max(1.0, static_cast<double>(bounds.retry_slack) / 26.0);
+}
+
 auto read_settings_file(std::string const& path, NodeSettings& into) -> Problems {
     auto stream = std::ifstream(path, std::ios::binary);
     if (!stream) return {{"", "cannot read " + path}};
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -29,13 +29,14 @@
     std::string control_listen;   // where it listens, if others reach it by another address
     std::string area;
     std::vector<std::string> seeds;
-    std::string data_folder;       // present on core nodes only
-    std::string platform_address;  // where the replica list is read
-    std::int64_t core_count = 4;
+    std::string data_folder;          // present on core nodes only
+    std::string platform_address;     // where the replica list is read
+    std::int64_t core_count = 4;      // 0: not told; the fleet forms of the core nodes it finds
     std::string operator_key_sha256;  // where set, /control/ asks for this key
     std::string log_file;
     std::string log_level = "information";
     std::int64_t stop_limit_milliseconds = 20'000;
+    std::int64_t stop_notice_milliseconds = 1'200;  // not ready, and still taking connections
     std::int64_t workers = 2;
     bool resting = true;               // this node may be rested
     bool may_form = true;              // a fleet that nobody knows may be formed by this node
@@ -47,6 +48,14 @@
     FleetBounds bounds;
 };
 
+// What the code counts by, made of the bounds. docs/design.md sections 8.3, 10.4.
+struct ProofLimits {
+    Microseconds entry = 0;  // older: no new entry is granted
+    Microseconds shed = 0;   // older: whoever waits is shed at once
+};
+auto proof_limits_of(FleetBounds const& bounds) -> ProofLimits;
+auto most_extra_tries(FleetBounds const& bounds) -> double;  // stored on one node
+
 auto check_settings(NodeSettings const& settings) -> Problems;
 auto read_settings_file(std::string const& path, NodeSettings& into) -> Problems;
 auto is_address(std::string const& text) -> bool;
@@ -58,5 +67,6 @@
     retry_ratio, retry_window, retry_slack, machines_lost);
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::NodeSettings, fleet, control_address, http_address, control_listen, area, seeds, data_folder,
-    platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds, workers, resting,
-    may_form, front_address, ready_address, operator_address, node_name, platform_calls, bounds);
+    platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds,
+    stop_notice_milliseconds, workers, resting, may_form, front_address, ready_address, operator_address, node_name,
+    platform_calls, bounds);
--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -54,7 +54,7 @@
 // Right before the try is sent: rules, freshness, drain (design 8.3, 8.4).
 auto Course::last_checks(CourseFacts const& facts) -> CourseStep {
     if (facts.rules != rules) return {Step::interpret};
-    if (facts.listed && facts.proof_age <= proof_limit) return {Step::send};
+    if (facts.listed && facts.proof_age <= facts.proof_limit) return {Step::send};
     return enter_back();
 }
 
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -38,6 +38,7 @@
 struct CourseFacts {
     Microseconds now = 0;
     Microseconds proof_age = 0;
+    Microseconds proof_limit = dockrock::proof_limit;
     Sequence rules;
     bool listed = false;  // the placed replica is on the list, without a drain mark
 };
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -8,6 +8,10 @@
 
 namespace dockrock {
 
+// Where nothing else is set (design 8.3).
+inline constexpr Microseconds proof_limit = 1'500 * one_millisecond;
+inline constexpr Microseconds proof_shed_limit = 4 * one_second;
+
 struct FetchPlan {
     std::string source;  // address of a peer replica or of the store; empty: recompute
     std::int64_t tokens = 0;
@@ -66,6 +70,8 @@
     std::map<std::string, ModelBuffer> buffers;
     std::size_t buffer_length = 256;
     TryBudget budget;
+    Microseconds proof_limit = dockrock::proof_limit;            // older: no new entry is granted
+    Microseconds proof_shed_limit = dockrock::proof_shed_limit;  // older: tickets are shed at once
     std::string store_address;
     struct LinkSpeed {
         double rate = 0.0;  // tokens a second; a fetch that brought nothing halves it
@@ -108,7 +114,4 @@
     auto expected_service(ModelBuffer const& buffer, Ticket const& ticket) const -> Microseconds;
 };
 
-inline constexpr Microseconds proof_limit = 1'500 * one_millisecond;
-inline constexpr Microseconds proof_shed_limit = 4 * one_second;
-
 }  // namespace dockrock
