--- /dev/null
+++ b/tests/platform/stand_ins/judge_runs.cpp
@@ -0,0 +1,74 @@
+// Rules on what replicas ran.
+#include "judge.hpp"
+
+namespace dockrock::platform_stand_in {
+
+namespace {
+auto judge_asked(Court& court, Run const& run) -> Sent const* {
+    auto const found = court.sent.find(run.identity);
+    court.judge(Rule::unasked, found != court.sent.end(), run.name + ": no client sent " + run.identity);
+    if (found == court.sent.end()) return nullptr;
+    auto const& sent = *found->second;
+    auto const same = sent.method == run.method && sent.host == run.host && sent.target == run.target;
+    court.judge(Rule::unasked, same, run.name + ": method, host, path or query changed: " + run.target);
+    court.judge(Rule::unasked, sent.body == run.body, run.name + ": the body was changed");
+    court.judge(Rule::unasked, !run.key_seen, run.name + ": the key was handed on");
+    if (!sent.repeatable)
+        court.judge(Rule::twice, court.by_sent[run.identity].size() == 1, run.identity + " ran more than once");
+    return &sent;
+}
+
+auto judge_tenant(Court& court, Run const& run, Sent const& sent) -> void {
+    auto known = false, right = false;  // a key that nobody held is a matter of ROUTE
+    for (auto const& change : court.record.changes) {
+        if (!change.configuration.keyed || change.sent > run.at) continue;
+        auto const* tenant = tenant_of(change.configuration, sent.key);
+        known |= tenant != nullptr;
+        if (tenant != nullptr && tenant->name == run.tenant) right = true;
+        auto const* route = route_of(change.configuration, sent.host, sent.target);
+        if (route != nullptr && route->open) right = true;
+    }
+    if (known) court.judge(Rule::unasked, right, run.name + ": the key is not of tenant '" + run.tenant + "'");
+}
+
+auto isolated(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
+    Change const* newest = nullptr;  // of those acknowledged
+    for (auto const& change : court.record.changes)
+        if (change.outcome == Outcome::acknowledged && change.answered <= at &&
+            (newest == nullptr || change.configuration.version > newest->configuration.version))
+            newest = &change;
+    auto const* found = newest == nullptr ? nullptr : tenant_named(newest->configuration, tenant);
+    return found != nullptr && found->isolated;
+}
+
+auto judge_memory(Court& court, Run const& run) -> void {
+    for (auto const& part : run.used) {
+        court.judge(
+            Rule::stale, part.version == run.version,
+            run.name + ": memory of version " + std::to_string(part.version) + " under " + std::to_string(run.version));
+        auto const walled =
+            part.tenant != run.tenant && (isolated(court, part.tenant, run.at) || isolated(court, run.tenant, run.at));
+        court.judge(Rule::wall, !walled, run.name + ": '" + run.tenant + "' on memory of '" + part.tenant + "'");
+    }
+}
+
+auto judge_version(Court& court, Run const& run) -> void {
+    for (auto const& named : court.record.versions) {
+        if (named.model != run.model || named.acknowledged + court.bounds.version >= run.at) continue;
+        if (!court.calm(named.acknowledged, run.at)) continue;
+        court.judge(
+            Rule::version, run.version >= named.version,
+            run.name + ": begun on " + std::to_string(run.version) + ", named " + std::to_string(named.version));
+    }
+}
+}  // namespace
+
+auto judge_runs(Court& court) -> void {
+    for (auto const& run : court.record.runs) {
+        if (auto const* sent = judge_asked(court, run); sent != nullptr) judge_tenant(court, run, *sent);
+        judge_memory(court, run);
+        judge_version(court, run);
+    }
+}
+
+}  // namespace dockrock::platform_stand_in
