--- a/tests/platform/stand_in_story.hpp
+++ b/tests/platform/stand_in_story.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // A record made by hand of a short day on which nothing went wrong.
-#include "stand_ins/judge.hpp"
+#include "platform/stand_ins/judge.hpp"
 
 namespace dockrock::platform_stand_in::testing {
 
--- a/tests/platform/stand_in_test.cpp
+++ b/tests/platform/stand_in_test.cpp
@@ -2,7 +2,7 @@
 // answer, what their faults do, and that clients see them.
 #include <catch2/catch.hpp>
 
-#include "stand_ins/platform.hpp"
+#include "platform/stand_ins/platform.hpp"
 
 using namespace dockrock::platform_stand_in;
 
