--- /dev/null
+++ b/tests/platform/careless_node.py
@@ -0,0 +1,88 @@
+"""A node that keeps hardly any rule: it passes requests to any replica as they came, keys and all.
+
+It is there to show that the stand-ins find such a node out. Not product."""
+
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import random
+import threading
+import tomllib
+
+SETTINGS = tomllib.loads(pathlib.Path(os.environ["DOCKROCK_NODE_FILE"]).read_text())
+SHARED = pathlib.Path(os.environ["DOCKROCK_NODE_FILE"]).parent / "careless.json"  # one file as the whole of agreement
+SINGLE = {"connection", "keep-alive", "transfer-encoding", "content-length"}
+
+
+def addresses(service):
+    connection = http.client.HTTPConnection(SETTINGS["cloud"]["addr"], timeout=2)
+    connection.request("GET", "/replicas")
+    entries = json.loads(connection.getresponse().read())["replicas"]
+    return [entry["addr"] for entry in entries if entry["svc"] == service]
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def reply(self, status, body=b"{}", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def body(self):
+        if "chunked" not in self.headers.get("Transfer-Encoding", ""):
+            return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        pieces = b""
+        while size := int(self.rfile.readline(), 16):
+            pieces += self.rfile.read(size)
+            self.rfile.readline()
+        self.rfile.readline()
+        return pieces
+
+    def answer(self):
+        body = self.body()
+        if self.path == "/-/ready":
+            return self.reply(200 if SHARED.exists() else 503)
+        if self.path == "/-/config":
+            if self.command == "GET":
+                return self.reply(200 if SHARED.exists() else 404, SHARED.read_bytes() if SHARED.exists() else b"{}")
+            SHARED.write_bytes(body)
+            return self.reply(200)
+        configuration = json.loads(SHARED.read_text())
+        routes = configuration["routes"]
+        found = [route for route in routes if self.path.startswith(route["pfx"])]
+        if not found:
+            return self.reply(404)
+        tenants = [tenant["name"] for tenant in configuration["orgs"] if self.headers.get("Key") in tenant["apiKeys"]]
+        self.headers["Tenant"] = (tenants or ["nobody"])[0]
+        if random.random() < 0.2:
+            self.pass_on(found[0], body).read()  # once more than asked
+        answer = self.pass_on(found[0], body)
+        kept = [(name, value) for name, value in answer.getheaders() if name.lower() not in SINGLE]
+        return self.reply(answer.status, answer.read(), kept)
+
+    def pass_on(self, route, body):
+        connection = http.client.HTTPConnection(random.choice(addresses(route["svc"])), timeout=9)
+        headers = {name: value for name, value in self.headers.items() if name.lower() not in SINGLE}
+        connection.request(self.command, self.path, body, headers)
+        return connection.getresponse()
+
+    do_GET = do_PUT = do_PATCH = do_POST = answer
+
+
+servers = []
+for address in SETTINGS["listen"].values():
+    host, port = address.split(":")
+    server = http.server.ThreadingHTTPServer((host, int(port)), Handler)
+    server.daemon_threads = True
+    servers.append(threading.Thread(target=server.serve_forever))
+for thread in servers:
+    thread.start()
--- /dev/null
+++ b/tests/platform/live.py
@@ -0,0 +1,66 @@
+"""Runs the node for the users' platform through scenarios against stand-ins; exit 1 on a broken rule.
+
+    python3 tests/platform/live.py --scenario calm --seconds 8
+    python3 tests/platform/live.py --scenario all
+    python3 tests/platform/live.py --scenario planted   # a careless node, which must be found out"""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+import time
+
+from day import ROOT, Day
+from day_requests import configuration
+from day_scenarios import SCENARIOS
+
+CARELESS = [sys.executable, str(pathlib.Path(__file__).resolve().parent / "careless_node.py")]
+MUST_BREAK = {"UNASKED", "TWICE", "WALL"}
+
+
+def play(name, options):
+    planted = name == "planted"
+    folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-day-")) / name
+    day = Day(
+        folder, options.build, options.net, options.edges, options.cores, node=CARELESS if planted else options.node
+    )
+    began = time.monotonic()
+    try:
+        day.start(configuration(day, 1))
+        SCENARIOS["calm" if planted else name](day, options.seconds)
+        day.settle()
+        broken = day.judge()
+    except (TimeoutError, RuntimeError) as failure:
+        broken = ["%s: %s" % (type(failure).__name__, failure)]
+    finally:
+        day.stop()
+    if planted:
+        missed = MUST_BREAK - set(broken)
+        print("planted: found %s, missed %s" % (sorted(broken), sorted(missed)))
+        return sorted(missed)
+    print("%s: %s in %.0f s, files in %s" % (name, "; ".join(broken) or "held", time.monotonic() - began, folder))
+    return broken
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--scenario", default="calm", choices=sorted(SCENARIOS) + ["all", "planted"])
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--edges", type=int, default=4)
+    parser.add_argument("--cores", type=int, default=4)
+    parser.add_argument("--net", type=int, default=0, help="third part of the loopback addresses")
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--folder", default="")
+    parser.add_argument("--node", nargs="+", help="the program under test, with its arguments")
+    options = parser.parse_args()
+    program = ROOT / options.build / "dockrock-platform-node"
+    if options.scenario != "planted" and not options.node and not program.exists():
+        print("%s is not built" % program)
+        return 2
+    names = list(SCENARIOS) if options.scenario == "all" else [options.scenario]
+    broken = {name: play(name, options) for name in names}
+    return 1 if any(broken.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
