--- a/tests/platform/stand_in_operator_test.cpp
+++ b/tests/platform/stand_in_operator_test.cpp
@@ -70,8 +70,9 @@
     auto second = Asked();
     second.whole = false;
     second.base = 1;
-    second.document = *read_object(
-        R"({"ver":3,"upsert":{"routes":[{"name":"b","pfx":"/c/"},{"name":"d","pfx":"/d/"}]},"remove":{"routes":["a"]}})");
+    second.document =
+        *read_object(R"({"ver":3,"upsert":{"routes":[{"name":"b","pfx":"/c/"},{"name":"d","pfx":"/d/"}]},)"
+                     R"("remove":{"routes":["a"]}})");
     office.run(send_change(office.caller, second));
     auto const& whole = office.record.changes.back().document;
     CHECK(json::serialize(whole.at("routes")) == R"([{"name":"b","pfx":"/c/"},{"name":"d","pfx":"/d/"}])");
