--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -48,7 +48,7 @@
         else if (!lives(record.primary)) told("the primary is lost");
         else if (!lives(record.understudy)) told("the understudy is lost");
         else if (voters < majority_of(record.voters.size()) + 1) told("too few voters live");
-        else if (control.proof_age(number, now) > proof_limit) told("no proof of a licensed owner");
+        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a licensed owner");
     }
     return problems;
 }
@@ -221,9 +221,7 @@
     line("claims_seen_total", counters.claims_seen.load());
     line("claims_unknown_total", counters.claims_unknown.load());
     line("control_calls_total", counters.calls.load());
-    line("weights_orders_total", counters.orders.load());
-    line("list_reads_total", counters.list_reads.load());
-    line("list_failures_total", counters.list_failures.load());
+    poll_metrics(text);
     line("wakeups_total", counters.wakeups.load());
     line("disk_saves_total", counters.saves.load());
     line("disk_syncs_total", counters.save_batches.load());
--- a/source/process/machine/snapshot.cpp
+++ b/source/process/machine/snapshot.cpp
@@ -29,23 +29,40 @@
     return rules;
 }
 
+auto take_words(Snapshot& fresh, std::string const& text) -> void {
+    for (auto const& [replica, word] : read_words(text))
+        if (auto const found = fresh.replica_weights.find(replica); found != fresh.replica_weights.end())
+            apply_word(found->second, word);
+}
+
 }  // namespace
 
+auto read_words(std::string const& text) -> WeightsWords {
+    auto const parsed = text.empty() ? std::nullopt : parse_json(text);
+    if (!parsed) return {};
+    WeightsWords words;
+    Problems problems;
+    read_json(*parsed, words, "", problems);
+    return problems.empty() ? words : WeightsWords();
+}
+
 auto make_snapshot(Control const& control, Snapshot const& old, DocumentForm const* form) -> std::shared_ptr<Snapshot> {
     auto fresh = std::make_shared<Snapshot>();
     auto const& configuration = control.news[configuration_part];
-    fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence
-        ? old.rules
-        : form == nullptr
-        ? compile_rules(configuration.copy.sequence, configuration.copy.document)
-        : compile_relayed(configuration.copy, *form);
+    fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence ? old.rules
+        : form == nullptr ? compile_rules(configuration.copy.sequence, configuration.copy.document)
+                          : compile_relayed(configuration.copy, *form);
     fresh->list = old.list;
     read_list(configuration.live, fresh->list);
     for (auto const& model : fresh->rules->checked.configuration.models)
         fresh->target_weights[model.name] = model.weights;
     for (auto part = std::size_t{1}; part <= service_parts; ++part)
-        for (auto const& item : read_object(control.news[part].copy.document))
+        for (auto const& item : read_object(control.news[part].copy.document)) {
             if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
+            if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
+        }
+    for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
+    for (auto part = std::size_t{1}; part <= service_parts; ++part) take_words(*fresh, control.news[part].live);
     auto const resting = read_object(control.news[resting_part].copy.document);
     if (auto const* names = resting.if_contains("resting"); names != nullptr && names->is_array())
         for (auto const& name : names->as_array())
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -3,13 +3,16 @@
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
+#include <filesystem>
 #include <set>
 
 #include "connection/http_client.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/form.hpp"
+#include "process/machine/list_pace.hpp"
 #include "process/machine/orders.hpp"
 #include "process/machine/resting.hpp"
+#include "process/machine/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -51,11 +54,21 @@
     std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
     std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
         save_batches{0};
+    std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
+    std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
+};
+
+// A list that was read whole, as the product's own text.
+struct ListReading {
+    std::string text;
+    std::size_t pages = 0;
 };
 
 struct Node {
-    NodeSettings settings;
-    RelayForm const* form = nullptr;  // set before the start: requests are relayed as they are
+    NodeSettings settings;                          // as started; what a reload changes is told to its own machine
+    std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
+    std::string settings_file;                      // looked at now and then; may be empty
+    RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
     Transport transport;
@@ -67,6 +80,7 @@
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};  // stopping, and the notice is over: nothing new is taken
     std::atomic<bool> finished{false};
     std::atomic<bool> resting_now{false};
     std::atomic<bool> disk_failed{false};
@@ -82,6 +96,9 @@
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
+    ListPace list_pace;                        // inside control_work; its bounds are set once
+    WeightsDuty weights_duty;                  // inside control_work
+    std::atomic<bool> weights_under_way{false};
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;  // under report_lock
 
@@ -118,6 +135,7 @@
     auto try_ended(
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
+    auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
@@ -130,6 +148,14 @@
     auto report_manager() -> awaitable<void>;
     auto order_loop() -> awaitable<void>;
     auto send_order(Order order) -> awaitable<void>;
+    auto relay_list_loop() -> awaitable<void>;
+    auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
+    auto weights_loop() -> awaitable<void>;
+    auto step_weights() -> void;
+    auto licence_checked(int part, std::uint64_t fence) -> awaitable<bool>;
+    auto send_duty_order(DutyOrder order) -> awaitable<void>;
+    auto ask_duty_report(DutyReport asked) -> awaitable<void>;
+    auto poll_metrics(std::string& text) const -> void;
     auto rest_loop() -> awaitable<void>;
     auto step_resting() -> void;
     auto wake() -> void;
@@ -139,8 +165,14 @@
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto stop_politely() -> awaitable<void>;
+    auto take_limits() -> void;
+    auto reload() -> void;
+    auto look_at_settings(Microseconds now) -> void;
+    auto wait_reload(asio::signal_set& signals) -> void;
     auto metrics_text(Microseconds now) -> std::string;
 
+    std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
+    Microseconds settings_looked = 0;
     std::set<std::string> report_loops;  // on the context's strand of report_manager
     std::mutex loops_lock;
 };
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -31,10 +31,10 @@
 }
 
 auto Node::take_replica_weights(Snapshot const& fresh) -> void {
-    for (auto const& entry : fresh.list.replicas) {
+    for (auto const& [name, held] : fresh.replica_weights) {
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
-        for (auto const& [model, number] : entry.weights) version = std::max(version, number);
-        table.granting.burden.take_weights(entry.name, version == 0 ? "" : std::to_string(version), false);
+        for (auto const& [model, number] : held.versions) version = std::max(version, number);
+        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading);
     }
 }
 
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -114,7 +114,8 @@
         if (result != Filter::passed) continue;
         auto const running = burden.running(state, now) + burden.reserve(state, now);
         auto const kept = burden.kept_tokens(state, waiting.ticket);
-        auto const hash = hash_text(name, waiting.ticket.affinity != 0 ? waiting.ticket.affinity : waiting.ticket.number);
+        auto const hash =
+            hash_text(name, waiting.ticket.affinity != 0 ? waiting.ticket.affinity : waiting.ticket.number);
         auto better = best == nullptr;
         if (!better) {
             // least busy: running over capacity, in steps where options say so
