A test that a change passed on to another node keeps its base

Cause: leaving the field out of the frame was seen by no check. Change: one test in versioned_test.cpp, over a written and read frame. Run: that test, passes.

--- a/tests/versioned_test.cpp
+++ b/tests/versioned_test.cpp
@@ -80,6 +80,17 @@
     CHECK(change_identity("put", "", "5\nbody") != change_identity("put", "5", "body"));
 }
 
+TEST_CASE("a change that is passed on keeps its base") {
+    auto const sent = CallForward{4, 1, "here", change_of("patch", "5", "body")};
+    auto const read = read_message(write_message(sent));
+    REQUIRE(read);
+    REQUIRE(std::holds_alternative<CallForward>(*read));
+    auto const& call = std::get<CallForward>(*read).call;
+    CHECK(call.base == "5");
+    CHECK(call.body == "body");
+    CHECK(call.identity == sent.call.identity);
+}
+
 TEST_CASE("two changes on one base: one prevails; repeats are answered 200, also later, lost ones never") {
     for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
         auto world = formed(seed);
