--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -50,6 +50,7 @@
     std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0},
         tries{0}, did_not_run{0}, connect_failures{0};
     std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
+    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0};
     std::atomic<std::uint64_t> strangers{0};  // answers that belonged to no request
     std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
     std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
@@ -164,6 +165,8 @@
     auto listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::string;
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
+    auto parts_manager() -> awaitable<void>;
+    auto parts_loop(std::string name) -> awaitable<void>;
     auto stop_politely() -> awaitable<void>;
     auto take_limits() -> void;
     auto reload() -> void;
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -16,16 +16,20 @@
             : ApplyChange(apply_weights_version);
     }
     table.granting.options.load_steps = 8;
+    table.granting.options.recompute_tokens_each_second = 100'000.0;
 }
 
 // Capacity and memory are the document's to say; the list tells who is there.
 auto Node::take_services(Snapshot& fresh) -> void {
     auto const& rules = fresh.rules->services;
     if (!rules) return;
+    auto& fetch_rate = table.granting.options.fetch_tokens_each_second;
     for (auto& entry : fresh.list.replicas) {
         auto const* service = rules->service(entry.model);
         if (service == nullptr) continue;
         entry.memory = service->memory;
+        if (service->token_bytes > 0 && service->link_megabits > 0.0)
+            fetch_rate = service->link_megabits * 125'000.0 / static_cast<double>(service->token_bytes);
         if (entry.capacity <= 0) entry.capacity = service->capacity;
     }
 }
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -124,7 +124,10 @@
     for (auto door = std::size_t{0}; door < doors.size(); ++door)
         if (doors[door])
             asio::co_spawn(context, relay_accept(*doors[door], static_cast<RelayDoor>(door)), asio::detached);
-    if (form != nullptr) asio::co_spawn(context, sweep_loop(), asio::detached);
+    if (form != nullptr) {
+        asio::co_spawn(context, sweep_loop(), asio::detached);
+        asio::co_spawn(context, parts_manager(), asio::detached);
+    }
     for (auto count = std::int64_t{0}; count < settings.workers; ++count)
         threads.emplace_back([this] { context.run(); });
     for (auto& thread : threads) thread.join();
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -159,14 +159,34 @@
     return std::min(free, reported);
 }
 
+auto BurdenTable::take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept)
+    -> void {
+    auto const found = replicas.find(name);
+    if (found == replicas.end()) return;
+    auto const mark = hash_text(weights);
+    if (kept) found->second.parts[part ^ mark] = mark;
+    else found->second.parts.erase(part ^ mark);
+}
+
+auto BurdenTable::forget_parts(std::string const& name) -> void {
+    if (auto const found = replicas.find(name); found != replicas.end()) found->second.parts.clear();
+}
+
 auto BurdenTable::kept_tokens(ReplicaState const& state, Ticket const& ticket) const -> std::int64_t {
+    if (ticket.parts_alone) {
+        auto tokens = std::int64_t{0};
+        for (auto index = std::size_t{0}; index < ticket.chain.size(); ++index) {
+            if (!state.parts.contains(ticket.chain[index] ^ state.weights_mark)) break;
+            tokens += ticket.body.prefix[index].tokens;
+        }
+        return tokens;
+    }
     if (state.kept_unsure || !state.report) return 0;
     auto best = std::int64_t{0};
     auto tokens = std::int64_t{0};
     for (auto index = std::size_t{0}; index < ticket.chain.size(); ++index) {
         tokens += ticket.body.prefix[index].tokens;
         if (state.kept.contains(ticket.chain[index])) best = tokens;
-        else if (ticket.parts_alone) break;
     }
     return best;
 }
@@ -203,7 +223,8 @@
     if (found == replicas.end()) return;
     auto& state = found->second;
     if (!state.report || state.report->weights != weights) {
-        state.kept.clear();
+        state.weights_mark = hash_text(weights);
+        std::erase_if(state.parts, [&](auto const& item) { return item.second != state.weights_mark; });
         state.report = ReplicaReport{};
         state.report->incarnation = name;
         state.report->weights = weights;
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -2,6 +2,7 @@
 // Burden of the replicas, derived: own placements, digests of other admitting
 // nodes, late memory reports. docs/design.md section 9.3.
 #include <set>
+#include <unordered_map>
 
 #include "process/machine/reading.hpp"
 #include "ticket/ticket.hpp"
@@ -91,6 +92,8 @@
     bool unreachable = false;
     std::set<std::uint64_t> kept;  // prefix chains, under the reported weights
     bool kept_unsure = true;
+    std::unordered_map<std::uint64_t, std::uint64_t> parts;  // kept single parts, by part and weights -> weights
+    std::uint64_t weights_mark = 0;                          // hash of the weights it holds now
     std::uint64_t next_event = 0;
 };
 
@@ -109,6 +112,9 @@
     auto take_list(ReplicaList const& list) -> void;
     auto take_report(std::string const& name, ReplicaReport const& report, Microseconds asked_at) -> void;
     auto take_weights(std::string const& name, std::string const& weights, bool loading) -> void;
+    // A replica's late word of one kept part; a gap or a new life forgets all that was told.
+    auto take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept) -> void;
+    auto forget_parts(std::string const& name) -> void;
     auto report_failed(std::string const& name, Microseconds now) -> void;
     auto take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void;
     auto make_digest(Microseconds now) -> std::string;
