Tests for depth of changes and for numbers past exact ones, from planted faults

Cause: two faults planted in platform/ were seen by no check: no bound on the depth of a change, and whole numbers in a fraction's notation past 2^53. Change: a check for each.

--- a/tests/platform/document_test.cpp
+++ b/tests/platform/document_test.cpp
@@ -127,6 +127,7 @@
     told("\"ver\":7", "\"ver\":7.5", "/ver");
     told("\"ver\":7", "\"ver\":-7", "/ver");
     told("\"ver\":7", "\"ver\":99999999999999999999", "/ver");
+    told("\"ver\":7", "\"ver\":1e17", "/ver");  // a fraction's notation is exact only below
     told("\"ver\":7", "\"ver\":1e30", "/ver");
     told("\"name\":\"r-a9rgy35\",", "", "/routes/0/name");
     told("\"type\":\"stream\"", "\"type\":\"river\"", "/routes/0/type");
--- a/tests/platform/merging_test.cpp
+++ b/tests/platform/merging_test.cpp
@@ -62,6 +62,8 @@
          {std::string(), std::string("[]"), std::string("{\"ver\":9"), std::string("5"), std::string(1'000'000, '['),
           std::string(R"({"ver":1e999999})")})
         CHECK(merge_paths(full_document, change) == Paths{""});
+    auto const deep = std::string(100, '[') + std::string(100, ']');  // whole, but deeper than is read
+    CHECK(merge_paths(full_document, R"({"ver":9,"x":)" + deep + "}") == Paths{""});
     CHECK(merge_paths(full_document, "{}") == Paths{"/ver"});
     CHECK(merge_paths(full_document, R"({"ver":9,"routes":[]})") == Paths{"/routes"});
     CHECK(merge_paths(full_document, R"({"ver":9,"upsert":[]})") == Paths{"/upsert"});
