--- a/tests/platform/day.py
+++ b/tests/platform/day.py
@@ -166,13 +166,16 @@
         started = [self.processes[name] for name in names if name in self.processes]
         return [process.name for process in started if not process.running() and not process.told]
 
-    def judge(self):
-        """Prints a line for each rule; the number that is broken."""
+    def judge(self, must_judge=()):
+        """Prints a line for each rule; the names of those that are broken."""
         counts = self.do("counts")[1]
         served = counts.get("served", 0)
         self.expect("no node ends by itself", not self.died(), self.died())
         self.expect("requests are served", served > 0, counts)
         lines = self.do("verdicts")[1]["rules"]
+        for line in lines:
+            if line["rule"] in must_judge:
+                self.expect("%s is judged here" % line["rule"], line["judged"] > 0, line["judged"])
         for what, kept, seen in self.expectations:
             lines.append({"rule": what, "state": "held" if kept else "BROKEN", "seen": seen[:300]})
         for line in lines:
--- a/tests/platform/day_scenarios.py
+++ b/tests/platform/day_scenarios.py
@@ -24,6 +24,8 @@
     day.settle()
     share = served_share(day)
     day.expect("nearly all requests of a calm day are served", share > 0.98, share)
+    for path, outcomes in day.do("counts")[1]["paths"].items():
+        day.expect("requests on %s are served" % path, outcomes.get("served", 0) > 0, outcomes)
 
 
 def replica_crash(day, seconds):
@@ -215,6 +217,16 @@
     day.expect("a planned stop cuts no answer", counts.get("failed", 0) == 0, counts)
 
 
+# What a scenario is there to judge: to see nothing of it is a failure as well.
+ANY = ["MIXED", "UNASKED", "TWICE", "ROUTE", "CONFIG", "BUDGET", "ORDER", "STALE", "WALL"]
+MUST_JUDGE = {
+    "drain": ["DRAIN"],
+    "config_race": ["LOST"],
+    "kill_owner": ["LOST"],
+    "total_kill": ["LOST"],
+    "weights": ["VERSION", "ONE"],
+}
+
 SCENARIOS = {
     work.__name__: work
     for work in (calm, replica_crash, drain, revoke, config_race, weights, kill_edges, kill_owner, total_kill,
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -12,7 +12,7 @@
 
 from day import ROOT, Day
 from day_requests import configuration
-from day_scenarios import SCENARIOS
+from day_scenarios import ANY, MUST_JUDGE, SCENARIOS
 
 CARELESS = [sys.executable, str(pathlib.Path(__file__).resolve().parent / "careless_node.py")]
 MUST_BREAK = {"UNASKED", "TWICE", "WALL"}
@@ -29,7 +29,7 @@
         day.start(configuration(day, 1))
         SCENARIOS["calm" if planted else name](day, options.seconds)
         day.settle()
-        broken = day.judge()
+        broken = day.judge(ANY + MUST_JUDGE.get(name, []))
     except (TimeoutError, RuntimeError) as failure:
         broken = ["%s: %s" % (type(failure).__name__, failure)]
     finally:
--- a/tests/platform/stand_ins/client.cpp
+++ b/tests/platform/stand_ins/client.cpp
@@ -189,8 +189,12 @@
             -std::log(1.0 - std::uniform_real_distribution<double>(0.0, 1.0)(clients.random)) * 1000.0 / clients.rate;
         if (auto const left = static_cast<Milliseconds>(due) - now(); left > 0) co_await pause(left);
         ++clients.open;
-        asio::co_spawn(executor, ask(clients, draw_request(clients)), [&clients](auto, std::string const& outcome) {
+        auto requesting = draw_request(clients);
+        auto const path = requesting.kind.path;
+        auto asking = ask(clients, std::move(requesting));
+        asio::co_spawn(executor, std::move(asking), [&clients, path](auto, std::string const& outcome) {
             ++clients.outcomes[outcome.empty() ? "failed" : outcome];
+            ++clients.by_path[path][outcome.empty() ? "failed" : outcome];
             --clients.open;
         });
     }
--- a/tests/platform/stand_ins/client.hpp
+++ b/tests/platform/stand_ins/client.hpp
@@ -38,6 +38,7 @@
     std::vector<std::string> keys;
     std::map<std::string, std::vector<LinePointer>> idle;  // by front address
     std::map<std::string, std::int64_t> outcomes;          // served, refused, denied, failed
+    std::map<std::string, std::map<std::string, std::int64_t>> by_path;
     std::vector<Milliseconds> first_pieces;
     double rate = 20.0, reuse = 0.5;
     Milliseconds until = 0;
--- a/tests/platform/stand_ins/platform.cpp
+++ b/tests/platform/stand_ins/platform.cpp
@@ -160,6 +160,9 @@
 auto do_counts(Platform& platform, json::object) -> awaitable<Answered> {
     auto object = json::object();
     for (auto const& [outcome, count] : platform.clients.outcomes) object[outcome] = count;
+    auto paths = json::object();
+    for (auto const& [path, outcomes] : platform.clients.by_path) paths[path] = json::value_from(outcomes);
+    object["paths"] = paths;
     auto times = platform.clients.first_pieces;
     std::sort(times.begin(), times.end());
     object["open"] = platform.clients.open;
--- a/tests/platform/stand_ins/platform.hpp
+++ b/tests/platform/stand_ins/platform.hpp
@@ -16,7 +16,7 @@
     ReplicaList list{};
     std::shared_ptr<Entry> entry = std::make_shared<Entry>();
     Operator caller{{}, record, random, {}};
-    Clients clients{record, random, entry, {}, {}, {}, {}, {}};
+    Clients clients{record, random, entry, {}, {}, {}, {}, {}, {}};
     std::vector<ReplicaPointer> replicas{};  // each life that there was
     Milliseconds crashed_listed = 2000, drain_linger = 1500;
     bool running = true;
