Stores followed by their events: parts sent there once, fetched where no peer keeps them

Change: a store's kept parts are known from its events; a request whose shared run is in no store names it, once in 3 s; what no peer keeps is fetched from it. A service without memory of its own is not limited by memory (its requests were never placed; found by the stand-ins).

--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -166,7 +166,10 @@
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto parts_manager() -> awaitable<void>;
-    auto parts_loop(std::string name) -> awaitable<void>;
+    auto parts_loop(std::string name, bool store) -> awaitable<void>;
+    auto parts_address(std::string const& name, bool store) const -> std::string;
+    auto take_parts(std::string const& name, bool store, KeptEvents const& told, bool anew) -> void;
+    auto parts_silent(std::string const& name, bool store) -> void;
     auto stop_politely() -> awaitable<void>;
     auto take_limits() -> void;
     auto reload() -> void;
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -6,6 +6,10 @@
 
 namespace dockrock {
 
+namespace {
+constexpr auto unlimited_memory = std::int64_t{1} << 40U;  // a service that keeps no prompts
+}
+
 auto Node::relay_changes() -> void {
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         if (index == resting_part) continue;
@@ -27,7 +31,7 @@
     for (auto& entry : fresh.list.replicas) {
         auto const* service = rules->service(entry.model);
         if (service == nullptr) continue;
-        entry.memory = service->memory;
+        entry.memory = service->memory > 0 ? service->memory : unlimited_memory;
         if (service->token_bytes > 0 && service->link_megabits > 0.0)
             fetch_rate = service->link_megabits * 125'000.0 / static_cast<double>(service->token_bytes);
         if (entry.capacity <= 0) entry.capacity = service->capacity;
@@ -35,6 +39,18 @@
 }
 
 auto Node::take_replica_weights(Snapshot const& fresh) -> void {
+    auto& stores = table.granting.stores;
+    std::set<std::string> named;
+    if (fresh.rules->services)
+        for (auto const& service : fresh.rules->services->document.services) {
+            if (service.store_address.empty()) continue;
+            named.insert(service.name);
+            auto& store = stores[service.name];
+            if (store.address != service.store_address) store = PartsStore{};
+            store.address = service.store_address;
+            store.area = service.zone;
+        }
+    std::erase_if(stores, [&](auto const& item) { return !named.contains(item.first); });
     for (auto const& [name, held] : fresh.replica_weights) {
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
         for (auto const& [model, number] : held.versions) version = std::max(version, number);
--- a/source/ticket/fetching.cpp
+++ b/source/ticket/fetching.cpp
@@ -44,4 +44,39 @@
     return best;
 }
 
+// Single parts: from whichever peer or store keeps the longest run beyond what
+// the target keeps, the nearer first; what no store keeps yet is sent to one.
+auto Granting::plan_parts(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now)
+    -> FetchPlan {
+    FetchPlan best;
+    auto best_near = false;
+    auto const weigh = [&](std::string const& source, std::string const& area, std::int64_t tokens) {
+        auto const near = area == target.entry.area;
+        if (tokens <= kept || tokens < best.tokens || (tokens == best.tokens && (best_near || !near))) return;
+        best.source = source;
+        best.tokens = tokens;
+        best_near = near;
+    };
+    for (auto const& [name, state] : burden.replicas) {
+        if (name == target.entry.name || state.entry.model != ticket.body.model || state.unreachable) continue;
+        if (state.weights_mark != target.weights_mark || !state.report || state.report->changing) continue;
+        weigh(state.entry.address, state.entry.area, burden.kept_tokens(state, ticket));
+    }
+    auto const shared = ticket.chain.empty() ? std::size_t{0} : ticket.chain.size() - 1;  // the last is its own
+    for (auto& [name, store] : stores) {
+        if (!store.up) continue;
+        auto tokens = std::int64_t{0};
+        auto count = std::size_t{0};
+        while (count < shared && store.parts.contains(ticket.chain[count] ^ target.weights_mark))
+            tokens += ticket.body.prefix[count++].tokens;
+        weigh(store.address, store.area, tokens);
+        if (count == shared) continue;
+        std::erase_if(store.saving, [&](auto const& item) { return now - item.second > options.saving_memory; });
+        if (store.saving.emplace(ticket.chain[shared - 1] ^ target.weights_mark, now).second)
+            best.save_at = store.address;
+    }
+    best.tokens = std::max<std::int64_t>(0, best.tokens - kept);
+    return best;
+}
+
 }  // namespace dockrock
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -3,6 +3,7 @@
 // the design of the paper. docs/design.md section 9.
 #include <algorithm>
 #include <array>
+#include <unordered_set>
 
 #include "ticket/burden.hpp"
 
@@ -16,6 +17,15 @@
     std::string source;  // address of a peer replica or of the store; empty: recompute
     std::int64_t tokens = 0;
     Microseconds limit = 0;
+    std::string save_at;  // a store that the parts read are sent to; empty: none
+};
+// A store of kept parts, followed by its events.
+struct PartsStore {
+    std::string address;
+    std::string area;
+    bool up = false;
+    std::unordered_set<std::uint64_t> parts;       // by part and weights
+    std::map<std::uint64_t, Microseconds> saving;  // lately sent there, not told of yet
 };
 struct Placement {
     std::uint64_t ticket = 0;
@@ -73,6 +83,7 @@
     Microseconds proof_limit = dockrock::proof_limit;            // older: no new entry is granted
     Microseconds proof_shed_limit = dockrock::proof_shed_limit;  // older: tickets are shed at once
     std::string store_address;
+    std::map<std::string, PartsStore> stores;  // by the service's name
     struct LinkSpeed {
         double rate = 0.0;  // tokens a second; a fetch that brought nothing halves it
         Microseconds at = 0;
@@ -107,6 +118,7 @@
    private:
     auto match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void;
     auto choose(Waiting const& waiting, Microseconds now) -> ReplicaState const*;
+    auto plan_parts(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now) -> FetchPlan;
     auto plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now) const
         -> FetchPlan;
     auto link_rate(std::string const& source, std::string const& target, Microseconds now) const -> double;
