Relayed requests: the last checks hold the proof limit that matching holds

Cause: a relaying session filled the facts of its last checks itself and left the proof limit at the product's own 1.5 s, while matching went by the limit made of the bounds (4.5 s). Whenever the proof was between the two (core without an owner for a moment) a waiting request was placed and sent back into the buffer without end: the node span, and all else on it waited.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -156,17 +156,6 @@
     co_return usable;
 }
 
-auto RelaySession::facts_for(std::string const& replica) const -> CourseFacts {
-    auto const current = node.snapshot.load();
-    auto facts = CourseFacts();
-    facts.now = clock_now();
-    facts.proof_age = node.proof_age(facts.now);
-    facts.rules = current->rules->sequence;
-    for (auto const& entry : current->list.replicas)
-        if (entry.name == replica) facts.listed = !entry.drain;
-    return facts;
-}
-
 auto RelaySession::wait_for_place(Course& course) -> awaitable<CourseStep> {
     auto const number = course.ticket.number;
     auto const slot = std::make_shared<Slot>(co_await asio::this_coro::executor);
@@ -189,7 +178,7 @@
     auto const entry = node.table.leave(number);
     if (entry.shed)
         co_return course.given_up(shed_names[static_cast<std::size_t>(entry.shed->reason)], entry.shed->retry_after);
-    co_return course.placed(*entry.placement, facts_for(entry.placement->replica));
+    co_return course.placed(*entry.placement, node.facts_for(entry.placement->replica));
 }
 
 // The course of one request: the same one that the product's own tickets take.
@@ -214,7 +203,7 @@
                 auto later = judge_relayed(current->rules->services, arrival_of(request, course.ticket.arrived_at));
                 auto const verdict = later.verdict;
                 if (verdict.kind == Verdict::Kind::enter) judged = std::move(later);
-                step = course.judged(verdict, current->rules->sequence, facts_for(course.placement.replica));
+                step = course.judged(verdict, current->rules->sequence, node.facts_for(course.placement.replica));
                 break;
             }
             case Step::send: {
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -38,7 +38,6 @@
     auto send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
         -> awaitable<TryResult>;
     auto wait_for_place(Course& course) -> awaitable<CourseStep>;
-    auto facts_for(std::string const& replica) const -> CourseFacts;
     auto refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after = std::string())
         -> awaitable<bool>;
     auto begin_watch() -> void;
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -39,7 +39,6 @@
     auto enter_buffer(Course& course) -> awaitable<CourseStep>;
     auto claim(Course& course) -> awaitable<CourseStep>;
     auto send_try(HttpRequest const& request, Course& course, bool& usable) -> awaitable<CourseStep>;
-    auto facts_for(std::string const& replica) const -> CourseFacts;
     auto log_ticket(Ticket const& ticket, char const* event, std::string what, std::string replica) -> void;
 };
 
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -30,19 +30,6 @@
     co_return true;
 }
 
-auto Session::facts_for(std::string const& replica) const -> CourseFacts {
-    auto const current = node.snapshot.load();
-    auto const now = clock_now();
-    auto facts = CourseFacts();
-    facts.now = now;
-    facts.proof_age = node.proof_age(now);
-    facts.proof_limit = node.proof_limit();
-    facts.rules = current->rules->sequence;
-    for (auto const& entry : current->list.replicas)
-        if (entry.name == replica) facts.listed = !entry.drain;
-    return facts;
-}
-
 // Into the buffer, and out of it with a placement or a shedding.
 auto Session::enter_buffer(Course& course) -> awaitable<CourseStep> {
     auto const number = course.ticket.number;
@@ -66,7 +53,7 @@
     node.measures.waiting(course.ticket).add(clock_now() - began);
     if (entry.shed)
         co_return course.given_up(shed_names[static_cast<std::size_t>(entry.shed->reason)], entry.shed->retry_after);
-    co_return course.placed(*entry.placement, facts_for(entry.placement->replica));
+    co_return course.placed(*entry.placement, node.facts_for(entry.placement->replica));
 }
 
 auto Session::claim(Course& course) -> awaitable<CourseStep> {
@@ -85,7 +72,7 @@
         : done.state == ClaimState::seen              ? node.counters.claims_seen
                                                       : node.counters.claims_unknown;
     ++counter;
-    co_return course.claimed(done.state, done.epoch, asked_at, facts_for(course.placement.replica));
+    co_return course.claimed(done.state, done.epoch, asked_at, node.facts_for(course.placement.replica));
 }
 
 auto Session::send_try(HttpRequest const& request, Course& course, bool& usable) -> awaitable<CourseStep> {
@@ -125,7 +112,8 @@
             case Step::claim: step = co_await claim(course); break;
             case Step::interpret: {
                 auto [later, current] = co_await interpret_now(request);
-                step = course.judged(std::move(later), current->rules->sequence, facts_for(course.placement.replica));
+                step =
+                    course.judged(std::move(later), current->rules->sequence, node.facts_for(course.placement.replica));
                 break;
             }
             case Step::send: step = co_await send_try(request, course, usable); break;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -135,6 +135,7 @@
     auto try_ended(
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
+    auto facts_for(std::string const& replica) const -> CourseFacts;
     auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
