A measure of what placements, digests and the kept index cost as fleets grow

Cause: no figure said what one placement or one digest costs at the size that is planned for. Ruled out: reading it off live fleets of 13; those costs grow with nodes times replicas. Change: dockrock-hollow, under tests/: a node's table beside all others' digests, processor time and live bytes by account, JSON lines, a table with slopes, a drawing.

--- /dev/null
+++ b/tests/hollow/hollow.cpp
@@ -0,0 +1,71 @@
+// dockrock-hollow: what the control machines cost as a fleet grows, measured
+// over many nodes in one process. docs/CAPACITY.md says what is run.
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "slopes.hpp"
+
+namespace {
+
+using namespace dockrock::hollow;
+
+auto numbers_of(std::string const& text) -> std::vector<std::size_t> {
+    std::vector<std::size_t> numbers;
+    auto stream = std::istringstream(text);
+    for (std::string item; std::getline(stream, item, ',');) numbers.push_back(std::stoul(item));
+    return numbers;
+}
+
+auto report(std::string const& file, double target, std::string const& drawing, std::string const& drawn) -> int {
+    auto from = std::ifstream(file);
+    if (!from) return std::cerr << "cannot read " << file << "\n", 1;
+    auto const runs = read_runs(from);
+    write_table(std::cout, runs, target);
+    if (drawing.empty()) return 0;
+    auto const colon = drawn.find(':');
+    auto into = std::ofstream(drawing);
+    write_drawing(into, runs, drawn.substr(0, colon), colon == std::string::npos ? "" : drawn.substr(colon + 1));
+    return into ? 0 : 1;
+}
+
+}  // namespace
+
+auto main(int argument_count, char** arguments) -> int {
+    auto command = TCLAP::CmdLine("dockrock-hollow: what the control machines cost as a fleet grows", ' ', "0.1.0");
+    auto measure =
+        TCLAP::ValueArg<std::string>("", "measure", "placement or index", false, "placement", "WHAT", command);
+    auto sizes = TCLAP::ValueArg<std::string>(
+        "", "sizes", "nodes (or blocks), by commas", false, "13,89,300,720", "LIST", command);
+    auto seeds = TCLAP::ValueArg<std::uint64_t>("", "seeds", "how many seeds", false, 3, "COUNT", command);
+    auto placements =
+        TCLAP::ValueArg<int>("", "placements", "placements measured of each run", false, 200, "COUNT", command);
+    auto limit = TCLAP::ValueArg<std::int64_t>(
+        "", "limit", "seconds of processor time for a run", false, 60, "SECONDS", command);
+    auto replicas = TCLAP::ValueArg<std::size_t>("", "replicas", "0: as the size has", false, 0, "COUNT", command);
+    auto reported =
+        TCLAP::ValueArg<std::string>("", "report", "print tables of a file of lines", false, "", "FILE", command);
+    auto target = TCLAP::ValueArg<double>("", "target", "nodes that slopes are read at", false, 720, "NODES", command);
+    auto drawing = TCLAP::ValueArg<std::string>("", "svg", "with --report: a drawing", false, "", "FILE", command);
+    auto drawn =
+        TCLAP::ValueArg<std::string>("", "draw", "what is drawn", false, "idle:bytes_out", "WHAT:FIGURE", command);
+    command.parse(argument_count, arguments);
+    if (!reported.getValue().empty())
+        return report(reported.getValue(), target.getValue(), drawing.getValue(), drawn.getValue());
+    for (auto const size : numbers_of(sizes.getValue()))
+        for (auto seed = std::uint64_t{1}; seed <= seeds.getValue(); ++seed) {
+            if (measure.getValue() == "index") {
+                write_run(std::cout, measure_index(size, replicas.getValue() == 0 ? 100 : replicas.getValue(), seed));
+                continue;
+            }
+            auto shape = shape_of(size);
+            if (replicas.getValue() != 0) shape.replicas = replicas.getValue();
+            auto options = SlopeOptions();
+            options.placements = placements.getValue();
+            options.time_limit = limit.getValue() * 1'000'000'000;
+            write_run(std::cout, measure_placement(shape, seed, options));
+        }
+    return 0;
+}
