Near the end of their bound, nothing new goes to replicas of older weights

Ruled out: a lost order; all 18 loads were ordered once and done in time but for the last one or two. Change: every node knows since when it knows a version; 2.5 s before the bound replicas with an older one get nothing new.

--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -124,8 +124,11 @@
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
-    auto relay_changes() -> void;                              // how a relaying fleet's documents change
-    auto take_services(Snapshot& fresh) -> void;               // what the document says of listed replicas
+    auto relay_changes() -> void;                 // how a relaying fleet's documents change
+    auto take_services(Snapshot& fresh) -> void;  // what the document says of listed replicas
+    std::map<std::string, std::pair<std::int64_t, Microseconds>> targets_known;  // under table.lock: since when
+    auto version_late(Snapshot const& fresh, std::string const& model, std::int64_t version, Microseconds now) const
+        -> bool;
     auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -7,8 +7,9 @@
 namespace dockrock {
 
 namespace {
-constexpr auto unlimited_memory = std::int64_t{1} << 40U;  // a service that keeps no prompts
-}
+constexpr Microseconds weights_margin = 2'500 * one_millisecond;  // looked at each second, and a queue in the replica
+constexpr auto unlimited_memory = std::int64_t{1} << 40U;         // a service that keeps no prompts
+}  // namespace
 
 auto Node::relay_changes() -> void {
     for (auto index = std::size_t{0}; index < part_count; ++index) {
@@ -38,6 +39,15 @@
     }
 }
 
+// Near the end of the time in which named weights have to serve everywhere,
+// nothing new goes to replicas that hold older ones (design 11.3).
+auto Node::version_late(Snapshot const& fresh, std::string const& model, std::int64_t version, Microseconds now) const
+    -> bool {
+    auto const known = targets_known.find(model);
+    return known != targets_known.end() && version < fresh.target_version(model) &&
+        now - known->second.second > settings.bounds.weights - weights_margin;
+}
+
 auto Node::take_replica_weights(Snapshot const& fresh) -> void {
     auto& stores = table.granting.stores;
     std::set<std::string> named;
@@ -51,10 +61,18 @@
             store.area = service.zone;
         }
     std::erase_if(stores, [&](auto const& item) { return !named.contains(item.first); });
+    auto const now = clock_now();
+    for (auto const& [model, version] : fresh.target_versions) {
+        auto& known = targets_known[model];
+        if (known.first != version) known = {version, now};
+    }
     for (auto const& [name, held] : fresh.replica_weights) {
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
         for (auto const& [model, number] : held.versions) version = std::max(version, number);
-        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading);
+        auto const late = std::any_of(held.versions.begin(), held.versions.end(), [&](auto const& item) {
+            return version_late(fresh, item.first, item.second, now);
+        });
+        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading || late);
     }
 }
 
@@ -66,6 +84,8 @@
         std::set<std::string> names;
         for (auto const& entry : snapshot.load()->list.replicas) names.insert(entry.name);
         pool.sweep(names, clock_now());
+        auto const guard = std::lock_guard(table.lock);
+        take_replica_weights(*snapshot.load());
     }
 }
 
