A leaving replica that gets nothing after the bound has judged DRAIN

Cause: the drain scenario asked that DRAIN was judged, and only arrivals at a leaving replica counted: a node that hears of the mark at once was never judged, by chance of the traffic (0 seen). Change: requests sent after the bound that came elsewhere judge it as held, once for each such replica; what breaks it is as before.

--- a/tests/platform/stand_ins/judge_fleet.cpp
+++ b/tests/platform/stand_ins/judge_fleet.cpp
@@ -1,13 +1,21 @@
 // Rules on the fleet as a whole, and the verdicts together.
 #include "judge.hpp"
 
+#include <algorithm>
+
 namespace dockrock::platform_stand_in {
 
 namespace {
 constexpr auto first_words = std::size_t{5};  // of what broke a rule, told in its verdict
 
+// Judged by each arrival at a leaving replica, and once for each such replica
+// by the requests that were sent after the bound and came elsewhere.
 auto judge_leaving(Court& court) -> void {
-    for (auto const& leaving : court.record.leaving)
+    for (auto const& leaving : court.record.leaving) {
+        auto const bound = leaving.shown + court.bounds.drain;
+        if (std::any_of(
+                court.record.sent.begin(), court.record.sent.end(), [&](auto const& sent) { return sent.at > bound; }))
+            court.judge(Rule::drain, true, "nothing later at " + leaving.replica);
         for (auto const& arrival : court.record.arrivals) {
             if (arrival.replica != leaving.replica || arrival.at <= leaving.shown) continue;
             auto const late = arrival.at > leaving.shown + court.bounds.drain && arrival.status != 421;
@@ -17,6 +25,7 @@
                 arrival.identity + " at " + leaving.replica + " after " + std::to_string(arrival.at - leaving.shown) +
                     " ms");
         }
+    }
 }
 
 // Each window that begins at an arrival past the first of its request.
