--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -28,6 +28,7 @@
     std::vector<std::string> seeds;
     bool core = false;
     std::size_t core_count = 4;
+    std::size_t machines_lost = 1;  // core nodes, at once, with their disks
 };
 
 struct NewsTimes {
