--- a/source/connection/losses.cpp
+++ b/source/connection/losses.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "ticket/granting.hpp"
-
 namespace dockrock {
 
 auto loss_problems(Control const& control, Microseconds now) -> json::array {
@@ -22,9 +20,9 @@
         else if (!lives(record.primary)) told("the primary is lost");
         else if (!std::all_of(record.understudies.begin(), record.understudies.end(), lives))
             told(record.understudies.size() == 1 ? "the understudy is lost" : "an understudy is lost");
-        else if (record.understudies.size() + 1 < control.parts[index].copies) told("too few understudies");
+        else if (record.understudies.size() + 1 < control.parts[index].copies()) told("too few understudies");
         else if (voters < majority_of(record.voters.size()) + 1) told("too few voters live");
-        else if (control.proof_age(number, now) > proof_limit) told("no proof of a licensed owner");
+        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a licensed owner");
     }
     return problems;
 }
@@ -42,7 +40,8 @@
         auto const majority = majority_of(record.voters.size());
         auto const voters = std::max(living(record.voters), majority);
         auto const members = living(record.understudies) + (lives(record.primary) ? 1U : 0U);
-        auto const proven = record.epoch > 0 && control.proof_age(static_cast<int>(index), now) <= proof_limit;
+        auto const proven =
+            record.epoch > 0 && control.proof_age(static_cast<int>(index), now) <= control.times.proof_limit;
         borne = proven ? std::min({borne, voters - majority, std::max(members, std::size_t{1}) - 1}) : 0;
     }
     return borne;
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -10,13 +10,13 @@
     random.state = seed;
     membership.self = Member{
         identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
+    if (given.core && !given.may_form) membership.self.never_forms = true;
     membership.seeds = given.seeds;
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto& part = parts[index];
         part.index = static_cast<int>(index);
         part.core_count = given.core_count;
-        // A majority has at least that many members, where it outlives those losses (design 5).
-        part.copies = std::min(given.machines_lost + 1, majority_of(given.core_count));
+        part.machines_lost = given.machines_lost;
         part.claims.life = incarnation;
         part.primary_heard = part.owner_since = now;
         if (had_state) part.vote_from = now + part.times.grantor_term;
@@ -33,7 +33,7 @@
         }
     }
     membership.self.knows_fleet = knows_fleet();
-    blank_since = now;
+    blank_since = cores_since = now;
 }
 
 auto Control::knows_fleet() const -> bool {
--- a/source/process/machine/part.hpp
+++ b/source/process/machine/part.hpp
@@ -91,8 +91,8 @@
 
 struct Part {
     int index = 0;
-    std::size_t core_count = 4;
-    std::size_t copies = 2;  // of a group: losses borne at once, and one
+    std::size_t core_count = 4;  // 0: not told, then the first voters' number stays
+    std::size_t machines_lost = 1;
     PartTimes times;
     ApplyChange apply;
     Votes votes;
@@ -172,6 +172,8 @@
         return std::all_of(
             followers.begin(), followers.end(), [&](auto const& item) { return item.second.has >= sequence; });
     }
+    // Of a group: losses borne at once, and one, but no more than a majority of the voters (design 5).
+    auto copies() const -> std::size_t;
     auto follow(Microseconds now) -> void;  // counts anew what the understudies were heard to have
     auto licensed_until(std::string const& self) const -> Microseconds;
     auto licensed(std::string const& self, Microseconds now) const -> bool;
--- a/source/process/machine/part_group.cpp
+++ b/source/process/machine/part_group.cpp
@@ -6,6 +6,11 @@
 
 namespace dockrock {
 
+auto Part::copies() const -> std::size_t {
+    auto const count = core_count != 0 ? core_count : votes.decided.voters.size();
+    return count == 0 ? machines_lost + 1 : std::min(machines_lost + 1, majority_of(count));
+}
+
 auto Part::follow(Microseconds now) -> void {
     followers.clear();
     for (auto const& understudy : votes.decided.understudies) followers[understudy] = {now, {}};
@@ -35,13 +40,13 @@
     auto chosen = Record{0, from.primary, {}, {}};
     auto areas = std::set<std::string>{area_of(from.primary)};
     auto const take = [&](std::string const& identity) {
-        if (chosen.understudies.size() + 1 >= copies || chosen.has_member(identity)) return;
+        if (chosen.understudies.size() + 1 >= copies() || chosen.has_member(identity)) return;
         chosen.understudies.push_back(identity);
         areas.insert(area_of(identity));
     };
     for (auto const& identity : from.understudies)
         if (!lost.contains(identity)) take(identity);
-    while (chosen.understudies.size() + 1 < copies) {
+    while (chosen.understudies.size() + 1 < copies()) {
         std::vector<std::string> same_area;
         std::vector<std::string> other_area;
         for (auto const& member : cores) {
@@ -71,7 +76,8 @@
         voter = fresh.back();
         fresh.pop_back();
     }
-    while (voters.size() < core_count && !fresh.empty()) {
+    auto const most = core_count != 0 ? core_count : votes.decided.voters.size();
+    while (voters.size() < most && !fresh.empty()) {
         voters.push_back(fresh.back());
         fresh.pop_back();
     }
--- a/source/process/machine/part_pair.cpp
+++ b/source/process/machine/part_pair.cpp
@@ -113,7 +113,7 @@
     auto wanted = record;
     wanted.voters = renewed_voters(context);
     auto const lost = lost_understudies(context);
-    auto const too_few = has_licence && record.understudies.size() + 1 < copies;
+    auto const too_few = has_licence && record.understudies.size() + 1 < copies();
     if (!lost.empty() || too_few) wanted.understudies = understudies_for(context, record, lost);
     auto const grows = wanted.understudies.size() > record.understudies.size();
     auto const unlicensed = context.now - owner_since > times.grantor_term;
@@ -169,7 +169,7 @@
     others.erase(next);
     others = understudies_for(context, wanted, lost);
     auto const living = [&](auto const& item) { return context.alive(item); };
-    if (others.size() + 1 < copies || !std::all_of(others.begin(), others.end(), living)) return false;
+    if (others.size() + 1 < copies() || !std::all_of(others.begin(), others.end(), living)) return false;
     propose(context, wanted);
     return true;
 }
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -3,11 +3,16 @@
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
+#include <filesystem>
 #include <set>
 
 #include "connection/http_client.hpp"
+#include "connection/replica_pool.hpp"
+#include "process/form.hpp"
+#include "process/machine/list_pace.hpp"
 #include "process/machine/orders.hpp"
 #include "process/machine/resting.hpp"
+#include "process/machine/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -39,17 +44,32 @@
     explicit Slot(asio::any_io_executor const& executor) : signal(executor, asio::steady_timer::time_point::max()) {}
 };
 
+enum class RelayDoor : int { front, ready, operators };
+
 struct Counters {
     std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0},
         tries{0}, did_not_run{0}, connect_failures{0};
     std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
+    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0};
+    std::atomic<std::uint64_t> strangers{0};  // answers that belonged to no request
     std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
     std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
         save_batches{0};
+    std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
+    std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
+};
+
+// A list that was read whole, as the product's own text.
+struct ListReading {
+    std::string text;
+    std::size_t pages = 0;
 };
 
 struct Node {
-    NodeSettings settings;
+    NodeSettings settings;                          // as started; what a reload changes is told to its own machine
+    std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
+    std::string settings_file;                      // looked at now and then; may be empty
+    RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
     Transport transport;
@@ -61,6 +81,7 @@
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};  // stopping, and the notice is over: nothing new is taken
     std::atomic<bool> finished{false};
     std::atomic<bool> resting_now{false};
     std::atomic<bool> disk_failed{false};
@@ -76,6 +97,9 @@
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
+    ListPace list_pace;                        // inside control_work; its bounds are set once
+    WeightsDuty weights_duty;                  // inside control_work
+    std::atomic<bool> weights_under_way{false};
     std::mutex report_lock;
     std::map<std::string, ReplicaReport> reports;  // under report_lock
 
@@ -85,6 +109,8 @@
     std::atomic<std::size_t> next_ticket_work{0};
     std::unique_ptr<tcp::acceptor> acceptor;  // on accept_strand alone, once running
     asio::strand<asio::io_context::executor_type> accept_strand{context.get_executor()};
+    ReplicaPool pool;                                     // on the one thread of a relaying node
+    std::array<std::unique_ptr<tcp::acceptor>, 3> doors;  // by RelayDoor
     std::vector<std::thread> threads;
     std::thread disk_thread;
     std::mutex disk_lock;
@@ -98,6 +124,9 @@
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
+    auto relay_changes() -> void;                              // how a relaying fleet's documents change
+    auto take_services(Snapshot& fresh) -> void;               // what the document says of listed replicas
+    auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
@@ -107,6 +136,7 @@
     auto try_ended(
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
+    auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
@@ -119,14 +149,36 @@
     auto report_manager() -> awaitable<void>;
     auto order_loop() -> awaitable<void>;
     auto send_order(Order order) -> awaitable<void>;
+    auto relay_list_loop() -> awaitable<void>;
+    auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
+    auto weights_loop() -> awaitable<void>;
+    auto step_weights() -> void;
+    auto licence_checked(int part, std::uint64_t fence) -> awaitable<bool>;
+    auto send_duty_order(DutyOrder order) -> awaitable<void>;
+    auto ask_duty_report(DutyReport asked) -> awaitable<void>;
+    auto poll_metrics(std::string& text) const -> void;
     auto rest_loop() -> awaitable<void>;
     auto step_resting() -> void;
     auto wake() -> void;
     auto judge_resting(Microseconds now) -> void;
     auto accept_loop() -> awaitable<void>;
+    auto listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::string;
+    auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
+    auto sweep_loop() -> awaitable<void>;
+    auto parts_manager() -> awaitable<void>;
+    auto parts_loop(std::string name, bool store) -> awaitable<void>;
+    auto parts_address(std::string const& name, bool store) const -> std::string;
+    auto take_parts(std::string const& name, bool store, KeptEvents const& told, bool anew) -> void;
+    auto parts_silent(std::string const& name, bool store) -> void;
     auto stop_politely() -> awaitable<void>;
+    auto take_limits() -> void;
+    auto reload() -> void;
+    auto look_at_settings(Microseconds now) -> void;
+    auto wait_reload(asio::signal_set& signals) -> void;
     auto metrics_text(Microseconds now) -> std::string;
 
+    std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
+    Microseconds settings_looked = 0;
     std::set<std::string> report_loops;  // on the context's strand of report_manager
     std::mutex loops_lock;
 };
--- /dev/null
+++ b/source/process/node_relay.cpp
@@ -0,0 +1,72 @@
+// What a node does beyond the product's own wire where it relays requests.
+// docs/platform.md section 3.
+#include "process/clock.hpp"
+#include "process/node.hpp"
+#include "version/changes.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr auto unlimited_memory = std::int64_t{1} << 40U;  // a service that keeps no prompts
+}
+
+auto Node::relay_changes() -> void {
+    for (auto index = std::size_t{0}; index < part_count; ++index) {
+        if (index == resting_part) continue;
+        control.parts[index].apply = index == configuration_part
+            ? ApplyChange([this](Copy const& current, Call const& call) {
+                  return apply_versioned(form->documents, current, call);
+              })
+            : ApplyChange(apply_weights_version);
+    }
+    table.granting.options.load_steps = 8;
+    table.granting.options.recompute_tokens_each_second = 100'000.0;
+}
+
+// Capacity and memory are the document's to say; the list tells who is there.
+auto Node::take_services(Snapshot& fresh) -> void {
+    auto const& rules = fresh.rules->services;
+    if (!rules) return;
+    auto& fetch_rate = table.granting.options.fetch_tokens_each_second;
+    for (auto& entry : fresh.list.replicas) {
+        auto const* service = rules->service(entry.model);
+        if (service == nullptr) continue;
+        entry.memory = service->memory > 0 ? service->memory : unlimited_memory;
+        if (service->token_bytes > 0 && service->link_megabits > 0.0)
+            fetch_rate = service->link_megabits * 125'000.0 / static_cast<double>(service->token_bytes);
+        if (entry.capacity <= 0) entry.capacity = service->capacity;
+    }
+}
+
+auto Node::take_replica_weights(Snapshot const& fresh) -> void {
+    auto& stores = table.granting.stores;
+    std::set<std::string> named;
+    if (fresh.rules->services)
+        for (auto const& service : fresh.rules->services->document.services) {
+            if (service.store_address.empty()) continue;
+            named.insert(service.name);
+            auto& store = stores[service.name];
+            if (store.address != service.store_address) store = PartsStore{};
+            store.address = service.store_address;
+            store.area = service.zone;
+        }
+    std::erase_if(stores, [&](auto const& item) { return !named.contains(item.first); });
+    for (auto const& [name, held] : fresh.replica_weights) {
+        auto version = std::int64_t{0};  // one model a service: the greatest number there is
+        for (auto const& [model, number] : held.versions) version = std::max(version, number);
+        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading);
+    }
+}
+
+auto Node::sweep_loop() -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    while (!finished) {
+        timer.expires_after(std::chrono::seconds(1));
+        co_await timer.async_wait(use_tuple);
+        std::set<std::string> names;
+        for (auto const& entry : snapshot.load()->list.replicas) names.insert(entry.name);
+        pool.sweep(names, clock_now());
+    }
+}
+
+}  // namespace dockrock
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -2,6 +2,7 @@
 // Burden of the replicas, derived: own placements, digests of other admitting
 // nodes, late memory reports. docs/design.md section 9.3.
 #include <set>
+#include <unordered_map>
 
 #include "process/machine/reading.hpp"
 #include "ticket/ticket.hpp"
@@ -45,6 +46,7 @@
 
 struct GrantingOptions {  // project options, not in the operator's tree (design 9.6)
     std::int64_t multiplier = 4;
+    std::int64_t load_steps = 0;  // how finely load over capacity is told apart; 0: exactly (design 9.7)
     std::size_t depth = 20;
     Microseconds digest_interval = 200 * one_millisecond;
     Microseconds digest_old = one_second;
@@ -58,7 +60,8 @@
     Microseconds owing_limit = one_second;  // how long an extra try waits for its budget
     Microseconds empty_pool_limit = 1'500 * one_millisecond;
     double fetch_tokens_each_second = 100'000.0;
-    Microseconds link_memory = 30 * one_second;  // how long a measured link speed counts
+    Microseconds link_memory = 30 * one_second;   // how long a measured link speed counts
+    Microseconds saving_memory = 3 * one_second;  // parts sent to a store are told of within this
     double recompute_tokens_each_second = 10'000.0;
 };
 
@@ -90,6 +93,8 @@
     bool unreachable = false;
     std::set<std::uint64_t> kept;  // prefix chains, under the reported weights
     bool kept_unsure = true;
+    std::unordered_map<std::uint64_t, std::uint64_t> parts;  // kept single parts, by part and weights -> weights
+    std::uint64_t weights_mark = 0;                          // hash of the weights it holds now
     std::uint64_t next_event = 0;
 };
 
@@ -107,6 +112,10 @@
 
     auto take_list(ReplicaList const& list) -> void;
     auto take_report(std::string const& name, ReplicaReport const& report, Microseconds asked_at) -> void;
+    auto take_weights(std::string const& name, std::string const& weights, bool loading) -> void;
+    // A replica's late word of one kept part; a gap or a new life forgets all that was told.
+    auto take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept) -> void;
+    auto forget_parts(std::string const& name) -> void;
     auto report_failed(std::string const& name, Microseconds now) -> void;
     auto take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void;
     auto make_digest(Microseconds now) -> std::string;
--- a/source/version/services.hpp
+++ b/source/version/services.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // The operator's document of services: routes by host and prefix, services,
 // tenants and limits, under the operator's own version. docs/platform.md.
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,6 +54,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::int64_t rank = 0;  // goes before the route's
+    bool ranked = true;     // else the route's rank counts
     bool isolated = false;  // shares no kept prompt with others
 };
 struct ServiceDocument {
@@ -64,6 +66,15 @@
     bool keyed = false;  // the document names tenants: requests carry keys
 };
 
+// The two functions of a fleet's form (process/form.hpp) that know documents.
+struct DocumentForm {
+    // Into the product's own structure; empty: it can't be read.
+    std::function<std::optional<ServiceDocument>(std::string_view text, Problems& problems)> read_document;
+    // The whole document that a change of named items results in.
+    std::function<std::optional<std::string>(std::string_view current, std::string_view change, Problems& problems)>
+        merge_document;
+};
+
 // Every reason why it can't be in force, with its path (as the product names things).
 auto check_document(ServiceDocument const& document) -> Problems;
 
@@ -80,6 +91,9 @@
 };
 auto compile_services(ServiceDocument document) -> std::shared_ptr<ServiceRules const>;
 
+// The rank under which a tenant's request on a route waits; without a tenant the route's.
+auto rank_of(Route const& route, ServiceTenant const* tenant) -> std::int64_t;
+
 // Which service of a split takes a request: by weight, from a number that
 // stays the same for one request.
 auto choose_service(Route const& route, std::uint64_t number) -> std::string const&;
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -216,7 +216,7 @@
         return list;
     };
     Part part;
-    part.copies = 3;
+    part.machines_lost = 2;
     auto context = Context{one_second, self, random, cores, [](auto const& name) { return name != "a"; }};
     part.learn(context, Record{1, "a", {"b", "c"}, {"a", "b", "c", "d", "e"}});
     context.now += 5 * one_second;
