--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -111,6 +111,9 @@
     auto const& message = parser->get();
     auto const status = message.result_int();
     auto const success = status >= 200 && status < 300;
+    auto const heard_at = clock_now();
+    if (success)
+        node.table.with([&](Granting& granting) { granting.burden.begin_wait.take(heard_at - now, heard_at); });
     auto const done = [&] {  // the connection may serve another request
         if (!parser->is_done() || parser->need_eof() || !message.keep_alive() || node.finished) return;
         connection->idle_limit = idle_limit_of(message);
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -190,6 +190,7 @@
         });
     }
     publish(now, output);
+    judge_words(now, output);
     ask_news(now, output);
     tick_calls(now, output);
     tick_claims(now, output);
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -38,6 +38,7 @@
     Microseconds resting_interval = one_second;
     Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
     Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
+    Microseconds word_limit = 1'500 * one_millisecond;   // an owner's word that is not stood behind (design 11.3)
     Microseconds list_interval = 300 * one_millisecond;
     Microseconds list_fallback = 1'200 * one_millisecond;
     Microseconds call_limit = 4 * one_second;
@@ -152,6 +153,7 @@
         Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
     auto answer_waiting(Microseconds now, int part, ControlOutput& output) -> void;
     auto take_news(NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto judge_words(Microseconds now, ControlOutput& output) -> void;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
         -> void;
--- a/source/process/machine/control_news.cpp
+++ b/source/process/machine/control_news.cpp
@@ -128,6 +128,15 @@
     }
 }
 
+auto Control::judge_words(Microseconds now, ControlOutput& output) -> void {
+    for (auto part = 1; part <= service_parts; ++part) {
+        auto& item = news[static_cast<std::size_t>(part)];
+        auto const lapsed = proof_age(part, now) > times.word_limit;
+        if (lapsed != item.lapsed && !item.live.empty()) output.news = true;
+        item.lapsed = lapsed;
+    }
+}
+
 auto Control::wants_list(Microseconds now) const -> bool {
     if (owns(configuration_part, now)) return now - last_list_read >= times.list_interval;
     if (resting) return false;
--- a/source/process/machine/part_news.hpp
+++ b/source/process/machine/part_news.hpp
@@ -17,6 +17,7 @@
     std::string live;  // the replica list, or the word of the part's owner; told apart by its digest
     std::uint64_t live_digest = 0;
     Microseconds live_at = -3'600 * one_second;
+    bool lapsed = false;  // no licensed owner stood behind it for a while
     std::uint64_t ask_token = 0;
     Microseconds asked_at = 0;
     std::string asked_whom;
--- a/source/process/machine/snapshot.cpp
+++ b/source/process/machine/snapshot.cpp
@@ -29,10 +29,15 @@
     return rules;
 }
 
-auto take_words(Snapshot& fresh, std::string const& text) -> void {
-    for (auto const& [replica, word] : read_words(text))
+// Of an owner that is gone, no word keeps a replica from use: a replica that is
+// still loading says so itself.
+auto take_words(Snapshot& fresh, PartNews const& item) -> void {
+    auto words = read_words(item.live);
+    for (auto& [replica, word] : words) {
+        word.loading = word.loading && !item.lapsed;
         if (auto const found = fresh.replica_weights.find(replica); found != fresh.replica_weights.end())
             apply_word(found->second, word);
+    }
 }
 
 }  // namespace
@@ -62,7 +67,7 @@
             if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
         }
     for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
-    for (auto part = std::size_t{1}; part <= service_parts; ++part) take_words(*fresh, control.news[part].live);
+    for (auto part = std::size_t{1}; part <= service_parts; ++part) take_words(*fresh, control.news[part]);
     auto const resting = read_object(control.news[resting_part].copy.document);
     if (auto const* names = resting.if_contains("resting"); names != nullptr && names->is_array())
         for (auto const& name : names->as_array())
--- a/source/process/machine/versions_rollout.cpp
+++ b/source/process/machine/versions_rollout.cpp
@@ -27,6 +27,8 @@
         course.service = replica.service;
         course.area = replica.area;
         course.drain = replica.drain;
+        course.running = replica.running;
+        course.running_at = replica.running_at;
         course.listed = replica.version;
         course.version = std::max(course.version, replica.version);
         if (polled(course) && course.version >= course.wanted) course.stage = Stage::idle;
@@ -41,66 +43,32 @@
     std::erase_if(courses, [&](auto const& item) { return !named.contains(item.first); });
 }
 
-auto VersionsRollout::step(
-    std::int64_t wanted, std::uint64_t under_fence, bool may_order, std::size_t at_once,
-    std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions {
-    fence = under_fence;
+auto VersionsRollout::step(RolloutTask const& task, std::vector<ListedReplica> const& replicas, Microseconds now)
+    -> RolloutActions {
+    fence = task.fence;
     take_list(replicas, now);
-    if (wanted > target) {
-        target = wanted;
+    if (task.wanted > target) {
+        target = task.wanted;
         for (auto& [name, course] : courses) course.failures = 0;
     }
-    may_order = may_order && fence > stopped_fence;
+    auto const may_order = task.may_order && fence > stopped_fence;
+    auto const may_drain = may_order || (task.may_drain && fence > stopped_fence);
     RolloutActions actions;
     for (auto& [name, course] : courses) {
+        course.closed = course.version < target && hard_left(task, course.version, now) <= 0;
         if (polled(course) && !course.asking && now >= course.next) {
             course.asking = true;
             actions.reports.push_back(name);
         }
-        if (course.stage != Stage::announced || now < course.next) continue;
-        if (!may_order || course.version >= target || course.drain) {
+        if (course.stage == Stage::draining && (!may_drain || course.version >= target || course.drain))
             course.stage = Stage::idle;
-            continue;
-        }
-        course.stage = Stage::ordering;
-        course.wanted = target;
-        course.ordered_at = course.heard_at = now;
-        actions.orders.push_back({name, target, course.orders});
     }
-    if (may_order) announce(at_once, now);
+    if (may_order) order_drained(task, now, actions);
+    if (may_drain)
+        while (drain_one(task, now, actions)) continue;
     return actions;
 }
 
-// Freed places are filled at once, from the areas with the fewest under way.
-// A replica that is leaving is not worth a load.
-auto VersionsRollout::announce(std::size_t at_once, Microseconds now) -> void {
-    std::map<std::string_view, std::size_t> busy;
-    std::map<std::pair<std::string_view, std::string_view>, std::size_t> busy_there;
-    for (auto const& [name, course] : courses) {
-        if (!holds_place(course, now)) continue;
-        ++busy[course.service];
-        ++busy_there[{course.service, course.area}];
-    }
-    while (true) {
-        Course* best = nullptr;
-        for (auto& [name, course] : courses) {
-            if (course.stage != Stage::idle || course.drain || course.version >= target || now < course.next) continue;
-            if (busy[course.service] >= at_once) continue;
-            auto const fewer = [&](Course const& item) {
-                return std::tuple(item.failures, busy_there[{item.service, item.area}]);
-            };
-            if (best == nullptr || fewer(course) < fewer(*best)) best = &course;
-        }
-        if (best == nullptr) return;
-        best->stage = Stage::announced;
-        best->told = true;
-        best->wanted = target;
-        best->next = now + times.announce;
-        ++busy[best->service];
-        ++busy_there[{best->service, best->area}];
-    }
-}
-
 auto VersionsRollout::give_up(Course& course, Microseconds now) -> void {
     course.stage = Stage::idle;
     auto const doublings = std::min(course.failures, 6);
@@ -159,9 +127,12 @@
     course.version = std::max(course.version, report->version);
     if (!polled(course)) return;
     if (course.version >= course.wanted) {
-        auto const took = now - course.ordered_at;
-        if (course.stage == Stage::loading && course.ordered_at != 0)
+        if (course.stage == Stage::loading && course.own_order) {
+            auto const took = now - course.ordered_at;
             quickest = quickest == 0 ? took : std::min(quickest, took);
+            if (course.empty) paces[course.service].loaded(took);
+            paces[course.service].served_again(now - course.drained_at);
+        }
         course.stage = Stage::idle;
         course.failures = 0;
         course.next = now;
@@ -183,16 +154,17 @@
     course.told = true;
     if (!loading || course.stage != Stage::idle) return;
     course.stage = Stage::unsure;
+    course.own_order = false;
     course.wanted = std::max(target, course.version + 1);
-    course.ordered_at = course.heard_at = course.next = now;
+    course.drained_at = course.ordered_at = course.heard_at = course.next = now;
 }
 
 auto VersionsRollout::words(std::string const& model, WeightsWords& into) const -> void {
     for (auto const& [name, course] : courses) {
-        if (!course.told && course.stage == Stage::idle && course.version <= course.listed) continue;
+        if (!course.told && course.stage == Stage::idle && !course.closed && course.version <= course.listed) continue;
         auto& word = into[name];
         word.versions[model] = course.version;
-        word.loading = word.loading || course.stage != Stage::idle;
+        word.loading = word.loading || course.stage != Stage::idle || course.closed;
     }
 }
 
--- a/source/process/machine/versions_rollout.hpp
+++ b/source/process/machine/versions_rollout.hpp
@@ -4,6 +4,8 @@
 #include <array>
 
 #include "process/machine/replica_weights.hpp"
+#include "process/machine/rollout_pace.hpp"
+#include "process/machine/version_deadlines.hpp"
 
 namespace dockrock {
 
@@ -28,6 +30,19 @@
     std::string area;
     std::int64_t version = 0;
     bool drain = false;
+    std::int64_t running = 0;     // requests there, as the nodes that place them tell
+    Microseconds running_at = 0;  // all of them have told since
+};
+// What is asked of a roll-out now.
+struct RolloutTask {
+    std::int64_t wanted = first_version;
+    std::uint64_t fence = 0;
+    bool may_order = false;
+    bool may_drain = false;  // it may order soon
+    std::size_t at_once = 3;
+    NamedVersions named;
+    Microseconds held_since = 0;           // no deadline counts from before
+    Microseconds bound = 20 * one_second;  // from a naming until nothing begins on older versions
 };
 struct ReportedWeights {
     std::int64_t version = 0;
@@ -42,11 +57,13 @@
 struct RolloutActions {
     std::vector<VersionOrder> orders;
     std::vector<std::string> reports;  // replicas to ask now
+    std::vector<std::string> drains;   // they leave use now
 };
 struct RolloutTimes {
     Microseconds announce = 50 * one_millisecond;     // nodes hear of it before the replica does
     Microseconds first_poll = 800 * one_millisecond;  // after an order, until a load was measured
-    Microseconds poll = 200 * one_millisecond;
+    Microseconds poll = 100 * one_millisecond;
+    Microseconds drain_limit = 2 * one_second;    // an order waits no longer for what runs there
     Microseconds settle = 300 * one_millisecond;  // a report tells of a moment some time ago
     Microseconds believe = one_second;            // a report later than this after an order has seen it
     Microseconds silence = 2 * one_second;        // without a report, a replica holds no place
@@ -57,19 +74,25 @@
 
 struct VersionsRollout {
     struct Course {
-        enum class Stage : int { idle, announced, ordering, unsure, loading };
+        enum class Stage : int { idle, draining, ordering, unsure, loading };
         Stage stage = Stage::idle;
         std::string service;
         std::string area;
         bool drain = false;
+        std::int64_t running = 0;
+        Microseconds running_at = 0;
         std::int64_t listed = 0;
         std::int64_t version = 0;  // newest known to be held
         std::int64_t wanted = 0;   // of the order under way
         std::optional<std::uint64_t> orders;
         bool asking = false;
-        bool told = false;  // a word of it is out
+        bool told = false;       // a word of it is out
+        bool closed = false;     // too late for new requests under the version it holds
+        bool own_order = false;  // by this holder
+        bool empty = false;      // when it was ordered, nothing ran there
         int failures = 0;
-        Microseconds next = 0;  // the next thing is due
+        Microseconds next = 0;        // the next thing is due
+        Microseconds drained_at = 0;  // nodes were told to place nothing there
         Microseconds ordered_at = 0;
         Microseconds heard_at = 0;
         Microseconds shown_at = 0;
@@ -80,10 +103,9 @@
     std::uint64_t stopped_fence = 0;  // a later holder was seen under this fence: no more orders
     Microseconds quickest = 0;        // measured from order to report
     std::map<std::string, Course> courses;
+    std::map<std::string, RolloutPace> paces;  // by service
 
-    auto step(
-        std::int64_t wanted, std::uint64_t under_fence, bool may_order, std::size_t at_once,
-        std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions;
+    auto step(RolloutTask const& task, std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions;
     auto order_ended(std::string const& replica, OrderEnd end, Microseconds now) -> void;
     auto reported(
         std::string const& replica, std::optional<ReportedWeights> const& report, Microseconds asked_at,
@@ -95,8 +117,12 @@
     auto under_way() const -> bool;
 
    private:
+    auto hard_left(RolloutTask const& task, std::int64_t held, Microseconds now) const -> Microseconds;
     auto take_list(std::vector<ListedReplica> const& replicas, Microseconds now) -> void;
-    auto announce(std::size_t at_once, Microseconds now) -> void;
+    auto drain_one(RolloutTask const& task, Microseconds now, RolloutActions& actions) -> bool;
+    auto order_drained(RolloutTask const& task, Microseconds now, RolloutActions& actions) -> void;
+    auto order(Course& course, std::string const& name, Microseconds now, RolloutActions& actions) -> void;
+    auto ready(Course const& course, Microseconds now) const -> bool;
     auto give_up(Course& course, Microseconds now) -> void;
     auto holds_place(Course const& course, Microseconds now) const -> bool;
 };
--- a/source/process/machine/weights_duty.cpp
+++ b/source/process/machine/weights_duty.cpp
@@ -7,11 +7,21 @@
 namespace {
 constexpr auto no_words = std::string_view("{}");
 
-auto listed_for(Snapshot const& snapshot, int part, std::string const& model) -> std::vector<ListedReplica> {
+constexpr auto drain_time = one_second;  // so long before the first order a new holder begins to drain
+
+// Where nobody tells of requests placed, there are none.
+auto listed_for(
+    Snapshot const& snapshot, int part, std::string const& model, RunningTold const& running, Microseconds now)
+    -> std::vector<ListedReplica> {
     std::vector<ListedReplica> replicas;
-    for (auto const& entry : snapshot.list.replicas)
-        if (auto const found = entry.weights.find(model); found != entry.weights.end() && ordering_part(entry) == part)
-            replicas.push_back({entry.name, entry.model, entry.area, found->second, entry.drain});
+    for (auto const& entry : snapshot.list.replicas) {
+        auto const found = entry.weights.find(model);
+        if (found == entry.weights.end() || ordering_part(entry) != part) continue;
+        auto const there = running.counts.find(entry.name);
+        auto const count = there == running.counts.end() ? std::int64_t{0} : there->second;
+        replicas.push_back(
+            {entry.name, entry.model, entry.area, found->second, entry.drain, count, running.told_at.value_or(now)});
+    }
     return replicas;
 }
 
@@ -33,18 +43,23 @@
         control.best_record(part).epoch == fence;
 }
 
-auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions {
+auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now, RunningTold const& running)
+    -> DutyActions {
     DutyActions actions;
-    for (auto part = 1; part <= service_parts; ++part) step_part(part, control, snapshot, now, actions);
+    deadlines.take(control, snapshot, now);
+    for (auto part = 1; part <= service_parts; ++part) step_part(part, control, snapshot, now, running, actions);
     return actions;
 }
 
 auto WeightsDuty::step_part(
-    int part, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions) -> void {
+    int part, Control const& control, Snapshot const& snapshot, Microseconds now, RunningTold const& running,
+    DutyActions& actions) -> void {
     auto const& record = control.best_record(part);
     auto const primary = record.epoch > 0 && record.primary == control.membership.self.identity;
     auto const licensed = control.owns(part, now);
-    auto const waited = tenures[static_cast<std::size_t>(part)].step(record.epoch, primary, licensed, wait, now);
+    auto& tenure = tenures[static_cast<std::size_t>(part)];
+    auto const waited = tenure.step(record.epoch, primary, licensed, wait, now);
+    auto const soon = licensed && tenure.step(record.epoch, primary, licensed, wait - drain_time, now);
     if (!primary) {
         std::erase_if(rollouts, [&](auto const& item) { return item.first.first == part; });
         return;
@@ -60,7 +75,7 @@
     auto words = WeightsWords();
     auto read_told = false;
     for (auto const& model : models) {
-        auto const replicas = listed_for(snapshot, part, model);
+        auto const replicas = listed_for(snapshot, part, model, running, now);
         auto const [place, fresh] = rollouts.try_emplace({part, model});
         auto& rollout = place->second;
         if (fresh) {  // what a former owner had under way is asked after first
@@ -73,12 +88,22 @@
                         rollout.adopt(replica, version->second, word->second.loading, now);
         }
         auto const fence = record.epoch;
-        auto const ordering = waited && sure && may_order(control, part, fence, now);
-        auto const due = rollout.step(snapshot.target_version(model), fence, ordering, at_once, replicas, now);
+        auto const holder = sure && may_order(control, part, fence, now);
+        auto const task = RolloutTask{
+            snapshot.target_version(model),
+            fence,
+            waited && holder,
+            soon && holder,
+            at_once,
+            deadlines.models[model],
+            deadlines.held_since[static_cast<std::size_t>(part)],
+            bound};
+        auto const due = rollout.step(task, replicas, now);
         for (auto const& order : due.orders)
             actions.orders.push_back({order, address_of(snapshot, order.replica), model, fence, part});
         for (auto const& replica : due.reports)
             actions.reports.push_back({replica, address_of(snapshot, replica), model, part});
+        actions.drains.insert(actions.drains.end(), due.drains.begin(), due.drains.end());
         rollout.words(model, words);
         actions.under_way = actions.under_way || rollout.under_way();
     }
--- a/source/process/machine/weights_duty.hpp
+++ b/source/process/machine/weights_duty.hpp
@@ -4,6 +4,7 @@
 #include "process/machine/snapshot.hpp"
 #include "process/machine/tenure.hpp"
 #include "process/machine/versions_rollout.hpp"
+#include "ticket/burden.hpp"
 
 namespace dockrock {
 
@@ -23,25 +24,30 @@
 struct DutyActions {
     std::vector<DutyOrder> orders;
     std::vector<DutyReport> reports;
+    std::vector<std::string> drains;                 // replicas that leave use now
     std::vector<std::pair<int, std::string>> words;  // part, and the text to be spread for it
     bool under_way = false;
 };
 
 struct WeightsDuty {
     std::size_t at_once = 3;                      // replicas of one service
+    Microseconds bound = 20 * one_second;         // from a naming until nothing begins on older versions
     Microseconds wait = 3'200 * one_millisecond;  // of a new holder
+    VersionDeadlines deadlines;
     std::array<Tenure, part_count> tenures;
     std::map<std::pair<int, std::string>, VersionsRollout> rollouts;  // by part and model
 
-    auto step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions;
+    auto step(Control const& control, Snapshot const& snapshot, Microseconds now, RunningTold const& running = {})
+        -> DutyActions;
     auto order_ended(DutyOrder const& order, OrderEnd end, Microseconds now) -> void;
     auto reported(
         DutyReport const& asked, std::optional<ReportedWeights> const& report, Microseconds asked_at, Microseconds now)
         -> void;
 
    private:
-    auto step_part(int part, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions)
-        -> void;
+    auto step_part(
+        int part, Control const& control, Snapshot const& snapshot, Microseconds now, RunningTold const& running,
+        DutyActions& actions) -> void;
 };
 
 // One replica takes orders of one holder: that of the part which its first model lies in.
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -179,6 +179,7 @@
     if (fresh->rules != old->rules)
         write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
     snapshot = fresh;
+    weights_duty.deadlines.take(control, *fresh, clock_now());
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
     if (form != nullptr) take_services(*fresh);
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -51,10 +51,13 @@
             store.area = service.zone;
         }
     std::erase_if(stores, [&](auto const& item) { return !named.contains(item.first); });
-    for (auto const& [name, held] : fresh.replica_weights) {
+    for (auto const& entry : fresh.list.replicas) {
+        auto const& held = fresh.replica_weights.at(entry.name);
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
         for (auto const& [model, number] : held.versions) version = std::max(version, number);
-        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading);
+        auto const until = weights_duty.deadlines.until(ordering_part(entry), held, settings.bounds.weights);
+        table.granting.burden.take_weights(
+            entry.name, version == 0 ? "" : std::to_string(version), held.loading, until);
     }
 }
 
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -8,6 +8,7 @@
 auto Node::tick_control() -> void {
     auto const now = clock_now();
     act_on(control.tick(now));
+    if (form != nullptr && weights_duty.deadlines.take(control, *snapshot.load(), now)) publish_snapshot();
     log_parts(now);
     judge_resting(now);
     tick_waiting = false;
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -40,8 +40,10 @@
 
 auto Node::step_weights() -> void {
     auto const now = clock_now();
-    auto due = weights_duty.step(control, *snapshot.load(), now);
+    auto const running = table.with([&](Granting& granting) { return granting.burden.told_running(now); });
+    auto due = weights_duty.step(control, *snapshot.load(), now, running);
     weights_under_way = due.under_way;
+    for (auto const& name : due.drains) write_log(Level::information, "weights-draining", fields("replica", name));
     for (auto const& [part, text] : due.words) act_on(control.live_read(part, now, now, text));
     for (auto& order : due.orders)
         asio::co_spawn(asio::make_strand(context), send_duty_order(std::move(order)), asio::detached);
@@ -54,6 +56,7 @@
     in_control([this] {
         weights_duty.at_once = static_cast<std::size_t>(settings.weights_at_once);
         weights_duty.wait = settings.bounds.lease + 200 * one_millisecond;
+        weights_duty.bound = settings.bounds.weights;
     });
     while (!finished) {
         co_await pause((weights_under_way ? 25 : 200) * one_millisecond);
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -217,23 +217,6 @@
     return rank < left;
 }
 
-// What is known of a replica's weights where it reports nothing else.
-auto BurdenTable::take_weights(std::string const& name, std::string const& weights, bool loading) -> void {
-    auto const found = replicas.find(name);
-    if (found == replicas.end()) return;
-    auto& state = found->second;
-    if (!state.report || state.report->weights != weights) {
-        state.weights_mark = hash_text(weights);
-        std::erase_if(state.parts, [&](auto const& item) { return item.second != state.weights_mark; });
-        state.report = ReplicaReport{};
-        state.report->incarnation = name;
-        state.report->weights = weights;
-    }
-    state.report->changing = loading;
-    state.report->free_memory = state.entry.memory;
-    state.kept_unsure = false;
-}
-
 // A replica's own word that it did not run something, and why.
 auto BurdenTable::refused(std::string const& name, std::string_view reason, Microseconds now) -> void {
     auto const found = replicas.find(name);
@@ -249,7 +232,7 @@
 auto BurdenTable::check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter {
     if (state.entry.drain) return Filter::available;
     if (state.unreachable || now < state.unreachable_until) return Filter::reachable;
-    if (!state.report || state.report->changing) return Filter::weights;
+    if (!state.report || state.report->changing || outdated(state, now)) return Filter::weights;
     if (!ticket.body.weights.empty() && ticket.body.weights != state.report->weights) return Filter::weights;
     if (state.entry.capacity < ticket.body.slots) return Filter::capacity;
     if (now < state.paused_until || !has_room(state, now)) return Filter::busy;
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -63,6 +63,8 @@
     Microseconds link_memory = 30 * one_second;   // how long a measured link speed counts
     Microseconds saving_memory = 3 * one_second;  // parts sent to a store are told of within this
     double recompute_tokens_each_second = 10'000.0;
+    Microseconds version_margin = one_second;          // before older weights are too old, beside the wait there
+    Microseconds longest_begin_wait = 3 * one_second;  // of that wait, what is counted at most
 };
 
 enum class Filter : int { available, reachable, busy, memory, capacity, weights, passed };
@@ -91,13 +93,28 @@
     Microseconds reported_at = 0;  // when the report was asked for
     Microseconds unreachable_until = 0;
     bool unreachable = false;
-    std::set<std::uint64_t> kept;  // prefix chains, under the reported weights
+    Microseconds weights_until = std::numeric_limits<Microseconds>::max();  // the weights it holds serve as long
+    std::set<std::uint64_t> kept;                                           // prefix chains, under the reported weights
     bool kept_unsure = true;
     std::unordered_map<std::uint64_t, std::uint64_t> parts;  // kept single parts, by part and weights -> weights
     std::uint64_t weights_mark = 0;                          // hash of the weights it holds now
     std::uint64_t next_event = 0;
 };
 
+// Requests placed on replicas and not yet finished, as nodes tell of them.
+struct RunningTold {
+    std::map<std::string, std::int64_t> counts;
+    std::optional<Microseconds> told_at;  // each of those who place requests has told since; none: there is nobody
+};
+// A greatest value seen, halved with every half-life since.
+struct FadingMost {
+    Microseconds value = 0;
+    Microseconds at = 0;
+    static constexpr Microseconds half_life = 2 * one_second;
+    auto now(Microseconds moment) const -> Microseconds;
+    auto take(Microseconds sample, Microseconds moment) -> void;
+};
+
 struct BurdenTable {
     GrantingOptions options;
     std::string self;
@@ -109,10 +126,15 @@
     };
     std::map<std::string, Digest> others;
     std::uint64_t digest_number = 0;
+    FadingMost begin_wait;  // in replicas, from sending until an answer begins
 
     auto take_list(ReplicaList const& list) -> void;
     auto take_report(std::string const& name, ReplicaReport const& report, Microseconds asked_at) -> void;
-    auto take_weights(std::string const& name, std::string const& weights, bool loading) -> void;
+    // Nothing new begins there from `until` on: newer weights are named.
+    auto take_weights(
+        std::string const& name, std::string const& weights, bool loading,
+        Microseconds until = std::numeric_limits<Microseconds>::max()) -> void;
+    auto told_running(Microseconds now) const -> RunningTold;
     // A replica's late word of one kept part; a gap or a new life forgets all that was told.
     auto take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept) -> void;
     auto forget_parts(std::string const& name) -> void;
@@ -130,6 +152,7 @@
     auto active_nodes(Microseconds now) const -> std::int64_t;
     auto refused(std::string const& name, std::string_view reason, Microseconds now) -> void;
     auto has_room(ReplicaState const& state, Microseconds now) const -> bool;
+    auto outdated(ReplicaState const& state, Microseconds now) const -> bool;
 };
 
 // One chain under one weights name; memory of other weights never matches.
--- a/tests/versions_rollout_test.cpp
+++ b/tests/versions_rollout_test.cpp
@@ -30,6 +30,7 @@
         std::deque<std::pair<Microseconds, ReportedWeights>> told;
     };
     VersionsRollout rollout;
+    RolloutTask task;
     std::map<std::string, Replica> replicas;
     std::map<std::string, std::pair<Microseconds, std::int64_t>> listed;  // the list is late
     Microseconds now = 100 * one_second;
@@ -77,7 +78,12 @@
                     {name, "service", "area-" + std::to_string(hash_text(name) % 4), version, replica.drain});
         }
         most_at_once = std::max(most_at_once, loading);
-        auto const due = rollout.step(target, fence, may_order, 3, seen, now);
+        if (task.named.since.empty() || task.named.since.rbegin()->first < target) task.named.learn(target, now);
+        task.wanted = target;
+        task.fence = fence;
+        task.may_order = may_order;
+        task.bound = 12 * one_second;
+        auto const due = rollout.step(task, seen, now);
         for (auto const& order : due.orders) {
             ++orders;
             auto const dropped = lost.erase(order.replica) > 0;
