--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -19,7 +19,7 @@
               })
             : ApplyChange(apply_weights_version);
     }
-    table.granting.options.load_steps = 8;
+    table.granting.options.load_steps = 4;
     table.granting.options.recompute_tokens_each_second = 100'000.0;
 }
 
@@ -69,6 +69,10 @@
         std::set<std::string> names;
         for (auto const& entry : snapshot.load()->list.replicas) names.insert(entry.name);
         pool.sweep(names, clock_now());
+        in_control([this] {  // what a replica's refusal said of its weights is asked anew
+            auto const guard = std::lock_guard(table.lock);
+            take_replica_weights(*snapshot.load());
+        });
     }
 }
 
