Relayed requests: a line for each try at level debug

For following single requests: when it was sent, when its first piece went out and when it ended, what was kept, what the replica was held to run and what its own word of load was. Level debug only.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -212,10 +212,7 @@
                 auto const replica = course.placement.replica;
                 auto const result = co_await send_try(request, judged, course, answer);
                 node.try_ended(replica, course.ticket, result.end, result.reason, sent_at);
-                if (result.end != TryEnd::answered)
-                    write_log(
-                        Level::debug, "try-ended",
-                        fields("replica", replica, "reason", result.reason, "route", judged.route->name));
+                log_try(request, judged, course, answer, result, sent_at);
                 step = course.ended(result.end, result.reason);
                 break;
             }
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -24,6 +24,8 @@
     // A replica's own failure that may be passed on where no other try is left.
     std::string failure_head;
     std::string failure_body;
+    Microseconds first_at = 0;  // the first piece went out
+    std::string load;           // the replica's own word, as its answer had it
 };
 
 struct RelaySession {
@@ -38,6 +40,9 @@
     auto send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
         -> awaitable<TryResult>;
     auto wait_for_place(Course& course) -> awaitable<CourseStep>;
+    auto log_try(
+        HttpRequest const& request, RelayVerdict const& judged, Course const& course, RelayAnswer const& answer,
+        TryResult const& result, Microseconds sent_at) const -> void;
     auto refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after = std::string())
         -> awaitable<bool>;
     auto begin_watch() -> void;
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -109,6 +109,8 @@
             co_return ended(TryEnd::unknown_before, "replica-broke-before-its-answer");
     }
     auto const& message = parser->get();
+    auto const load = message[form.headers.load];
+    answer.load.assign(load.data(), load.size());
     auto const status = message.result_int();
     auto const success = status >= 200 && status < 300;
     auto const done = [&] {  // the connection may serve another request
@@ -158,6 +160,7 @@
         if (events && answer.chunked && !bytes.empty()) bytes = answer.events.take(bytes);
         if (finished && events && answer.chunked) bytes += answer.events.rest;
         if (!bytes.empty() || finished) {
+            if (!answer.head_sent) answer.first_at = clock_now();
             if (!answer.head_sent)
                 node.measures.first_pieces.of(course.ticket).add(clock_now() - course.ticket.arrived_at);
             answer.head_sent = true;
--- a/source/process/log.hpp
+++ b/source/process/log.hpp
@@ -10,6 +10,7 @@
 
 auto start_log(std::string const& file, std::string const& node, Level least) -> void;
 auto write_log(Level level, std::string_view event, boost::json::object fields = {}) -> void;
+auto logs(Level level) -> bool;
 auto set_log_level(Level least) -> void;
 auto level_of(std::string_view name) -> Level;
 
--- a/source/ticket/answering.hpp
+++ b/source/ticket/answering.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What follows a try, and the order of an answer's pieces. Pure: the
 // connection and the simulator both run this. docs/design.md section 10.
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,9 @@
     broken_resumable,  // whole events went out, and another replica may go on after the last
     answered_failure,  // the replica's own failure: it ran
 };
+inline constexpr auto try_end_names = std::to_array<std::string_view>(
+    {"answered", "did-not-run", "not-sent", "unknown-before", "broken-after", "caller-gone", "broken-resumable",
+     "answered-failure"});
 enum class NextStep : int { finished, enter_again, answer_unknown, answer_seen };
 
 // Another try only where the last is known not to have run, or where the
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -162,7 +162,8 @@
         auto const kept = burden.kept_tokens(*found, ticket);
         decisions.placements.push_back(
             {ticket.number, found->entry.name, found->entry.address, found->report->weights, found->report->incarnation,
-             kept, ticket.parts_alone ? plan_parts(*found, ticket, kept, now) : plan_fetch(*found, ticket, kept, now)});
+             kept, ticket.parts_alone ? plan_parts(*found, ticket, kept, now) : plan_fetch(*found, ticket, kept, now),
+             burden.running(*found, now)});
         auto const memory = ticket.declared() - kept;
         burden.place(found->entry.name, ticket, memory, now);
         auto& used = usage[ticket.tenant_path];
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -35,6 +35,7 @@
     std::string incarnation;
     std::int64_t kept_tokens = 0;
     FetchPlan fetch;
+    std::int64_t running = 0;  // held to be there when it was placed
 };
 enum class ShedReason : int { buffer_full, deadline, not_fresh, no_replica, key_gone, outranked, budget };
 inline constexpr auto shed_names = std::to_array<std::string_view>(
