--- a/tests/hollow/fleet.cpp
+++ b/tests/hollow/fleet.cpp
@@ -81,6 +81,8 @@
         }
         for (auto const& [from, digest] : output.digests)
             if (requests) node.load.table.take_digest(from, digest.number, digest.body, now);
+        for (auto const& [from, sum] : output.load_sums)
+            node.load.table.take_sum(from, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
         if (output.news) {
             node.snapshot = make_snapshot(node.control, *node.snapshot);
             if (requests) node.load.table.take_list(node.snapshot->list);
@@ -151,6 +153,7 @@
     settings.area = node.area;
     settings.core = node.core;
     settings.core_count = shape.cores;
+    settings.load_relays_from = shape.load_relays_from;
     for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     {
@@ -203,8 +206,14 @@
     node.load.run_until(now);  // the requests themselves are not measured here
     use_account(before);
     act(node, [&] {
-        auto const body = node.load.table.make_digest(now);
-        return node.control.digest(body, static_cast<std::uint64_t>(now), node.snapshot->resting);
+        auto& table = node.load.table;
+        auto const number = static_cast<std::uint64_t>(now);
+        table.relayed = node.control.judge_load_relays();
+        table.fleet_nodes = node.control.nodes_placing();
+        if (table.relayed)
+            return node.control.tell_load(
+                now, number, table.make_told(number, now), table.summed.relay, table.summed.number);
+        return node.control.digest(table.make_digest(now), number, node.snapshot->resting);
     });
 }
 
--- a/tests/hollow/fleet.hpp
+++ b/tests/hollow/fleet.hpp
@@ -19,6 +19,7 @@
     std::size_t regions = 1;
     std::size_t tenants = 8;
     LoadShape load;
+    std::size_t load_relays_from = 0;
 };
 auto fleet_shape_of(std::size_t nodes) -> FleetShape;
 
--- a/tests/hollow/hollow.cpp
+++ b/tests/hollow/hollow.cpp
@@ -65,6 +65,8 @@
     auto seconds = TCLAP::ValueArg<double>("", "seconds", "simulated, of each phase", false, 10.0, "SECONDS", command);
     auto load_seconds =
         TCLAP::ValueArg<double>("", "load-seconds", "simulated, of the phase load", false, 3.0, "SECONDS", command);
+    auto relays = TCLAP::ValueArg<std::size_t>(
+        "", "load-relays-from", "load goes through relays from so many nodes on; 0: never", false, 0, "NODES", command);
     command.parse(argument_count, arguments);
     if (!reported.getValue().empty())
         return report(reported.getValue(), target.getValue(), drawing.getValue(), drawn.getValue());
@@ -80,7 +82,9 @@
                 options.length = static_cast<dockrock::Microseconds>(seconds.getValue() * 1e6);
                 options.load_length = static_cast<dockrock::Microseconds>(load_seconds.getValue() * 1e6);
                 options.told = [](Run const& run) { write_run(std::cout, run); };
-                measure_control(fleet_shape_of(size), seed, options);
+                auto shape = fleet_shape_of(size);
+                shape.load_relays_from = relays.getValue();
+                measure_control(shape, seed, options);
                 continue;
             }
             auto shape = shape_of(size);
