--- a/programs/dockrock_plan.cpp
+++ b/programs/dockrock_plan.cpp
@@ -32,9 +32,11 @@
     if (!parsed || !parsed->is_object() || !parsed->as_object().contains("parts")) return parts;
     for (auto const& item : parsed->as_object().at("parts").as_array()) {
         auto const& part = item.as_object();
-        parts.push_back(
-            {std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()),
-             std::string(part.at("understudy").as_string())});
+        auto entry =
+            PlanPart{std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()), {}};
+        for (auto const& understudy : part.at("understudies").as_array())
+            entry.understudies.emplace_back(understudy.as_string());
+        parts.push_back(std::move(entry));
     }
     return parts;
 }
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -1,4 +1,5 @@
 // What operators and the platform ask of a node. docs/interfaces.md.
+#include "connection/losses.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
 
@@ -31,28 +32,6 @@
     return fields("error", "nothing was changed", "problems", write_problems(problems));
 }
 
-// Whether the fleet stands one more lost core node, as far as this node sees; if not, why.
-auto loss_problems(Control const& control, Microseconds now) -> json::array {
-    json::array problems;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
-        auto const number = static_cast<int>(index);
-        auto const& record = control.best_record(number);
-        auto const name = std::string(part_names[index]);
-        auto const lives = [&](std::string const& identity) {
-            return identity == control.membership.self.identity || control.membership.alive(identity);
-        };
-        auto const voters = static_cast<std::size_t>(
-            std::count_if(record.voters.begin(), record.voters.end(), [&](auto const& voter) { return lives(voter); }));
-        auto const told = [&](std::string what) { problems.push_back(json::string(name + ": " + what)); };
-        if (record.epoch == 0) told("no pair yet");
-        else if (!lives(record.primary)) told("the primary is lost");
-        else if (!lives(record.understudy)) told("the understudy is lost");
-        else if (voters < majority_of(record.voters.size()) + 1) told("too few voters live");
-        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a licensed owner");
-    }
-    return problems;
-}
-
 auto status_of(Node& node) -> json::object {
     auto const now = clock_now();
     json::array members;
@@ -64,21 +43,21 @@
         auto const& record = node.control.best_record(number);
         parts.push_back(fields(
             "name", json::string_view(part_names[index].data(), part_names[index].size()), "epoch", record.epoch,
-            "primary", record.primary, "understudy", record.understudy, "voters", write_json(record.voters),
-            "owned_here", node.control.owns(number, now), "sequence", etag_of(node.control.news[index].copy.sequence),
-            "proof_age_microseconds", node.control.proof_age(number, now), "disk_healthy",
-            node.control.parts[index].healthy));
+            "primary", record.primary, "understudies", write_json(record.understudies), "voters",
+            write_json(record.voters), "owned_here", node.control.owns(number, now), "sequence",
+            etag_of(node.control.news[index].copy.sequence), "proof_age_microseconds",
+            node.control.proof_age(number, now), "disk_healthy", node.control.parts[index].healthy));
     }
     auto const current = node.snapshot.load();
     auto problems = loss_problems(node.control, now);
     auto const safe = problems.empty();
     return fields(
-        "one_more_loss_safe", safe, "why_not", std::move(problems), "news_bytes", node.control.news_bytes,
-        "news_bytes_whole", node.control.news_bytes_whole, "identity", node.control.membership.self.identity, "ready",
-        node.ready(now), "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
-        etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
-        now - node.control.news[configuration_part].live_at, "open_tickets", node.open_tickets.load(), "members",
-        std::move(members), "parts", std::move(parts));
+        "one_more_loss_safe", safe, "losses_borne", losses_borne(node.control, now), "why_not", std::move(problems),
+        "news_bytes", node.control.news_bytes, "news_bytes_whole", node.control.news_bytes_whole, "identity",
+        node.control.membership.self.identity, "ready", node.ready(now), "resting", node.resting_now.load(), "stopping",
+        node.stopping.load(), "configuration_in_force", etag_of(current->rules->sequence), "replicas_listed",
+        current->list.replicas.size(), "list_age_microseconds", now - node.control.news[configuration_part].live_at,
+        "open_tickets", node.open_tickets.load(), "members", std::move(members), "parts", std::move(parts));
 }
 
 }  // namespace
--- a/source/process/machine/claims.hpp
+++ b/source/process/machine/claims.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The claims of run-once tickets that a part's pair keeps: which ticket may be
+// The claims of run-once tickets that a part's group keeps: which ticket may be
 // sent under a caller's identity. docs/design.md section 10.5.
 #include <deque>
 #include <set>
@@ -38,9 +38,10 @@
     std::uint64_t save_token = 0;
     std::set<std::string> to_fly;  // synced here, not yet flown
     std::set<std::string> flown;   // in the flight under way
+    std::set<std::string> landed;  // understudies that hold it
     bool flying = false;
     bool whole_flies = false;
-    bool whole_needed = true;  // the understudy may lack some
+    bool whole_needed = true;  // an understudy may lack some
     std::uint64_t flight_number = 0;
     Microseconds flown_at = 0;
     std::string flight;
--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -16,14 +16,16 @@
         auto& part = parts[index];
         part.index = static_cast<int>(index);
         part.core_count = given.core_count;
+        part.machines_lost = given.machines_lost;
         part.claims.life = incarnation;
-        part.primary_heard = part.understudy_heard = part.owner_since = now;
+        part.primary_heard = part.owner_since = now;
         if (had_state) part.vote_from = now + part.times.grantor_term;
     }
     for (auto const& saved_part : saved_parts) {
         if (saved_part.part < 0 || saved_part.part >= static_cast<int>(part_count)) continue;
         auto& part = parts[static_cast<std::size_t>(saved_part.part)];
         part.votes = saved_part.votes;
+        part.follow(now);
         part.claims.load(saved_part.claims, now);
         if (saved_part.copy) {
             part.copy = *saved_part.copy;
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -27,8 +27,8 @@
     std::string area;
     std::vector<std::string> seeds;
     bool core = false;
-    std::size_t core_count = 4;  // 0: not told (design 5.7)
-    std::size_t machines_lost = 1;
+    std::size_t core_count = 4;     // 0: not told (design 5.7)
+    std::size_t machines_lost = 1;  // core nodes, at once, with their disks
     bool may_form = true;
 };
 
--- a/source/process/machine/control_anew.cpp
+++ b/source/process/machine/control_anew.cpp
@@ -106,7 +106,7 @@
         auto const& record = part.votes.decided;
         auto const& self = membership.self.identity;
         auto const votes = std::find(record.voters.begin(), record.voters.end(), self) != record.voters.end();
-        return !record.primary.empty() && (votes || record.primary == self || record.understudy == self);
+        return !record.primary.empty() && (votes || record.has_member(self));
     });
     auto const listed = std::find(order.voters.begin(), order.voters.end(), membership.self.identity);
     if (!settings.core || named || order.parts.size() != part_count || listed == order.voters.end()) return;
@@ -116,7 +116,7 @@
         for (auto index = std::size_t{0}; index < part_count; ++index) {
             auto& part = parts[index];
             part.copy = {order.parts[index].sequence, order.parts[index].document, {}};
-            part.learn(context, Record{order.epoch, "", "", order.voters});
+            part.learn(context, Record{order.epoch, "", {}, order.voters});
         }
     });
 }
--- a/source/process/machine/control_form.cpp
+++ b/source/process/machine/control_form.cpp
@@ -72,12 +72,17 @@
         auto const place = record.epoch != 0 ? static_cast<std::size_t>(own - record.voters.begin()) % count
                                              : static_cast<std::size_t>(part.index) % count;
         wanted.primary = record.voters[place];
-        wanted.understudy = record.voters[(place + 1) % count];
         auto const* primary = membership.find(wanted.primary);
-        for (auto step = count - 1; step > 0 && primary != nullptr; --step) {  // pairs lie in different areas
-            auto const* other = membership.find(record.voters[(place + step) % count]);
-            if (other != nullptr && other->area != primary->area) wanted.understudy = other->identity;
-        }
+        auto areas = std::set<std::string>{primary != nullptr ? primary->area : ""};
+        for (auto spread : {true, false})  // groups lie in different areas, where there are enough
+            for (auto step = std::size_t{1}; step < count && wanted.understudies.size() + 1 < part.copies(); ++step) {
+                auto const& identity = record.voters[(place + step) % count];
+                auto const* other = membership.find(identity);
+                if (wanted.has_member(identity) || (spread && (other == nullptr || areas.contains(other->area))))
+                    continue;
+                wanted.understudies.push_back(identity);
+                if (other != nullptr) areas.insert(other->area);
+            }
         part.propose(context, wanted);
     }
 }
--- a/source/process/machine/messages.hpp
+++ b/source/process/machine/messages.hpp
@@ -67,7 +67,7 @@
     std::uint64_t epoch = 0;
     Microseconds asked_at = 0;
 };
-// pairs (design 5)
+// groups (design 5)
 struct Beat {
     int part = 0;
     Record record;
@@ -85,7 +85,7 @@
 };
 struct CopyOffer {
     int part = 0;
-    std::uint64_t epoch = 0;
+    Record record;  // the decided one, whose successor is proposed
     Ballot ballot;
     Copy copy;
     std::string claims;  // all that the giver holds (design 10.5)
@@ -155,7 +155,7 @@
 // forming anew after the loss of every core disk (design 5.9)
 struct PartHeld {
     std::uint64_t epoch = 0;
-    std::vector<std::string> voters;  // of a record that named a pair
+    std::vector<std::string> voters;  // of a record that named a group
     Sequence sequence;
     std::string document;
 };
--- a/source/process/machine/messages_adapted.hpp
+++ b/source/process/machine/messages_adapted.hpp
@@ -15,7 +15,7 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::Beat, part, record, sequence);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Append, part, record, copy);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Appended, part, epoch, sequence);
-BOOST_HANA_ADAPT_STRUCT(dockrock::CopyOffer, part, epoch, ballot, copy, claims);
+BOOST_HANA_ADAPT_STRUCT(dockrock::CopyOffer, part, record, ballot, copy, claims);
 BOOST_HANA_ADAPT_STRUCT(dockrock::CopyTaken, part, epoch, ballot);
 BOOST_HANA_ADAPT_STRUCT(dockrock::SpareOffer, part, record, copy);
 BOOST_HANA_ADAPT_STRUCT(dockrock::NewsCopy, sequence, digest, whole, front, back, text);
--- a/source/process/machine/part.hpp
+++ b/source/process/machine/part.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// One part of the control state on one node: voter, pair member, owner.
+// One part of the control state on one node: voter, member of its group, owner.
 // docs/design.md section 5.
 #include <functional>
 #include <set>
@@ -17,6 +17,8 @@
     Microseconds proposal_limit = 1'500 * one_millisecond;
     Microseconds understudy_limit = 1'000 * one_millisecond;
     Microseconds resend_interval = 400 * one_millisecond;
+    Microseconds copy_patience = 200 * one_millisecond;     // a silent partner is passed over
+    Microseconds rival_patience = 2'000 * one_millisecond;  // an earlier understudy goes first
     Microseconds disk_limit = 600 * one_millisecond;
     Microseconds spare_interval = 2 * one_second;
     Microseconds frozen_gap = 400 * one_millisecond;
@@ -28,7 +30,7 @@
     Ballot promised;
     Ballot accepted_ballot;
     std::optional<Record> accepted;
-    std::uint64_t sealed = 0;  // this node takes no further part as pair member of epochs up to here
+    std::uint64_t sealed = 0;  // this node takes no further part as member of groups of epochs up to here
 };
 struct PartSaved {
     int part = 0;
@@ -90,6 +92,7 @@
 struct Part {
     int index = 0;
     std::size_t core_count = 4;  // 0: not told, then the first voters' number stays
+    std::size_t machines_lost = 1;
     PartTimes times;
     ApplyChange apply;
     Votes votes;
@@ -113,8 +116,11 @@
     bool sent_flight = false;
     Copy flying;
     Microseconds flown_at = 0;
-    Microseconds understudy_heard = 0;
-    Sequence understudy_has;
+    struct Follower {
+        Microseconds heard = 0;
+        Sequence has;
+    };
+    std::map<std::string, Follower> followers;  // the understudies of the decided record
     Microseconds last_spare = 0;
     struct Waiter {
         std::string origin;
@@ -134,6 +140,7 @@
     // understudy
     Microseconds primary_heard = 0;
     Microseconds last_try = 0;
+    Microseconds rival_tried = 0;  // an understudy before this one asked for votes
     // proposer
     struct Proposal {
         enum class Stage : int { preparing, copying, accepting };
@@ -146,7 +153,10 @@
         std::set<std::string> refusals;
         std::uint64_t seal_token = 0;  // the save that seals the epoch
         bool seal_synced = false;
-        bool copy_taken = false;
+        std::set<std::string> taken;        // who holds the sealed copy
+        std::set<std::string> passed_over;  // who did not take it in time
+        bool copied = false;                // all members of `value` hold it
+        Microseconds copying_since = 0;
         Ballot best;
         std::optional<Record> found;
         Microseconds started = 0;
@@ -158,6 +168,13 @@
     auto is_owner(std::string const& self) const -> bool {
         return votes.decided.epoch > 0 && votes.decided.primary == self;
     }
+    auto all_have(Sequence const& sequence) const -> bool {
+        return std::all_of(
+            followers.begin(), followers.end(), [&](auto const& item) { return item.second.has >= sequence; });
+    }
+    // Of a group: losses borne at once, and one, but no more than a majority of the voters (design 5).
+    auto copies() const -> std::size_t;
+    auto follow(Microseconds now) -> void;  // counts anew what the understudies were heard to have
     auto licensed_until(std::string const& self) const -> Microseconds;
     auto licensed(std::string const& self, Microseconds now) const -> bool;
 
@@ -193,10 +210,12 @@
     auto disk_late(Microseconds now) const -> bool;
     auto step_down(Context& context) -> void;
     auto own_tick(Context& context) -> void;
-    auto pair_tick(Context& context) -> void;
+    auto understudy_tick(Context& context) -> void;
     auto proposal_tick(Context& context) -> void;
     auto begin_copying(Context& context) -> void;
     auto begin_accepting(Context& context) -> void;
+    auto copies_taken(Context& context) -> void;
+    auto pass_over(Context& context) -> void;
     auto send_proposal(Context& context) -> void;
     auto fly(Context& context) -> void;
     auto settle(Context& context) -> void;
@@ -208,10 +227,13 @@
     auto claims_saved(Context& context, std::uint64_t token) -> void;
     auto fly_claims(Context& context) -> void;
     auto send_claims(Context& context) -> void;
+    auto claims_flown(Context& context) -> void;
     auto settle_claims(Context& context) -> void;
     auto tick_claims(Context& context) -> void;
     auto claims_under_new_record(Context& context) -> void;
-    auto partner_for(Context& context, std::string const& except) const -> std::string;
+    auto lost_understudies(Context& context) const -> std::set<std::string>;
+    auto understudies_for(Context& context, Record const& from, std::set<std::string> const& lost) const
+        -> std::vector<std::string>;
     auto renewed_voters(Context& context) const -> std::vector<std::string>;
 };
 
--- a/source/process/machine/part_change.cpp
+++ b/source/process/machine/part_change.cpp
@@ -31,9 +31,11 @@
     if (!sent_flight) {
         sent_flight = true;
         flown_at = context.now;
-        context.sends.push_back({votes.decided.understudy, Append{index, votes.decided, flying}});
+        for (auto const& [identity, follower] : followers)
+            if (follower.has < flying.sequence)
+                context.sends.push_back({identity, Append{index, votes.decided, flying}});
     }
-    if (understudy_has < flying.sequence) return;
+    if (!all_have(flying.sequence)) return;
     committed = flying;
     in_flight = false;
     std::erase_if(waiters, [&](auto const& waiter) {
@@ -64,7 +66,7 @@
     for (auto& item : pending) {
         auto const reads = item.call.operation == "get" || item.call.operation == "outcome";
         // What a change came to is told only once this epoch's first copy is on
-        // both disks: until then the partner may hold a copy in which it lives.
+        // all disks: until then a partner may hold a copy in which it lives.
         auto const own_epoch = committed && committed->sequence.epoch == votes.decided.epoch;
         auto const readable =
             committed && licensed(context.self, context.now) && (own_epoch || item.call.operation == "get");
--- a/source/process/machine/part_claim.cpp
+++ b/source/process/machine/part_claim.cpp
@@ -1,4 +1,4 @@
-// Claims of run-once tickets at the owner and its understudy. docs/design.md 10.5.
+// Claims of run-once tickets at the owner and its understudies. docs/design.md 10.5.
 #include <algorithm>
 
 #include "process/machine/part.hpp"
@@ -77,7 +77,7 @@
     fly_claims(context);
 }
 
-// The owner's disk first, then the understudy's: whatever the understudy holds,
+// The owner's disk first, then the understudies': whatever an understudy holds,
 // the owner holds too, so that a restart never gives one key to two tickets.
 auto Part::fly_claims(Context& context) -> void {
     if (claims.flying || !is_owner(context.self) || votes.sealed >= votes.decided.epoch) return;
@@ -94,21 +94,24 @@
             if (auto const found = claims.held.find(key); found != claims.held.end())
                 claims.flight += write_claim(key, found->second, context.now);
     claims.flying = true;
+    claims.landed.clear();
     ++claims.flight_number;
     send_claims(context);
+    claims_flown(context);
 }
 
 auto Part::send_claims(Context& context) -> void {
     claims.flown_at = context.now;
-    context.sends.push_back(
-        {votes.decided.understudy,
-         ClaimFlight{index, votes.decided, claims.life, claims.flight_number, claims.flight}});
+    for (auto const& understudy : votes.decided.understudies)
+        if (!claims.landed.contains(understudy))
+            context.sends.push_back(
+                {understudy, ClaimFlight{index, votes.decided, claims.life, claims.flight_number, claims.flight}});
 }
 
 auto Part::on(Context& context, std::string const& from, ClaimFlight const& message) -> void {
     learn(context, message.record);
     if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (votes.decided.understudy != context.self || votes.sealed >= votes.decided.epoch) return;
+    if (!votes.decided.has_understudy(context.self) || votes.sealed >= votes.decided.epoch) return;
     primary_heard = context.now;
     auto const place = std::pair(message.life, message.number);
     if (place < claims.newest_flight) return;
@@ -119,10 +122,17 @@
 }
 
 auto Part::on(Context& context, std::string const& from, ClaimFlown const& message) -> void {
-    if (!is_owner(context.self) || message.epoch != votes.decided.epoch || from != votes.decided.understudy) return;
+    if (!is_owner(context.self) || message.epoch != votes.decided.epoch) return;
+    if (!votes.decided.has_understudy(from)) return;
     if (!claims.flying || message.life != claims.life || message.number != claims.flight_number) return;
     if (votes.sealed >= votes.decided.epoch) return;
-    understudy_heard = context.now;
+    followers[from].heard = context.now;
+    claims.landed.insert(from);
+    claims_flown(context);
+}
+
+auto Part::claims_flown(Context& context) -> void {
+    if (claims.landed.size() < votes.decided.understudies.size()) return;
     claims.flying = false;
     claims.flown.clear();
     if (claims.whole_flies) claims.whole_needed = false;
@@ -150,7 +160,7 @@
     push_claims(context);
 }
 
-// A new record: the pair may be new, so the understudy is given all there is.
+// A new record: the group may be new, so its understudies are given all there is.
 auto Part::claims_under_new_record(Context& context) -> void {
     claims.newest_flight = {0, 0};
     claims.flying = false;
--- a/source/process/machine/part_pair.cpp
+++ b/source/process/machine/part_pair.cpp
@@ -1,4 +1,4 @@
-// The pair: owner and understudy, changes and their outcomes. docs/design.md 5.4 to 5.6.
+// The group: owner and understudies, changes and their outcomes. docs/design.md 5.4 to 5.6.
 #include <algorithm>
 
 #include "process/machine/part.hpp"
@@ -30,7 +30,8 @@
 
 auto Part::tick(Context& context) -> void {
     if (last_tick != 0 && context.now - last_tick > times.frozen_gap) {
-        primary_heard = understudy_heard = context.now;  // a frozen node distrusts its own timers
+        primary_heard = context.now;  // a frozen node distrusts its own timers
+        for (auto& [identity, follower] : followers) follower.heard = context.now;
     }
     last_tick = context.now;
     if (!healthy || disk_late(context.now)) {
@@ -52,7 +53,7 @@
     proposal_tick(context);
     tick_claims(context);
     if (is_owner(context.self)) own_tick(context);
-    else if (votes.decided.understudy == context.self && votes.decided.epoch > 0) pair_tick(context);
+    else if (votes.decided.has_understudy(context.self) && votes.decided.epoch > 0) understudy_tick(context);
 }
 
 auto Part::proposal_tick(Context& context) -> void {
@@ -61,56 +62,23 @@
         proposal.reset();
         return;
     }
+    if (proposal->stage == Proposal::Stage::copying && context.now - proposal->copying_since > times.copy_patience)
+        pass_over(context);
     if (context.now - proposal->sent > times.resend_interval) send_proposal(context);
 }
 
-auto Part::partner_for(Context& context, std::string const& except) const -> std::string {
-    std::vector<std::string> same_area;
-    std::vector<std::string> other_area;
-    std::string own_area;
-    auto const cores = context.cores();
-    for (auto const& member : cores)
-        if (member.identity == context.self) own_area = member.area;
-    for (auto const& member : cores) {
-        if (member.identity == context.self || member.identity == except) continue;
-        (member.area == own_area ? same_area : other_area).push_back(member.identity);
-    }
-    auto const& list = other_area.empty() ? same_area : other_area;
-    return list.empty() ? std::string{} : list[context.random.below(list.size())];
-}
-
-// A core node whose disk came back empty has a new identity; it votes only
-// once a majority has decided a record that names it (design 5.5).
-auto Part::renewed_voters(Context& context) const -> std::vector<std::string> {
-    auto voters = votes.decided.voters;
-    std::vector<std::string> fresh;
-    for (auto const& member : context.cores())
-        if (std::find(voters.begin(), voters.end(), member.identity) == voters.end()) fresh.push_back(member.identity);
-    for (auto& voter : voters) {
-        if (fresh.empty()) break;
-        if (context.alive(voter)) continue;
-        voter = fresh.back();
-        fresh.pop_back();
-    }
-    auto const most = core_count != 0 ? core_count : votes.decided.voters.size();
-    while (voters.size() < most && !fresh.empty()) {
-        voters.push_back(fresh.back());
-        fresh.pop_back();
-    }
-    return voters;
-}
-
 auto Part::own_tick(Context& context) -> void {
     auto const& record = votes.decided;
     if (context.now - last_ask >= times.renew_interval || last_ask == 0) {
         last_ask = context.now;
         for (auto const& voter : record.voters)
             context.sends.push_back({voter, LicenceAsk{index, record, context.now}});
-        context.sends.push_back({record.understudy, Beat{index, record, copy.sequence}});
+        for (auto const& understudy : record.understudies)
+            context.sends.push_back({understudy, Beat{index, record, copy.sequence}});
         if (committed && context.now - last_spare > times.spare_interval) {  // the sweep for old spare copies
             last_spare = context.now;
             for (auto const& member : context.cores())
-                if (member.identity != context.self && member.identity != record.understudy)
+                if (!record.has_member(member.identity))
                     context.sends.push_back({member.identity, Beat{index, record, committed->sequence}});
         }
     }
@@ -144,45 +112,64 @@
         return;
     auto wanted = record;
     wanted.voters = renewed_voters(context);
-    auto const understudy_silent = context.now - understudy_heard;
-    auto const understudy_lost = understudy_silent > times.understudy_limit ||
-        (understudy_silent > 2 * times.renew_interval && !context.alive(record.understudy));
+    auto const lost = lost_understudies(context);
+    auto const too_few = has_licence && record.understudies.size() + 1 < copies();
+    if (!lost.empty() || too_few) wanted.understudies = understudies_for(context, record, lost);
+    auto const grows = wanted.understudies.size() > record.understudies.size();
     auto const unlicensed = context.now - owner_since > times.grantor_term;
     auto const voters_changed = wanted.voters != record.voters && has_licence;
-    if (!understudy_lost && !sealed_now && !unlicensed && !voters_changed) return;
+    if (lost.empty() && !grows && !sealed_now && !unlicensed && !voters_changed) return;
     last_try = context.now;
-    if (understudy_lost) {
-        auto const partner = partner_for(context, record.understudy);
-        if (!partner.empty()) wanted.understudy = partner;
-    }
     propose(context, wanted);
 }
 
-auto Part::pair_tick(Context& context) -> void {
+// Any understudy may take over. Those named earlier go first, so that ballots
+// do not race; one that does not get there holds the others up for a time only.
+auto Part::understudy_tick(Context& context) -> void {
     if (proposal) return;
-    auto const silent = context.now - primary_heard;
+    auto const& understudies = votes.decided.understudies;
+    auto const place = std::find(understudies.begin(), understudies.end(), context.self);
+    auto const before =
+        std::count_if(understudies.begin(), place, [&](auto const& other) { return context.alive(other); });
+    auto const silent = context.now - primary_heard - before * times.try_interval;
     if (silent <= times.silence_limit && (silent <= 2 * times.renew_interval || context.alive(votes.decided.primary)))
         return;
+    if (rival_tried != 0 && context.now - rival_tried < 2 * times.try_interval &&
+        silent < times.silence_limit + times.rival_patience)
+        return;
     if (context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000))) return;
     last_try = context.now;
     auto wanted = votes.decided;
     wanted.primary = context.self;
-    wanted.understudy = partner_for(context, votes.decided.primary);
-    if (wanted.understudy.empty()) wanted.understudy = votes.decided.primary;
+    wanted.understudies.erase(wanted.understudies.begin() + (place - understudies.begin()));
+    wanted.understudies.push_back(votes.decided.primary);
+    auto lost = std::set<std::string>{votes.decided.primary};
+    for (auto const& other : understudies)
+        if (!context.alive(other)) lost.insert(other);
+    wanted.understudies = understudies_for(context, wanted, lost);
     wanted.voters = renewed_voters(context);
     propose(context, wanted);
 }
 
-// A polite stop: the understudy becomes owner by an ordinary decision. It holds
-// all that was acknowledged; its new partner gets the sealed copy (design 5.6).
+// A polite stop: an understudy becomes owner by an ordinary decision. It holds
+// all that was acknowledged; all of the new group get the sealed copy (design 5.6).
 auto Part::hand_over(Context& context) -> bool {
     if (!is_owner(context.self) || !healthy) return false;
     if (proposal || context.now - last_try < times.try_interval) return true;
     last_try = context.now;
     auto wanted = votes.decided;
-    wanted.primary = votes.decided.understudy;
-    wanted.understudy = partner_for(context, votes.decided.understudy);
-    if (wanted.understudy.empty() || !context.alive(wanted.primary)) return false;
+    auto lost = std::set<std::string>{context.self};
+    for (auto const& understudy : votes.decided.understudies)
+        if (!context.alive(understudy)) lost.insert(understudy);
+    auto& others = wanted.understudies;
+    auto const next =
+        std::find_if(others.begin(), others.end(), [&](auto const& item) { return !lost.contains(item); });
+    if (next == others.end()) return false;
+    wanted.primary = *next;
+    others.erase(next);
+    others = understudies_for(context, wanted, lost);
+    auto const living = [&](auto const& item) { return context.alive(item); };
+    if (others.size() + 1 < copies() || !std::all_of(others.begin(), others.end(), living)) return false;
     propose(context, wanted);
     return true;
 }
@@ -192,15 +179,15 @@
     if (votes.decided != message.record || from != votes.decided.primary || !healthy || disk_late(context.now)) return;
     primary_heard = context.now;
     // A sealed understudy can acknowledge nothing more: silent, so that the
-    // owner decides on a new pair.
-    if (votes.decided.understudy == context.self && votes.sealed >= votes.decided.epoch) return;
+    // owner decides on a new group.
+    if (votes.decided.has_understudy(context.self) && votes.sealed >= votes.decided.epoch) return;
     context.sends.push_back({from, Appended{index, votes.decided.epoch, synced}});
 }
 
 auto Part::on(Context& context, std::string const& from, Append const& message) -> void {
     learn(context, message.record);
     if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (votes.decided.understudy != context.self || votes.sealed >= votes.decided.epoch) return;
+    if (!votes.decided.has_understudy(context.self) || votes.sealed >= votes.decided.epoch) return;
     primary_heard = context.now;
     auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.epoch, message.copy.sequence}};
     if (message.copy.sequence > copy.sequence) {
@@ -213,20 +200,22 @@
 
 auto Part::on(Context& context, std::string const& from, Appended const& message) -> void {
     if (!is_owner(context.self) || message.epoch != votes.decided.epoch) return;
-    if (from != votes.decided.understudy) {
+    if (!votes.decided.has_understudy(from)) {
         if (committed && message.sequence != committed->sequence)
             context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
         return;
     }
-    understudy_heard = context.now;
-    understudy_has = std::max(understudy_has, message.sequence);
+    auto& follower = followers[from];
+    follower.heard = context.now;
+    follower.has = std::max(follower.has, message.sequence);
     settle(context);
 }
 
 auto Part::on(Context& context, std::string const& from, SpareOffer const& message) -> void {
     learn(context, message.record);
     if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (votes.decided.understudy == context.self || message.copy.sequence == copy.sequence) return;
+    if (votes.decided.has_understudy(context.self) || message.copy.sequence == copy.sequence) return;
+    if (votes.sealed >= votes.decided.epoch) return;  // the copy it took for the next epoch stays (design 5.8)
     copy = message.copy;
     save(context, true, {});
 }
--- a/source/process/machine/part_vote.cpp
+++ b/source/process/machine/part_vote.cpp
@@ -46,7 +46,7 @@
     claims_saved(context, token);
     if (!proposal || proposal->stage != Proposal::Stage::copying || token != proposal->seal_token) return;
     proposal->seal_synced = true;
-    if (proposal->copy_taken) begin_accepting(context);
+    copies_taken(context);
 }
 
 auto Part::disk_late(Microseconds now) const -> bool {
@@ -69,9 +69,9 @@
     granted_until = 0;
     grants.clear();
     in_flight = false;
-    understudy_heard = context.now;
-    understudy_has = {};
+    follow(context.now);
     primary_heard = context.now;
+    rival_tried = 0;
     last_ask = 0;
     if (is_owner(context.self)) {
         if (!was_owner) owner_since = context.now;
@@ -97,7 +97,12 @@
 }
 
 auto Part::on(Context& context, std::string const& from, Prepare const& message) -> void {
-    if (!may_vote(context, from, message.epoch, message.proof)) return;
+    auto const may = may_vote(context, from, message.epoch, message.proof);
+    auto const& understudies = votes.decided.understudies;
+    auto const place = std::find(understudies.begin(), understudies.end(), context.self);
+    if (message.epoch == votes.decided.epoch + 1 && std::find(understudies.begin(), place, from) != place)
+        rival_tried = context.now;
+    if (!may) return;
     if (message.ballot < votes.promised) {
         context.sends.push_back({from, Refusal{index, message.epoch, votes.promised, votes.decided}});
         return;
--- a/source/process/machine/records.hpp
+++ b/source/process/machine/records.hpp
@@ -1,5 +1,7 @@
 #pragma once
 // What the messages and the disk speak of. docs/design.md sections 4 and 5.
+#include <algorithm>
+
 #include "process/machine/reading.hpp"
 
 namespace dockrock {
@@ -17,9 +19,15 @@
 struct Record {  // one decision about a part: who holds it, who votes on the next
     std::uint64_t epoch = 0;
     std::string primary;
-    std::string understudy;
+    std::vector<std::string> understudies;  // with the primary, the group that keeps the copies
     std::vector<std::string> voters;
     auto operator==(Record const&) const -> bool = default;
+    auto has_understudy(std::string const& identity) const -> bool {
+        return std::find(understudies.begin(), understudies.end(), identity) != understudies.end();
+    }
+    auto has_member(std::string const& identity) const -> bool {
+        return primary == identity || has_understudy(identity);
+    }
 };
 struct Outcome {  // what became of a change, kept under the caller's identity
     std::string identity;
@@ -53,7 +61,7 @@
 
 BOOST_HANA_ADAPT_STRUCT(dockrock::Sequence, epoch, number);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Ballot, round, node);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Record, epoch, primary, understudy, voters);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Record, epoch, primary, understudies, voters);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Outcome, identity, sequence, digest);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Copy, sequence, document, outcomes);
 BOOST_HANA_ADAPT_STRUCT(
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -24,7 +24,7 @@
                 {{"part", name},
                  {"epoch", record.epoch},
                  {"primary", record.primary},
-                 {"understudy", record.understudy}});
+                 {"understudies", write_json(record.understudies)}});
         logged_epochs[index] = record.epoch;
         auto const owned = control.owns(number, now);
         if (owned != logged_owned[index])
--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -64,10 +64,35 @@
     return good;
 }
 
+// A folder of the former format: its records name one understudy (design 6).
+auto renew_record(json::object& record) -> void {
+    auto const* understudy = record.if_contains("understudy");
+    if (understudy == nullptr || !understudy->is_string()) return;
+    json::array list;
+    if (!understudy->as_string().empty() && *understudy != record["primary"]) list.push_back(*understudy);
+    record["understudies"] = std::move(list);
+    record.erase("understudy");
+}
+
+auto renew_part(json::value& part) -> void {
+    auto* votes = part.is_object() ? part.as_object().if_contains("votes") : nullptr;
+    if (votes == nullptr || !votes->is_object()) return;
+    for (auto const* name : {"decided", "accepted"})
+        if (auto* record = votes->as_object().if_contains(name); record != nullptr && record->is_object())
+            renew_record(record->as_object());
+}
+
+auto renew(json::value& state) -> void {
+    auto* parts = state.is_object() ? state.as_object().if_contains("parts") : nullptr;
+    if (parts == nullptr || !parts->is_array()) return renew_part(state);
+    for (auto& part : parts->as_array()) renew_part(part);
+}
+
 template <typename Type>
 auto read_as(std::string const& text) -> std::optional<Type> {
-    auto const parsed = parse_json(text);
+    auto parsed = parse_json(text);
     if (!parsed) return std::nullopt;
+    renew(*parsed);
     Type result;
     Problems problems;
     read_json(*parsed, result, "", problems);
--- a/source/sequence/plan.cpp
+++ b/source/sequence/plan.cpp
@@ -113,7 +113,11 @@
         auto& entry = facts[model.name];
         entry = {{"part", name}};
         for (auto const& part : parts)
-            if (part.name == name) entry["pair"] = part.primary + ", " + part.understudy;
+            if (part.name == name) {
+                auto members = part.primary;
+                for (auto const& understudy : part.understudies) members += ", " + understudy;
+                entry["pair"] = std::move(members);
+            }
     }
     return facts;
 }
--- a/source/sequence/plan.hpp
+++ b/source/sequence/plan.hpp
@@ -8,7 +8,7 @@
 struct PlanPart {
     std::string name;
     std::string primary;
-    std::string understudy;
+    std::vector<std::string> understudies;
 };
 
 // An object with the lists models, kinds, mappings, limits, tenants, keys,
--- a/tests/forming_test.cpp
+++ b/tests/forming_test.cpp
@@ -25,7 +25,10 @@
         control.settings.machines_lost = told.machines_lost;
         control.settings.may_form = !told.never_form.contains(index);
         if (control.settings.core && !control.settings.may_form) control.membership.self.never_forms = true;
-        for (auto& part : control.parts) part.core_count = 0;
+        for (auto& part : control.parts) {
+            part.core_count = 0;
+            part.machines_lost = told.machines_lost;
+        }
         for (auto const& seed : told.more_seeds) control.membership.seeds.push_back(seed);
         if (told.incarnation != 0 && !control.knows_fleet()) control.membership.self.incarnation = told.incarnation;
     };
@@ -63,6 +66,8 @@
             REQUIRE(world->run_until_true([&] { return all_owned(*world); }, 4 * one_second));
             for (auto index = std::size_t{0}; index < cores; ++index)
                 CHECK(world->nodes[index]->control.best_record(configuration_part).voters.size() == cores);
+            for (auto part = 0; part < static_cast<int>(part_count); ++part)
+                CHECK(world->nodes[0]->control.best_record(part).understudies.size() == told.machines_lost);
             REQUIRE(put_and_wait(*world, cores, "first") == 200);
             CHECK(world->violations.empty());
         }
@@ -145,6 +150,42 @@
     }
 }
 
+TEST_CASE("groups follow the losses to be borne and the voters that were found, and bear the losses") {
+    for (auto const cores : {std::size_t{5}, std::size_t{8}})
+        for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
+            auto told = Told{};
+            told.machines_lost = 2;
+            auto const world = untold(seed, cores, told);
+            world->options.losses = 2;
+            start_all(*world);
+            INFO("cores " << cores << " seed " << seed);
+            REQUIRE(world->run_until_true([&] { return all_owned(*world); }, 4 * one_second));
+            REQUIRE(put_and_wait(*world, cores, "kept") == 200);
+            auto const holder = *world->owner(configuration_part);
+            auto const record = world->nodes[holder]->control.best_record(configuration_part);
+            REQUIRE(record.understudies.size() == 2);
+            for (auto index = std::size_t{0}; index < cores; ++index)
+                if (index == holder || world->nodes[index]->disk.identity == record.understudies.front())
+                    world->kill(index, true);
+            CHECK(world->run_until_true([&] { return all_owned(*world); }, 6 * one_second));
+            CHECK(put_and_wait(*world, cores, "second") == 200);
+            CHECK(world->violations.empty());
+        }
+}
+
+TEST_CASE("a group is no larger than a majority of the voters") {
+    Part part;
+    part.machines_lost = 2;
+    part.core_count = 0;
+    CHECK(part.copies() == 3);  // nothing known yet
+    part.votes.decided.voters = {"a", "b", "c"};
+    CHECK(part.copies() == 2);
+    part.votes.decided.voters = {"a", "b", "c", "d", "e"};
+    CHECK(part.copies() == 3);
+    part.core_count = 1;
+    CHECK(part.copies() == 1);
+}
+
 TEST_CASE("a core node added to a whole fleet stays a spare") {
     auto const world = untold(5, 5, Told{});
     for (auto const index : {0, 1, 2, 3, 5, 6, 7}) world->start(static_cast<std::size_t>(index));
--- a/tests/live/observe.py
+++ b/tests/live/observe.py
@@ -68,7 +68,7 @@
         if len(owners) != 1:
             return False
         entry = owners[0]["parts"][place]
-        if not set(entry["voters"]) <= living or entry["understudy"] not in living:
+        if not set(entry["voters"]) <= living or not set(entry["understudies"]) <= living:
             return False
     return True
 
@@ -84,7 +84,7 @@
                 part["name"],
                 part["epoch"],
                 names.get(part["primary"], part["primary"]),
-                names.get(part["understudy"], part["understudy"]),
+                [names.get(member, member) for member in part["understudies"]],
                 [names.get(voter, voter) for voter in part["voters"]],
                 "owned here" if part["owned_here"] else "",
                 part["sequence"],
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("frames and messages: any damage is seen, none stops the reader") {
     auto const message =
-        Message(Append{2, Record{3, "a", "b", {"a", "b", "c"}}, Copy{{3, 9}, "text", {{"change", {3, 9}, 77}}}});
+        Message(Append{2, Record{3, "a", {"b"}, {"a", "b", "c"}}, Copy{{3, 9}, "text", {{"change", {3, 9}, 77}}}});
     auto const bytes = pack_frame({"fleet", "a", "10.0.0.1:1", 5, write_message(message)});
     auto const frame = unpack_frame(bytes);
     REQUIRE(frame);
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -16,7 +16,7 @@
 auto plan_for(std::string const& proposed) -> json::object {
     return plan_change(
         check_configuration(tree()), check_configuration(proposed),
-        {{"service-0", "a", "b"}, {"service-1", "c", "d"}, {"service-2", "e", "f"}});
+        {{"service-0", "a", {"b"}}, {"service-1", "c", {"d"}}, {"service-2", "e", {"f"}}});
 }
 }  // namespace
 
--- a/tests/repair_test.cpp
+++ b/tests/repair_test.cpp
@@ -34,7 +34,7 @@
             auto& part = node.control.parts[configuration_part];
             auto const& record = part.votes.decided;
             auto const self = node.control.membership.self.identity;
-            if (record.primary == self || record.understudy == self) continue;
+            if (record.has_member(self)) continue;
             auto const before = world->copy_bytes;
             part.copy = Copy{};
             part.synced = {};
@@ -63,3 +63,18 @@
         }
     }
 }
+
+TEST_CASE("a partner keeps the sealed copy that it took, whatever spare copies come late") {
+    auto random = Random{1};
+    auto const self = std::string("c");
+    Part part;
+    auto context =
+        Context{one_second, self, random, [] { return std::vector<Member>(); }, [](auto const&) { return true; }};
+    auto const record = Record{1, "a", {"b"}, {"a", "b", "c"}};
+    part.learn(context, record);
+    part.on(context, "a", SpareOffer{0, record, Copy{{1, 5}, "spare", {}}});
+    CHECK(part.copy.document == "spare");
+    part.on(context, "a", CopyOffer{0, record, {4, "a"}, Copy{{1, 7}, "sealed", {}}, ""});
+    part.on(context, "a", SpareOffer{0, record, Copy{{1, 6}, "late", {}}});
+    CHECK(part.copy.document == "sealed");
+}
--- a/tests/simulation/fleet.cpp
+++ b/tests/simulation/fleet.cpp
@@ -11,6 +11,8 @@
     options.seed = given.seed;
     options.cores = given.cores;
     options.edges = given.edges;
+    options.losses = given.losses;
+    options.areas = given.areas;
     return options;
 }
 }  // namespace
--- a/tests/simulation/fleet.hpp
+++ b/tests/simulation/fleet.hpp
@@ -13,6 +13,8 @@
     std::uint64_t seed = 1;
     std::size_t cores = 4;
     std::size_t edges = 5;
+    std::size_t losses = 1;  // core nodes that may be lost at once, with their disks
+    std::size_t areas = 4;
     std::size_t replicas = 8;
     double tickets_each_second = 40.0;
     Microseconds length = 25 * one_second;
--- a/tests/simulation/fleet_faults.cpp
+++ b/tests/simulation/fleet_faults.cpp
@@ -27,6 +27,20 @@
 
 auto Fleet::fault() -> void {
     ++result.faults;
+    if (options.losses > 1 && random.below(8) == 0) {  // several at once
+        auto const lost = world.some_cores(random, random.below(2) == 0);
+        if (random.below(3) == 0) {
+            world.split(lost);
+            return later(static_cast<Microseconds>(300'000 + random.below(5'000'000)), [this] { world.heal(); });
+        }
+        auto const wipe = random.below(2) == 0 && world.settled();
+        for (auto index : lost) {
+            if (!world.nodes[index]->running) continue;
+            world.kill(index, wipe);
+            later(static_cast<Microseconds>(200'000 + random.below(4'000'000)), [this, index] { world.start(index); });
+        }
+        return;
+    }
     auto const any = random.below(world.nodes.size());
     auto const core = random.below(options.cores);
     auto const target = random.below(replicas.size());
@@ -108,6 +122,11 @@
 auto Fleet::kill_cores_once_told(std::size_t known, Microseconds until) -> void {
     if (result.acknowledged == known && world.now < until)
         return later(one_millisecond, [this, known, until] { kill_cores_once_told(known, until); });
+    auto const whole = options.losses > 1 && world.settled();  // then as many disks are lost as may be
+    for (auto index : whole ? world.some_cores(random, random.below(2) == 0) : std::vector<std::size_t>()) {
+        world.kill(index, true);
+        later(static_cast<Microseconds>(500'000 + random.below(1'500'000)), [this, index] { world.start(index); });
+    }
     for (auto index = std::size_t{0}; index < options.cores; ++index)
         kill(index, static_cast<Microseconds>(200'000 + random.below(1'500'000)));
 }
--- a/tests/simulation/storm.cpp
+++ b/tests/simulation/storm.cpp
@@ -14,6 +14,7 @@
     std::map<std::string, std::string> claimed;  // identity -> the ticket it was granted to
     std::set<std::string> sent;                  // identities whose ticket was sent
     std::set<std::string> given_back;            // identity and ticket
+    bool power_fails_next = false;               // once the next change is acknowledged
 
     auto any() -> std::size_t { return random.below(world.nodes.size()); }
     auto any_core() -> std::size_t { return random.below(world.options.cores); }
@@ -30,7 +31,9 @@
         if (!world.nodes[index]->running) return;
         auto const conditional = random.below(3) == 0;
         auto const known = world.nodes[index]->control.news[configuration_part].copy.sequence;
-        world.put(index, document, conditional ? etag_of(known) : "");
+        world.put(index, document, conditional ? etag_of(known) : "", "", [this](int status) {
+            if (status == 200 && power_fails_next) world.at(world.now, [this] { fail_power(); });
+        });
         if (conditional && random.below(2) == 0) {  // a racing operator with the same condition
             auto const other = any();
             if (world.nodes[other]->running)
@@ -39,8 +42,11 @@
         if (random.below(4) == 0) world.read(any());
         if (random.below(8) == 0) {  // the owner dies just as it acknowledges
             if (auto const holder = world.owner(configuration_part))
-                world.at(
-                    world.now + static_cast<Microseconds>(random.below(30'000)), [this, holder] { fail(*holder); });
+                world.at(world.now + static_cast<Microseconds>(random.below(30'000)), [this, holder] {
+                    if (world.options.losses == 1) fail(*holder);
+                    else
+                        for (auto member : world.some_cores(random, true)) fail(member);
+                });
         }
     }
 
@@ -79,6 +85,38 @@
         });
     }
 
+    auto wipe(std::vector<std::size_t> const& lost) -> void {
+        for (auto index : lost) world.kill(index, true);
+        for (auto index : lost)
+            world.at(world.now + static_cast<Microseconds>(500'000 + random.below(2'000'000)), [this, index] {
+                world.start(index);
+            });
+    }
+
+    // Right after an acknowledgement, some disks lost, all others kept.
+    auto fail_power() -> void {
+        if (!power_fails_next || !world.settled()) return;
+        power_fails_next = false;
+        wipe(world.some_cores(random, true));
+        for (auto index = std::size_t{0}; index < world.nodes.size(); ++index) fail(index);
+    }
+
+    auto several_at_once() -> void {
+        switch (random.below(4)) {
+            case 0:
+                for (auto index : world.some_cores(random, random.below(2) == 0)) fail(index);
+                break;
+            case 1:
+                if (world.settled()) wipe(world.some_cores(random, random.below(2) == 0));
+                break;
+            case 2:
+                world.split(world.some_cores(random, random.below(2) == 0));
+                heal_later();
+                break;
+            default: power_fails_next = true;
+        }
+    }
+
     auto sicken(std::size_t index, DiskMode mode) -> void {
         auto& node = *world.nodes[index];
         node.disk.mode = mode;
@@ -92,7 +130,7 @@
 
     auto fault() -> void {
         ++result.faults;
-        switch (random.below(12)) {
+        switch (random.below(world.options.losses > 1 ? 18 : 12)) {
             case 0: fail(any()); break;
             case 1: fail(any_core()); break;
             case 2:  // the disk is lost; only where one loss is all there is
@@ -112,7 +150,7 @@
                 break;
             case 6: {  // the core two and two, or three and one, edges on either side
                 std::vector<std::size_t> side;
-                auto const size = 1 + random.below(2);
+                auto const size = 1 + random.below(world.options.cores / 2);
                 while (side.size() < size)
                     if (auto const index = any_core(); std::find(side.begin(), side.end(), index) == side.end())
                         side.push_back(index);
@@ -133,11 +171,13 @@
             case 8: sicken(any_core(), DiskMode::stalled); break;
             case 9: sicken(any_core(), DiskMode::slow); break;
             case 10: sicken(any_core(), DiskMode::full); break;
-            default:
+            case 11:
                 if (random.below(6) == 0)
                     for (auto index = std::size_t{0}; index < world.nodes.size(); ++index)
                         fail(index);  // all at once, disks kept
                 else if (auto const holder = world.owner(configuration_part)) fail(*holder);
+                break;
+            default: several_at_once();
         }
     }
 
@@ -150,7 +190,7 @@
 
 auto run_storm(WorldOptions const& options, Microseconds length) -> StormResult {
     auto world = World(options);
-    auto storm = Storm{world, Random{options.seed * 31 + 7}, {}, 0, {}, {}, {}};
+    auto storm = Storm{world, Random{options.seed * 31 + 7}, {}, 0, {}, {}, {}, false};
     for (auto index = std::size_t{0}; index < world.nodes.size(); ++index)
         world.at(static_cast<Microseconds>(storm.random.below(400'000)), [&world, index] { world.start(index); });
     if (!world.run_until_true([&] { return world.settled(); }, 12 * one_second))
--- a/tests/simulation/sweep.cpp
+++ b/tests/simulation/sweep.cpp
@@ -20,9 +20,18 @@
     Microseconds longest_gap = 0;
 };
 
-auto storm(std::uint64_t seed, Microseconds length) -> SeedResult {
+struct Shape {
+    std::size_t cores = 4;
+    std::size_t losses = 1;
+    std::size_t areas = 4;
+};
+
+auto storm(std::uint64_t seed, Microseconds length, Shape const& shape) -> SeedResult {
     auto options = simulation::WorldOptions();
     options.seed = seed;
+    options.cores = shape.cores;
+    options.losses = shape.losses;
+    options.areas = shape.areas;
     auto const result = simulation::run_storm(options, length);
     auto const counts = Totals{
         {"faults", result.faults},
@@ -39,9 +48,12 @@
     return {result.violations, result.trace, counts, result.longest_gap};
 }
 
-auto fleet(std::uint64_t seed, Microseconds length, bool planned) -> SeedResult {
+auto fleet(std::uint64_t seed, Microseconds length, bool planned, Shape const& shape) -> SeedResult {
     auto options = simulation::FleetOptions();
     options.seed = seed;
+    options.cores = shape.cores;
+    options.losses = shape.losses;
+    options.areas = shape.areas;
     options.length = length;
     options.planned_only = planned;
     auto const result = simulation::Fleet(options).run();
@@ -82,9 +94,14 @@
     auto count = TCLAP::ValueArg<std::uint64_t>("", "count", "how many seeds", false, 100, "COUNT", command);
     auto seconds = TCLAP::ValueArg<int>("", "seconds", "simulated seconds of storm", false, 30, "SECONDS", command);
     auto threads = TCLAP::ValueArg<unsigned>("", "threads", "seeds at once", false, 4, "COUNT", command);
+    auto cores = TCLAP::ValueArg<std::size_t>("", "cores", "core nodes", false, 4, "COUNT", command);
+    auto losses =
+        TCLAP::ValueArg<std::size_t>("", "losses", "core nodes that may be lost at once", false, 1, "COUNT", command);
+    auto areas = TCLAP::ValueArg<std::size_t>("", "areas", "areas they stand in", false, 4, "COUNT", command);
     auto trace = TCLAP::SwitchArg("", "trace", "print the trace of a seed with violations, or of the one", command);
     command.parse(argument_count, arguments);
     auto const length = seconds.getValue() * one_second;
+    auto const shape = Shape{cores.getValue(), losses.getValue(), areas.getValue()};
     auto lock = std::mutex();
     auto next = std::atomic<std::uint64_t>(first.getValue());
     auto const end = first.getValue() + count.getValue();
@@ -93,8 +110,9 @@
     auto longest_gap = Microseconds{0};
     auto work = [&] {
         for (auto seed = next++; seed < end; seed = next++) {
-            auto const result = world.getValue() == "control" ? storm(seed, length)
-                                                              : fleet(seed, length, world.getValue() == "planned");
+            auto const result = world.getValue() == "control"
+                ? storm(seed, length, shape)
+                : fleet(seed, length, world.getValue() == "planned", shape);
             auto const guard = std::lock_guard(lock);
             for (auto const& [name, number] : result.counts) totals[name] += number;
             longest_gap = std::max(longest_gap, result.longest_gap);
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -17,7 +17,7 @@
         auto node = std::make_unique<SimulatedNode>();
         node->core = index < given.cores;
         node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
-        node->area = "area-" + std::to_string(index % 4);
+        node->area = "area-" + std::to_string(index % given.areas);
         node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
         nodes.push_back(std::move(node));
     }
@@ -82,6 +82,7 @@
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
         }
+        if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
         if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
         auto delay = static_cast<Microseconds>(200 + random.below(2'500));
@@ -171,6 +172,7 @@
     settings.area = node.area;
     settings.core = node.core;
     settings.core_count = options.cores;
+    settings.machines_lost = options.losses;
     for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     node.control = Control{};
@@ -200,7 +202,10 @@
     node.running = false;
     unchecked = true;
     node.unsynced.clear();  // what was not synced is lost
-    if (wipe) node.disk = {};
+    if (wipe) {
+        wiped.push_back({now, node.disk.synced});
+        node.disk = {};
+    }
     note(std::string(wipe ? "kill and wipe " : "kill ") + node.address);
     if (when_killed) when_killed(index);
 }
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -48,9 +48,13 @@
     std::uint64_t seed = 1;
     std::size_t cores = 4;
     std::size_t edges = 3;
+    std::size_t losses = 1;  // core nodes that may be lost at once, with their disks
+    std::size_t areas = 4;
     double loss = 0.01;
     bool planted_claims_not_copied = false;  // for showing that the checks bite
     bool planted_claims_not_saved = false;
+    bool planted_copy_short = false;         // the last understudy's copy is acknowledged and not kept
+    bool planted_partner_not_given = false;  // the last partner's sealed copy is held for taken
 };
 
 struct World {
@@ -76,6 +80,12 @@
     std::function<void(std::size_t, ControlOutput const&)> when_acted;
     std::uint64_t copy_bytes = 0;  // of whole copies sent: to understudies, partners and spares
     std::uint64_t events_run = 0;
+    struct Wiped {
+        Microseconds at = 0;
+        std::vector<PartSaved> synced;
+    };
+    std::vector<Wiped> wiped;
+    std::array<Sequence, part_count> copies_checked;
     std::uint64_t reads_checked = 0;
 
     explicit World(WorldOptions const& given);
@@ -93,6 +103,8 @@
     auto wake_disk(std::size_t index) -> void { work_disk(index); }
     auto owner(int part) -> std::optional<std::size_t>;
     auto settled() -> bool;
+    // As many core nodes as may be lost at once: of the configuration's group, its owner first, or any.
+    auto some_cores(Random& by, bool of_the_group) -> std::vector<std::size_t>;
 
     auto put(
         std::size_t index, std::string document, std::string if_match, std::string identity = "",
@@ -116,6 +128,8 @@
     auto index_of(std::string const& address) const -> std::size_t;
     auto check() -> void;
     auto check_node(SimulatedNode& node) -> void;
+    auto check_copies() -> void;
+    auto planted(std::size_t index, AddressedMessage& send) -> bool;
 };
 
 // A seeded storm of faults and changes over a world; true where every
--- a/tests/simulation/world_checks.cpp
+++ b/tests/simulation/world_checks.cpp
@@ -3,14 +3,25 @@
 
 namespace dockrock::simulation {
 
-// Every part has a licensed owner, a synced pair, and voters that all live.
+namespace {
+constexpr Microseconds wiped_kept = 10 * one_second;
+
+auto names_of(Record const& record) -> std::string {
+    auto names = record.primary;
+    for (auto const& understudy : record.understudies) names += "/" + understudy;
+    return names;
+}
+}  // namespace
+
+// Every part has a licensed owner, a whole and synced group, and voters that all live.
 auto World::settled() -> bool {
     for (auto part = 0; part < static_cast<int>(part_count); ++part) {
         auto const holder = owner(part);
         if (!holder) return false;
         auto const& machine = nodes[*holder]->control.parts[static_cast<std::size_t>(part)];
         if (!machine.committed || machine.in_flight || machine.proposal ||
-            machine.understudy_has < machine.committed->sequence)
+            !machine.all_have(machine.committed->sequence) ||
+            machine.votes.decided.understudies.size() != options.losses)
             return false;
         for (auto const& voter : machine.votes.decided.voters) {
             auto const lives = std::any_of(nodes.begin(), nodes.end(), [&](auto const& node) {
@@ -32,11 +43,11 @@
             auto const& votes = part.votes;
             note(
                 node->address + (node->running ? "" : " (down)") + " part " + std::to_string(part.index) + " epoch " +
-                std::to_string(votes.decided.epoch) + " " + votes.decided.primary + "/" + votes.decided.understudy +
-                " promised " + std::to_string(votes.promised.round) + votes.promised.node + " accepted " +
-                (votes.accepted ? votes.accepted->primary + "/" + votes.accepted->understudy : "-") + " sealed " +
-                std::to_string(votes.sealed) + " copy " + etag_of(part.copy.sequence) + " synced " +
-                etag_of(part.synced) + (part.healthy ? "" : " sick") + (part.committed ? " committed" : "") +
+                std::to_string(votes.decided.epoch) + " " + names_of(votes.decided) + " promised " +
+                std::to_string(votes.promised.round) + votes.promised.node + " accepted " +
+                (votes.accepted ? names_of(*votes.accepted) : "-") + " sealed " + std::to_string(votes.sealed) +
+                " copy " + etag_of(part.copy.sequence) + " synced " + etag_of(part.synced) +
+                (part.healthy ? "" : " sick") + (part.committed ? " committed" : "") +
                 (part.in_flight ? " flying" : "") + (part.proposal ? " proposing" : "") + " round " +
                 std::to_string(part.highest_round) + " saving " + std::to_string(part.saving.size()) + " licence " +
                 std::to_string((part.licensed_until(node->control.membership.self.identity) - local(*node)) / 1'000) +
@@ -130,6 +141,32 @@
     }
     for (auto& node : nodes)
         if (node->running && node->frozen_until <= now) check_node(*node);
+    check_copies();
+}
+
+// Whatever an owner holds for acknowledged is synced on more disks than may be
+// lost; a disk wiped since counts, as its loss came after (design 5.4).
+auto World::check_copies() -> void {
+    std::erase_if(wiped, [&](auto const& item) { return now - item.at > wiped_kept; });
+    for (auto const& node : nodes) {
+        if (!node->running) continue;
+        for (auto const& part : node->control.parts) {
+            auto& known = copies_checked[static_cast<std::size_t>(part.index)];
+            if (!part.committed || part.committed->sequence <= known) continue;
+            known = part.committed->sequence;
+            auto const holds = [&](PartSaved const& saved) {
+                return saved.part == part.index && saved.copy && saved.copy->sequence >= known;
+            };
+            auto copies = std::size_t{0};
+            for (auto const& other : nodes)
+                copies += std::any_of(other->disk.synced.begin(), other->disk.synced.end(), holds) ? 1 : 0;
+            for (auto const& item : wiped) copies += std::any_of(item.synced.begin(), item.synced.end(), holds) ? 1 : 0;
+            if (copies <= options.losses)
+                violation(
+                    node->address + " holds " + etag_of(known) + " of part " + std::to_string(part.index) +
+                    " for acknowledged with " + std::to_string(copies) + " synced copies");
+        }
+    }
 }
 
 auto World::check_node(SimulatedNode& node) -> void {
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <fstream>
 
+#include "process/machine/frame.hpp"
 #include "process/storage.hpp"
 
 using namespace dockrock;
@@ -107,3 +108,47 @@
     CHECK_FALSE(full);
     CHECK_FALSE(storage.write({saved(0, 2, "small")}));
 }
+
+namespace {
+auto sealed_block(std::uint64_t generation, std::string const& body) -> std::string {
+    std::string bytes;
+    put_number(bytes, generation);
+    put_text(bytes, body);
+    put_number(bytes, checksum_of(bytes));
+    return bytes;
+}
+}  // namespace
+
+TEST_CASE("a data folder of the former format, with one understudy a record, still loads") {
+    auto folder = Folder();
+    // As the former release wrote them: a slot, and one entry of the log.
+    auto const state = std::string(
+        R"({"identity":"core-a","incarnation":7,"parts":[{"part":0,"votes":{"decided":{"epoch":2,"primary":"cor)"
+        R"(e-b","understudy":"core-a","voters":["core-a","core-b","core-c","core-d"]},"promised":{"round":3,"no)"
+        R"(de":"core-b"},"accepted_ballot":{"round":0,"node":""},"sealed":0},"copy":{"sequence":{"epoch":2,"num)"
+        R"(ber":9},"document":"kept","outcomes":[{"identity":"change-1","sequence":{"epoch":2,"number":9},"dige)"
+        R"(st":77}]},"claims":"key ticket 5\n","claims_whole":false},{"part":1,"votes":{"decided":{"epoch":2,"p)"
+        R"(rimary":"core-a","understudy":"core-a","voters":["core-a"]},"promised":{"round":0,"node":""},"accept)"
+        R"(ed_ballot":{"round":0,"node":""},"sealed":0},"claims":"","claims_whole":false}]})");
+    auto const entry = std::string(
+        R"({"part":0,"votes":{"decided":{"epoch":3,"primary":"core-a","understudy":"core-b","voters":["core-a",)"
+        R"("core-b","core-c","core-d"]},"promised":{"round":3,"node":"core-b"},"accepted_ballot":{"round":4,"no)"
+        R"(de":"core-b"},"accepted":{"epoch":4,"primary":"core-b","understudy":"core-c","voters":["core-a","cor)"
+        R"(e-b","core-c","core-d"]},"sealed":3},"claims":"","claims_whole":false})");
+    std::ofstream(folder.path / "slot-b", std::ios::binary) << sealed_block(1, state);
+    std::ofstream(folder.path / "log", std::ios::binary) << sealed_block(1, entry);
+    auto storage = Storage();
+    REQUIRE(storage.open(folder.path) == LoadResult::loaded);
+    REQUIRE(storage.state.parts.size() == 2);
+    auto const& first = storage.state.parts[0].votes;
+    CHECK(first.decided == Record{3, "core-a", {"core-b"}, {"core-a", "core-b", "core-c", "core-d"}});
+    CHECK(first.accepted == Record{4, "core-b", {"core-c"}, {"core-a", "core-b", "core-c", "core-d"}});
+    CHECK(first.sealed == 3);
+    CHECK(storage.state.parts[0].copy->document == "kept");
+    CHECK(storage.state.parts[1].votes.decided == Record{2, "core-a", {}, {"core-a"}});  // it was its own understudy
+    REQUIRE(storage.begin("core-a", 8));  // written back, it is of this format
+    storage.close();
+    auto again = Storage();
+    REQUIRE(again.open(folder.path) == LoadResult::loaded);
+    CHECK(again.state.parts[0].votes.decided == first.decided);
+}
