--- a/programs/dockrock_plan.cpp
+++ b/programs/dockrock_plan.cpp
@@ -26,26 +26,27 @@
     return answer.body;
 }
 
-auto parts_of(std::string const& status) -> std::vector<PlanPart> {
-    std::vector<PlanPart> parts;
+auto parts_of(std::string const& status) -> std::vector<PlanPartition> {
+    std::vector<PlanPartition> partitions;
     auto const parsed = parse_json(status);
-    if (!parsed || !parsed->is_object() || !parsed->as_object().contains("parts")) return parts;
-    for (auto const& item : parsed->as_object().at("parts").as_array()) {
-        auto const& part = item.as_object();
-        auto entry =
-            PlanPart{std::string(part.at("name").as_string()), std::string(part.at("primary").as_string()), {}};
-        for (auto const& understudy : part.at("understudies").as_array())
-            entry.understudies.emplace_back(understudy.as_string());
-        parts.push_back(std::move(entry));
+    if (!parsed || !parsed->is_object() || !parsed->as_object().contains("partitions")) return partitions;
+    for (auto const& item : parsed->as_object().at("partitions").as_array()) {
+        auto const& partition = item.as_object();
+        auto entry = PlanPartition{
+            std::string(partition.at("name").as_string()), std::string(partition.at("leader").as_string()), {}};
+        for (auto const& follower : partition.at("followers").as_array())
+            entry.followers.emplace_back(follower.as_string());
+        partitions.push_back(std::move(entry));
     }
-    return parts;
+    return partitions;
 }
 
 }  // namespace
 
 auto main(int argument_count, char** arguments) -> int {
     auto command = TCLAP::CmdLine(
-        "dockrock-plan: shows which models, mappings, tenants, keys, walls, parts and pairs a change would move. It "
+        "dockrock-plan: shows which models, mappings, tenants, keys, walls, partitions and pairs a change would move. "
+        "It "
         "changes nothing.\nExit: 0 shown, 1 could not be read, 2 the proposed tree has errors.",
         ' ', "0.1.0");
     auto node = TCLAP::ValueArg<std::string>(
@@ -74,9 +75,9 @@
         for (auto const& problem : after.problems) std::cerr << problem.path << ": " << problem.what << "\n";
         if (!after.problems.empty()) return 2;
         auto const before = text == "null" ? CheckedConfiguration() : check_configuration(text);
-        auto const parts =
-            node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPart>();
-        auto const plan = plan_change(before, after, parts);
+        auto const partitions =
+            node.isSet() ? parts_of(ask(node.getValue(), secret, "/control/status")) : std::vector<PlanPartition>();
+        auto const plan = plan_change(before, after, partitions);
         std::cout << (as_json.getValue() ? json::serialize(plan) + "\n" : plan_text(plan));
         return 0;
     } catch (std::exception const& failure) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -65,7 +65,7 @@
   ) &
 }
 net=101
-for scenario in calm replica_crash drain revoke config_race weights kill_edges kill_owner total_kill cut_answers \
+for scenario in calm replica_crash drain revoke config_race weights kill_edges kill_leader total_kill cut_answers \
   late_answers term_edge planted; do
   day $scenario $net
   net=$((net + 1))
--- a/source/process/machine/reading.hpp
+++ b/source/base/json_structs.hpp
@@ -9,7 +9,7 @@
 #include <type_traits>
 #include <vector>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/messages.cpp
+++ b/source/base/messages.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/messages.hpp
+++ b/source/base/messages.hpp
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <variant>
 
-#include "process/machine/records.hpp"
+#include "base/records.hpp"
 
 namespace dockrock {
 
@@ -21,82 +21,82 @@
     std::uint64_t token = 0;
     std::string target;
 };
-// ballots and licences (design 5)
+// ballots and leases (design 5)
 struct Prepare {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot ballot;
     Record proof;
 };
 struct Promise {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot ballot;
     Ballot accepted_ballot;
     std::optional<Record> accepted;
 };
 struct Accept {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot ballot;
     Record record;
     Record proof;
 };
 struct Accepted {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot ballot;
 };
 struct Refusal {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot promised;
     Record decided;
 };
 struct Decided {
-    int part = 0;
+    int partition = 0;
     Record record;
 };
-struct LicenceAsk {
-    int part = 0;
+struct LeaseRequest {
+    int partition = 0;
     Record record;
     Microseconds asked_at = 0;
 };
-struct LicenceGrant {
-    int part = 0;
-    std::uint64_t epoch = 0;
+struct LeaseGrant {
+    int partition = 0;
+    std::uint64_t term = 0;
     Microseconds asked_at = 0;
 };
 // groups (design 5)
-struct Beat {
-    int part = 0;
+struct Heartbeat {
+    int partition = 0;
     Record record;
     Sequence sequence;
 };
 struct Append {
-    int part = 0;
+    int partition = 0;
     Record record;
     Copy copy;
 };
 struct Appended {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Sequence sequence;
 };
 struct CopyOffer {
-    int part = 0;
+    int partition = 0;
     Record record;  // the decided one, whose successor is proposed
     Ballot ballot;
     Copy copy;
     std::string claims;  // all that the giver holds (design 10.5)
 };
 struct CopyTaken {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     Ballot ballot;
 };
 struct SpareOffer {
-    int part = 0;
+    int partition = 0;
     Record record;
     Copy copy;
 };
@@ -111,19 +111,19 @@
     std::string text;
 };
 struct NewsAsk {
-    int part = 0;
+    int partition = 0;
     std::uint64_t token = 0;
-    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
     Sequence have;
     std::uint64_t live_digest = 0;  // of the list it holds
     Microseconds live_age = 0;
     bool whole = false;  // a difference did not fit
 };
 struct NewsAnswer {
-    int part = 0;
+    int partition = 0;
     std::uint64_t token = 0;
     Record record;
-    bool proven = false;  // a licensed owner stood behind this `age` ago
+    bool proven = false;  // a leased leader stood behind this `age` ago
     Microseconds age = 0;
     Sequence sequence;  // what the answerer holds
     std::optional<NewsCopy> copy;
@@ -133,7 +133,7 @@
 };
 // operator calls (design 7)
 struct Call {
-    int part = 0;
+    int partition = 0;
     std::string identity;
     std::string operation;
     std::string if_match;
@@ -153,8 +153,8 @@
     std::string etag;
 };
 // forming anew after the loss of every core disk (design 5.9)
-struct PartHeld {
-    std::uint64_t epoch = 0;
+struct HeldPartition {
+    std::uint64_t term = 0;
     std::vector<std::string> voters;  // of a record that named a group
     Sequence sequence;
     std::string document;
@@ -164,38 +164,38 @@
 };
 struct AnewAnswer {
     std::uint64_t token = 0;
-    std::vector<PartHeld> parts;
+    std::vector<HeldPartition> partitions;
 };
 struct FormAnew {
-    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
     std::vector<std::string> voters;
-    std::vector<PartHeld> parts;
+    std::vector<HeldPartition> partitions;
 };
 // claims of run-once tickets (design 10.5)
 enum class ClaimState : int { not_here, granted, seen, full };
 struct ClaimAsk {
-    int part = 0;
+    int partition = 0;
     std::uint64_t token = 0;
     std::string key;
     std::string ticket;
     bool release = false;  // that ticket was shed: it never ran
 };
 struct ClaimAnswer {
-    int part = 0;
+    int partition = 0;
     std::uint64_t token = 0;
-    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
     int state = 0;
 };
 struct ClaimFlight {
-    int part = 0;
+    int partition = 0;
     Record record;
-    std::uint64_t life = 0;  // of the owner
+    std::uint64_t life = 0;  // of the leader
     std::uint64_t number = 0;
     std::string claims;
 };
 struct ClaimFlown {
-    int part = 0;
-    std::uint64_t epoch = 0;
+    int partition = 0;
+    std::uint64_t term = 0;
     std::uint64_t life = 0;
     std::uint64_t number = 0;
 };
@@ -206,15 +206,15 @@
 };
 
 using Message = std::variant<
-    Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LicenceAsk, LicenceGrant, Beat,
-    Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer, BurdenDigest,
-    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew>;
+    Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LeaseRequest, LeaseGrant,
+    Heartbeat, Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer,
+    BurdenDigest, ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
-    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",       "accept",
-     "accepted",     "refusal",      "decided",     "licence-ask",   "licence-grant", "beat",
-     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer",   "news-ask",
-     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",     "claim-answer",
+    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",     "accept",
+     "accepted",     "refusal",      "decided",     "lease-request", "lease-grant", "heartbeat",
+     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer", "news-ask",
+     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",   "claim-answer",
      "claim-flight", "claim-flown",  "anew-ask",    "anew-answer",   "form-anew"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
@@ -223,4 +223,4 @@
 
 }  // namespace dockrock
 
-#include "process/machine/messages_adapted.hpp"
+#include "base/messages_adapted.hpp"
--- /dev/null
+++ b/source/base/messages_adapted.hpp
@@ -0,0 +1,36 @@
+#pragma once
+// The fields of each message, for reading and writing. Included by messages.hpp alone.
+
+BOOST_HANA_ADAPT_STRUCT(dockrock::Probe, token, members);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ProbeAnswer, token, members);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ProbeFor, token, target);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Prepare, partition, term, ballot, proof);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Promise, partition, term, ballot, accepted_ballot, accepted);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Accept, partition, term, ballot, record, proof);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Accepted, partition, term, ballot);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Refusal, partition, term, promised, decided);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Decided, partition, record);
+BOOST_HANA_ADAPT_STRUCT(dockrock::LeaseRequest, partition, record, asked_at);
+BOOST_HANA_ADAPT_STRUCT(dockrock::LeaseGrant, partition, term, asked_at);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Heartbeat, partition, record, sequence);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Append, partition, record, copy);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Appended, partition, term, sequence);
+BOOST_HANA_ADAPT_STRUCT(dockrock::CopyOffer, partition, record, ballot, copy, claims);
+BOOST_HANA_ADAPT_STRUCT(dockrock::CopyTaken, partition, term, ballot);
+BOOST_HANA_ADAPT_STRUCT(dockrock::SpareOffer, partition, record, copy);
+BOOST_HANA_ADAPT_STRUCT(dockrock::NewsCopy, sequence, digest, whole, front, back, text);
+BOOST_HANA_ADAPT_STRUCT(dockrock::NewsAsk, partition, token, term, have, live_digest, live_age, whole);
+BOOST_HANA_ADAPT_STRUCT(
+    dockrock::NewsAnswer, partition, token, record, proven, age, sequence, copy, live_digest, live, live_age);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Call, partition, identity, operation, if_match, body, base);
+BOOST_HANA_ADAPT_STRUCT(dockrock::CallForward, token, hops, origin, call);
+BOOST_HANA_ADAPT_STRUCT(dockrock::CallAnswer, token, status, body, etag);
+BOOST_HANA_ADAPT_STRUCT(dockrock::BurdenDigest, number, body);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimAsk, partition, token, key, ticket, release);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimAnswer, partition, token, term, state);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimFlight, partition, record, life, number, claims);
+BOOST_HANA_ADAPT_STRUCT(dockrock::ClaimFlown, partition, term, life, number);
+BOOST_HANA_ADAPT_STRUCT(dockrock::HeldPartition, term, voters, sequence, document);
+BOOST_HANA_ADAPT_STRUCT(dockrock::AnewAsk, token);
+BOOST_HANA_ADAPT_STRUCT(dockrock::AnewAnswer, token, partitions);
+BOOST_HANA_ADAPT_STRUCT(dockrock::FormAnew, term, voters, partitions);
--- a/source/process/machine/records.hpp
+++ b/source/base/records.hpp
@@ -2,12 +2,12 @@
 // What the messages and the disk speak of. docs/design.md sections 4 and 5.
 #include <algorithm>
 
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
-struct Sequence {  // version of a part's copy: only ever rises
-    std::uint64_t epoch = 0;
+struct Sequence {  // version of a partition's copy: only ever rises
+    std::uint64_t term = 0;
     std::uint64_t number = 0;
     auto operator<=>(Sequence const&) const = default;
 };
@@ -16,18 +16,16 @@
     std::string node;
     auto operator<=>(Ballot const&) const = default;
 };
-struct Record {  // one decision about a part: who holds it, who votes on the next
-    std::uint64_t epoch = 0;
-    std::string primary;
-    std::vector<std::string> understudies;  // with the primary, the group that keeps the copies
+struct Record {  // one decision about a partition: who holds it, who votes on the next
+    std::uint64_t term = 0;
+    std::string leader;
+    std::vector<std::string> followers;  // with the leader, the group that keeps the copies
     std::vector<std::string> voters;
     auto operator==(Record const&) const -> bool = default;
-    auto has_understudy(std::string const& identity) const -> bool {
-        return std::find(understudies.begin(), understudies.end(), identity) != understudies.end();
-    }
-    auto has_member(std::string const& identity) const -> bool {
-        return primary == identity || has_understudy(identity);
+    auto has_follower(std::string const& identity) const -> bool {
+        return std::find(followers.begin(), followers.end(), identity) != followers.end();
     }
+    auto has_member(std::string const& identity) const -> bool { return leader == identity || has_follower(identity); }
 };
 struct Outcome {  // what became of a change, kept under the caller's identity
     std::string identity;
@@ -54,14 +52,14 @@
 };
 
 inline auto etag_of(Sequence const& sequence) -> std::string {
-    return "\"" + std::to_string(sequence.epoch) + "." + std::to_string(sequence.number) + "\"";
+    return "\"" + std::to_string(sequence.term) + "." + std::to_string(sequence.number) + "\"";
 }
 
 }  // namespace dockrock
 
-BOOST_HANA_ADAPT_STRUCT(dockrock::Sequence, epoch, number);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Sequence, term, number);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Ballot, round, node);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Record, epoch, primary, understudies, voters);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Record, term, leader, followers, voters);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Outcome, identity, sequence, digest);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Copy, sequence, document, outcomes);
 BOOST_HANA_ADAPT_STRUCT(
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -37,16 +37,16 @@
     json::array members;
     members.push_back(write_member(node.control.membership.self));
     for (auto const& [identity, entry] : node.control.membership.known) members.push_back(write_member(entry.member));
-    json::array parts;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    json::array partitions;
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto const number = static_cast<int>(index);
         auto const& record = node.control.best_record(number);
-        parts.push_back(fields(
-            "name", json::string_view(part_names[index].data(), part_names[index].size()), "epoch", record.epoch,
-            "primary", record.primary, "understudies", write_json(record.understudies), "voters",
-            write_json(record.voters), "owned_here", node.control.owns(number, now), "sequence",
+        partitions.push_back(fields(
+            "name", json::string_view(partition_names[index].data(), partition_names[index].size()), "term",
+            record.term, "leader", record.leader, "followers", write_json(record.followers), "voters",
+            write_json(record.voters), "leads_here", node.control.leads(number, now), "sequence",
             etag_of(node.control.news[index].copy.sequence), "proof_age_microseconds",
-            node.control.proof_age(number, now), "disk_healthy", node.control.parts[index].healthy));
+            node.control.proof_age(number, now), "disk_healthy", node.control.partitions[index].healthy));
     }
     auto const current = node.snapshot.load();
     auto problems = loss_problems(node.control, now);
@@ -56,8 +56,9 @@
         "news_bytes", node.control.news_bytes, "news_bytes_whole", node.control.news_bytes_whole, "identity",
         node.control.membership.self.identity, "ready", node.ready(now), "resting", node.resting_now.load(), "stopping",
         node.stopping.load(), "configuration_in_force", etag_of(current->rules->sequence), "replicas_listed",
-        current->list.replicas.size(), "list_age_microseconds", now - node.control.news[configuration_part].live_at,
-        "open_tickets", node.open_tickets.load(), "members", std::move(members), "parts", std::move(parts));
+        current->list.replicas.size(), "list_age_microseconds",
+        now - node.control.news[configuration_partition].live_at, "open_tickets", node.open_tickets.load(), "members",
+        std::move(members), "partitions", std::move(partitions));
 }
 
 }  // namespace
@@ -118,7 +119,7 @@
     if (identity.size() > 128)
         co_return co_await answer(request, 400, fields("error", "Change-Identity must be 128 characters at most"));
     if (target == "/control/configuration" && method == http::verb::get) {
-        call = {configuration_part, "", "get", "", ""};
+        call = {configuration_partition, "", "get", "", ""};
     } else if (target == "/control/configuration" && method == http::verb::put) {
         if (request.body().size() > configuration_limit)
             co_return co_await answer(request, 413, fields("error", "the configuration is larger than 1048576 bytes"));
@@ -129,21 +130,21 @@
                 fields(
                     "error", "the configuration has errors; nothing was changed", "problems",
                     write_problems(checked.problems)));
-        call = {configuration_part, identity, "put", header(request, "If-Match"), request.body()};
+        call = {configuration_partition, identity, "put", header(request, "If-Match"), request.body()};
     } else if (target == "/control/configuration" && method == http::verb::patch) {
         if (header(request, "Content-Type") != "application/json-patch+json")
             co_return co_await answer(request, 415, fields("error", "a patch is application/json-patch+json"));
         if (request.body().size() > configuration_limit)
             co_return co_await answer(request, 413, fields("error", "the patch is larger than 1048576 bytes"));
-        call = {configuration_part, identity, "patch", header(request, "If-Match"), request.body()};
+        call = {configuration_partition, identity, "patch", header(request, "If-Match"), request.body()};
     } else if (target == "/control/form-anew" && method == http::verb::post) {
         auto const parsed = parse_json(request.body());
         auto const* named = parsed && parsed->is_object() ? parsed->as_object().if_contains("fleet") : nullptr;
         if (named == nullptr || !named->is_string() || std::string(named->as_string()) != node.settings.fleet)
             co_return co_await answer(request, 400, fields("error", "name the fleet: {\"fleet\": NAME}"));
-        call = {configuration_part, "", "form-anew", "", ""};
+        call = {configuration_partition, "", "form-anew", "", ""};
     } else if (target.starts_with("/control/changes/") && method == http::verb::get) {
-        call = {configuration_part, target.substr(17), "outcome", "", ""};
+        call = {configuration_partition, target.substr(17), "outcome", "", ""};
     } else if (
         target.starts_with(weights_prefix) && target.ends_with("/weights") &&
         target.size() > weights_prefix.size() + 8 && method == http::verb::put) {
@@ -156,7 +157,7 @@
         if (!node.snapshot.load()->rules->models.contains(service))
             co_return co_await answer(request, 404, fields("error", "no model of this name in the configuration"));
         call = {
-            part_of_service(service), identity, "weights", header(request, "If-Match"),
+            partition_of_service(service), identity, "weights", header(request, "If-Match"),
             json::serialize(fields(service.c_str(), *weights))};
     } else {
         auto const known = target == "/control/configuration" || target == "/control/status" ||
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/source/connection/losses.cpp
+++ b/source/connection/losses.cpp
@@ -6,30 +6,30 @@
 
 auto loss_problems(Control const& control, Microseconds now) -> json::array {
     json::array problems;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto const number = static_cast<int>(index);
         auto const& record = control.best_record(number);
-        auto const name = std::string(part_names[index]);
+        auto const name = std::string(partition_names[index]);
         auto const lives = [&](std::string const& identity) {
             return identity == control.membership.self.identity || control.membership.alive(identity);
         };
         auto const voters = static_cast<std::size_t>(
             std::count_if(record.voters.begin(), record.voters.end(), [&](auto const& voter) { return lives(voter); }));
         auto const told = [&](std::string what) { problems.push_back(json::string(name + ": " + what)); };
-        if (record.epoch == 0) told("no group yet");
-        else if (!lives(record.primary)) told("the primary is lost");
-        else if (!std::all_of(record.understudies.begin(), record.understudies.end(), lives))
-            told(record.understudies.size() == 1 ? "the understudy is lost" : "an understudy is lost");
-        else if (record.understudies.size() + 1 < control.parts[index].copies()) told("too few understudies");
+        if (record.term == 0) told("no group yet");
+        else if (!lives(record.leader)) told("the leader is lost");
+        else if (!std::all_of(record.followers.begin(), record.followers.end(), lives))
+            told(record.followers.size() == 1 ? "the follower is lost" : "an follower is lost");
+        else if (record.followers.size() + 1 < control.partitions[index].copies()) told("too few followers");
         else if (voters < majority_of(record.voters.size()) + 1) told("too few voters live");
-        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a licensed owner");
+        else if (control.proof_age(number, now) > control.times.proof_limit) told("no proof of a leased leader");
     }
     return problems;
 }
 
 auto losses_borne(Control const& control, Microseconds now) -> std::size_t {
-    auto borne = part_count;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    auto borne = partition_count;
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto const& record = control.best_record(static_cast<int>(index));
         auto const lives = [&](std::string const& identity) {
             return identity == control.membership.self.identity || control.membership.alive(identity);
@@ -39,9 +39,9 @@
         };
         auto const majority = majority_of(record.voters.size());
         auto const voters = std::max(living(record.voters), majority);
-        auto const members = living(record.understudies) + (lives(record.primary) ? 1U : 0U);
+        auto const members = living(record.followers) + (lives(record.leader) ? 1U : 0U);
         auto const proven =
-            record.epoch > 0 && control.proof_age(static_cast<int>(index), now) <= control.times.proof_limit;
+            record.term > 0 && control.proof_age(static_cast<int>(index), now) <= control.times.proof_limit;
         borne = proven ? std::min({borne, voters - majority, std::max(members, std::size_t{1}) - 1}) : 0;
     }
     return borne;
--- a/source/connection/losses.hpp
+++ b/source/connection/losses.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // What losses of core nodes the fleet stands, for its operators. docs/operators.md.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -43,10 +43,10 @@
     auto const method = request.method();
     Call call;
     if (target == form.configuration_path && method == http::verb::get) {
-        call.part = configuration_part;
+        call.partition = configuration_partition;
         call.operation = "get";
     } else if (target == form.configuration_path && (method == http::verb::put || method == http::verb::patch)) {
-        call.part = configuration_part;
+        call.partition = configuration_partition;
         call.operation = method == http::verb::put ? "put" : "patch";
         call.base = text(request[http::field::if_match]);
         call.body = request.body();
@@ -54,7 +54,7 @@
     } else if (target == form.weights_path && method == http::verb::post) {
         auto const named = form.read_weights_named(request.body());
         if (!named) co_return response_of(request, 400, error_text("not a model and a version"));
-        call.part = part_of_service(named->model);
+        call.partition = partition_of_service(named->model);
         call.operation = "weights";
         call.body = json::serialize(fields(named->model.c_str(), named->version));
         call.identity = change_identity(call.operation, "", call.body);
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -72,7 +72,7 @@
         : done.state == ClaimState::seen              ? node.counters.claims_seen
                                                       : node.counters.claims_unknown;
     ++counter;
-    co_return course.claimed(done.state, done.epoch, asked_at, node.facts_for(course.placement.replica));
+    co_return course.claimed(done.state, done.term, asked_at, node.facts_for(course.placement.replica));
 }
 
 auto Session::send_try(HttpRequest const& request, Course& course, bool& usable) -> awaitable<CourseStep> {
--- a/source/process/machine/part_change.cpp
+++ b/source/consensus/changes.cpp
@@ -1,7 +1,7 @@
 // Changes: queued, tried, logged, copied, acknowledged. docs/design.md 5.4 and 7.
 #include <algorithm>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
@@ -15,8 +15,8 @@
 }
 }  // namespace
 
-auto Part::fly(Context& context) -> void {
-    // The owner's own copy is synced first: an owner that restarts can then
+auto Partition::fly(Context& context) -> void {
+    // The leader's own copy is synced first: an leader that restarts can then
     // never give one sequence to two changes (design 5.4).
     in_flight = true;
     flying = copy;
@@ -25,13 +25,13 @@
     settle(context);
 }
 
-auto Part::settle(Context& context) -> void {
-    if (!in_flight || !is_owner(context.self) || votes.sealed >= votes.decided.epoch) return;
+auto Partition::settle(Context& context) -> void {
+    if (!in_flight || !is_leader(context.self) || votes.sealed >= votes.decided.term) return;
     if (synced < flying.sequence) return;
     if (!sent_flight) {
         sent_flight = true;
         flown_at = context.now;
-        for (auto const& [identity, follower] : followers)
+        for (auto const& [identity, follower] : progress)
             if (follower.has < flying.sequence)
                 context.sends.push_back({identity, Append{index, votes.decided, flying}});
     }
@@ -47,33 +47,34 @@
     take_queued(context);
 }
 
-auto Part::call(Context& context, std::string const& origin, std::uint64_t token, Call const& asked) -> void {
-    if (!is_owner(context.self) || queued.size() >= queue_limit) {
+auto Partition::call(Context& context, std::string const& origin, std::uint64_t token, Call const& asked) -> void {
+    if (!is_leader(context.self) || queued.size() >= queue_limit) {
         context.done.push_back(
             {origin, token, 503,
-             error_body(is_owner(context.self) ? "too many changes waiting" : "not the owner of this part"), ""});
+             error_body(is_leader(context.self) ? "too many changes waiting" : "not the leader of this partition"),
+             ""});
         return;
     }
     queued.push_back({origin, token, asked, context.now});
     take_queued(context);
 }
 
-auto Part::take_queued(Context& context) -> void {
-    auto const ready = committed && votes.sealed < votes.decided.epoch && licensed(context.self, context.now);
+auto Partition::take_queued(Context& context) -> void {
+    auto const ready = committed && votes.sealed < votes.decided.term && has_lease(context.self, context.now);
     auto const before = copy.sequence;
     auto pending = std::move(queued);
     queued.clear();
     for (auto& item : pending) {
         auto const reads = item.call.operation == "get" || item.call.operation == "outcome";
-        // What a change came to is told only once this epoch's first copy is on
+        // What a change came to is told only once this term's first copy is on
         // all disks: until then a partner may hold a copy in which it lives.
-        auto const own_epoch = committed && committed->sequence.epoch == votes.decided.epoch;
+        auto const own_term = committed && committed->sequence.term == votes.decided.term;
         auto const readable =
-            committed && licensed(context.self, context.now) && (own_epoch || item.call.operation == "get");
+            committed && has_lease(context.self, context.now) && (own_term || item.call.operation == "get");
         if (reads ? readable : ready) change(context, item);
         else if (context.now - item.since > queued_limit)
             context.done.push_back(
-                {item.origin, item.token, 503, error_body("no licensed owner now; nothing was changed"), ""});
+                {item.origin, item.token, 503, error_body("no leased leader now; nothing was changed"), ""});
         else queued.push_back(std::move(item));
     }
     if (copy.sequence == before) return;
@@ -81,7 +82,7 @@
     if (!in_flight) fly(context);
 }
 
-auto Part::change(Context& context, Queued const& item) -> void {
+auto Partition::change(Context& context, Queued const& item) -> void {
     auto const& asked = item.call;
     auto const answer = [&](int status, std::string body, std::string etag) {
         context.done.push_back({item.origin, item.token, status, std::move(body), std::move(etag)});
--- a/source/process/machine/part_claim.cpp
+++ b/source/consensus/claim_replication.cpp
@@ -1,7 +1,7 @@
-// Claims of run-once tickets at the owner and its understudies. docs/design.md 10.5.
+// Claims of run-once tickets at the leader and its followers. docs/design.md 10.5.
 #include <algorithm>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
@@ -10,13 +10,14 @@
 constexpr auto lines_between_wholes = std::size_t{8'192};
 }  // namespace
 
-auto Part::answer_claim(Context& context, std::string const& origin, std::uint64_t token, ClaimState state) -> void {
-    context.claim_answers.emplace_back(origin, ClaimAnswer{index, token, votes.decided.epoch, static_cast<int>(state)});
+auto Partition::answer_claim(Context& context, std::string const& origin, std::uint64_t token, ClaimState state)
+    -> void {
+    context.claim_answers.emplace_back(origin, ClaimAnswer{index, token, votes.decided.term, static_cast<int>(state)});
 }
 
-auto Part::claim(Context& context, std::string const& origin, ClaimAsk const& ask) -> void {
-    auto const sealed_now = votes.sealed >= votes.decided.epoch;
-    if (!licensed(context.self, context.now) || sealed_now)
+auto Partition::claim(Context& context, std::string const& origin, ClaimAsk const& ask) -> void {
+    auto const sealed_now = votes.sealed >= votes.decided.term;
+    if (!has_lease(context.self, context.now) || sealed_now)
         return answer_claim(context, origin, ask.token, ClaimState::not_here);
     if (ask.key.empty() || ask.key.size() > claim_text_limit || ask.key.find_first_of(" \n") != std::string::npos)
         return;
@@ -45,7 +46,7 @@
 }
 
 // One save at a time: claims that come meanwhile share the next sync.
-auto Part::push_claims(Context& context) -> void {
+auto Partition::push_claims(Context& context) -> void {
     if (claims.save_token != 0 || claims.fresh.empty()) return fly_claims(context);
     std::string text;
     for (auto const& key : claims.fresh) text += write_claim(key, claims.held[key], context.now);
@@ -55,7 +56,7 @@
     claims.save_token = save_claims(context, text, {});
 }
 
-auto Part::save_claims(Context& context, std::string text, std::vector<IdentifiedMessage> after) -> std::uint64_t {
+auto Partition::save_claims(Context& context, std::string text, std::vector<IdentifiedMessage> after) -> std::uint64_t {
     auto const token = save(context, false, std::move(after));
     auto& saved = context.saves.back().saved;
     saved.claims_whole = claims.logged > lines_between_wholes + claims.held.size();
@@ -64,7 +65,7 @@
     return token;
 }
 
-auto Part::claims_saved(Context& context, std::uint64_t token) -> void {
+auto Partition::claims_saved(Context& context, std::uint64_t token) -> void {
     if (token != claims.save_token || token == 0) return;
     claims.save_token = 0;
     for (auto const& key : claims.saving) {
@@ -77,10 +78,10 @@
     fly_claims(context);
 }
 
-// The owner's disk first, then the understudies': whatever an understudy holds,
-// the owner holds too, so that a restart never gives one key to two tickets.
-auto Part::fly_claims(Context& context) -> void {
-    if (claims.flying || !is_owner(context.self) || votes.sealed >= votes.decided.epoch) return;
+// The leader's disk first, then the followers': whatever an follower holds,
+// the leader holds too, so that a restart never gives one key to two tickets.
+auto Partition::fly_claims(Context& context) -> void {
+    if (claims.flying || !is_leader(context.self) || votes.sealed >= votes.decided.term) return;
     claims.flown.clear();
     for (auto const& key : claims.to_fly)
         if (!claims.fresh.contains(key) && !claims.saving.contains(key)) claims.flown.insert(key);
@@ -100,39 +101,39 @@
     claims_flown(context);
 }
 
-auto Part::send_claims(Context& context) -> void {
+auto Partition::send_claims(Context& context) -> void {
     claims.flown_at = context.now;
-    for (auto const& understudy : votes.decided.understudies)
-        if (!claims.landed.contains(understudy))
+    for (auto const& follower : votes.decided.followers)
+        if (!claims.landed.contains(follower))
             context.sends.push_back(
-                {understudy, ClaimFlight{index, votes.decided, claims.life, claims.flight_number, claims.flight}});
+                {follower, ClaimFlight{index, votes.decided, claims.life, claims.flight_number, claims.flight}});
 }
 
-auto Part::on(Context& context, std::string const& from, ClaimFlight const& message) -> void {
+auto Partition::on(Context& context, std::string const& from, ClaimFlight const& message) -> void {
     learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (!votes.decided.has_understudy(context.self) || votes.sealed >= votes.decided.epoch) return;
-    primary_heard = context.now;
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (!votes.decided.has_follower(context.self) || votes.sealed >= votes.decided.term) return;
+    leader_heard = context.now;
     auto const place = std::pair(message.life, message.number);
     if (place < claims.newest_flight) return;
-    auto const reply = IdentifiedMessage{from, ClaimFlown{index, votes.decided.epoch, message.life, message.number}};
+    auto const reply = IdentifiedMessage{from, ClaimFlown{index, votes.decided.term, message.life, message.number}};
     claims.newest_flight = place;
     claims.take(read_claims(message.claims), context.now, true);
     save_claims(context, message.claims, {reply});
 }
 
-auto Part::on(Context& context, std::string const& from, ClaimFlown const& message) -> void {
-    if (!is_owner(context.self) || message.epoch != votes.decided.epoch) return;
-    if (!votes.decided.has_understudy(from)) return;
+auto Partition::on(Context& context, std::string const& from, ClaimFlown const& message) -> void {
+    if (!is_leader(context.self) || message.term != votes.decided.term) return;
+    if (!votes.decided.has_follower(from)) return;
     if (!claims.flying || message.life != claims.life || message.number != claims.flight_number) return;
-    if (votes.sealed >= votes.decided.epoch) return;
-    followers[from].heard = context.now;
+    if (votes.sealed >= votes.decided.term) return;
+    progress[from].heard = context.now;
     claims.landed.insert(from);
     claims_flown(context);
 }
 
-auto Part::claims_flown(Context& context) -> void {
-    if (claims.landed.size() < votes.decided.understudies.size()) return;
+auto Partition::claims_flown(Context& context) -> void {
+    if (claims.landed.size() < votes.decided.followers.size()) return;
     claims.flying = false;
     claims.flown.clear();
     if (claims.whole_flies) claims.whole_needed = false;
@@ -140,7 +141,7 @@
     fly_claims(context);
 }
 
-auto Part::settle_claims(Context& context) -> void {
+auto Partition::settle_claims(Context& context) -> void {
     std::erase_if(claims.waiters, [&](auto const& waiter) {
         auto const found = claims.held.find(waiter.key);
         auto const mine = found != claims.held.end() && found->second.ticket == waiter.ticket;
@@ -150,21 +151,21 @@
     });
 }
 
-auto Part::tick_claims(Context& context) -> void {
+auto Partition::tick_claims(Context& context) -> void {
     claims.expire(context.now);
     std::erase_if(claims.waiters, [&](auto const& waiter) { return context.now - waiter.since > claim_wait_limit; });
-    if (!is_owner(context.self) || !healthy || disk_late(context.now)) return;
-    if (!licensed(context.self, context.now)) return;
-    if (claims.flying && context.now - claims.flown_at > times.resend_interval && votes.sealed < votes.decided.epoch)
+    if (!is_leader(context.self) || !healthy || disk_late(context.now)) return;
+    if (!has_lease(context.self, context.now)) return;
+    if (claims.flying && context.now - claims.flown_at > times.resend_interval && votes.sealed < votes.decided.term)
         send_claims(context);
     push_claims(context);
 }
 
-// A new record: the group may be new, so its understudies are given all there is.
-auto Part::claims_under_new_record(Context& context) -> void {
+// A new record: the group may be new, so its followers are given all there is.
+auto Partition::claims_under_new_record(Context& context) -> void {
     claims.newest_flight = {0, 0};
     claims.flying = false;
-    if (!is_owner(context.self)) return claims.stand_back();
+    if (!is_leader(context.self)) return claims.stand_back();
     claims.whole_needed = true;
     for (auto const& key : claims.flown) claims.to_fly.insert(key);
     claims.flown.clear();
--- a/source/process/machine/claims.cpp
+++ b/source/consensus/claims.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/claims.hpp"
+#include "consensus/claims.hpp"
 
 #include <charconv>
 
--- a/source/process/machine/claims.hpp
+++ b/source/consensus/claims.hpp
@@ -1,10 +1,10 @@
 #pragma once
-// The claims of run-once tickets that a part's group keeps: which ticket may be
+// The claims of run-once tickets that a partition's group keeps: which ticket may be
 // sent under a caller's identity. docs/design.md section 10.5.
 #include <deque>
 #include <set>
 
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
@@ -32,16 +32,16 @@
     std::deque<std::pair<Microseconds, std::string>> order;  // as they came, for expiry
     std::uint64_t life = 0;                                  // this node's incarnation
     std::size_t logged = 0;                                  // lines since the disk last got the whole
-    // owner
+    // leader
     std::set<std::string> fresh;   // not yet given to the disk
     std::set<std::string> saving;  // given, not yet synced
     std::uint64_t save_token = 0;
     std::set<std::string> to_fly;  // synced here, not yet flown
     std::set<std::string> flown;   // in the flight under way
-    std::set<std::string> landed;  // understudies that hold it
+    std::set<std::string> landed;  // followers that hold it
     bool flying = false;
     bool whole_flies = false;
-    bool whole_needed = true;  // an understudy may lack some
+    bool whole_needed = true;  // an follower may lack some
     std::uint64_t flight_number = 0;
     Microseconds flown_at = 0;
     std::string flight;
@@ -53,7 +53,7 @@
         Microseconds since = 0;
     };
     std::vector<Waiter> waiters;
-    // understudy
+    // follower
     std::pair<std::uint64_t, std::uint64_t> newest_flight{0, 0};  // life, number
 
     auto load(std::string_view text, Microseconds now) -> void;
@@ -63,7 +63,7 @@
     auto whole(Microseconds now, bool only_synced) const -> std::string;
     auto settled(std::string const& key) const -> bool;
     auto drop_fresh() -> void;  // what no disk has: never acknowledged, so it may go
-    auto stand_back() -> void;  // no longer the owner
+    auto stand_back() -> void;  // no longer the leader
 };
 
 }  // namespace dockrock
--- a/source/process/machine/part_group.cpp
+++ b/source/consensus/group.cpp
@@ -1,26 +1,26 @@
-// Who is of a part's group: the owner and as many understudies as losses are
+// Who is of a partition's group: the leader and as many followers as losses are
 // to be borne; and who votes. docs/design.md 5.2, 5.5.
 #include <algorithm>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
-auto Part::copies() const -> std::size_t {
+auto Partition::copies() const -> std::size_t {
     auto const count = core_count != 0 ? core_count : votes.decided.voters.size();
     return count == 0 ? machines_lost + 1 : std::min(machines_lost + 1, majority_of(count));
 }
 
-auto Part::follow(Microseconds now) -> void {
-    followers.clear();
-    for (auto const& understudy : votes.decided.understudies) followers[understudy] = {now, {}};
+auto Partition::follow(Microseconds now) -> void {
+    progress.clear();
+    for (auto const& follower : votes.decided.followers) progress[follower] = {now, {}};
 }
 
-auto Part::lost_understudies(Context& context) const -> std::set<std::string> {
+auto Partition::lost_followers(Context& context) const -> std::set<std::string> {
     std::set<std::string> lost;
-    for (auto const& [identity, follower] : followers) {
+    for (auto const& [identity, follower] : progress) {
         auto const silent = context.now - follower.heard;
-        if (silent > times.understudy_limit || (silent > 2 * times.renew_interval && !context.alive(identity)))
+        if (silent > times.follower_timeout || (silent > 2 * times.heartbeat_interval && !context.alive(identity)))
             lost.insert(identity);
     }
     return lost;
@@ -29,7 +29,7 @@
 // Those of `from` that are not lost stay; living core nodes take the places of
 // the others, first from areas where no member is. With too few living, lost
 // ones keep their places: the group is never smaller, a change waits for them.
-auto Part::understudies_for(Context& context, Record const& from, std::set<std::string> const& lost) const
+auto Partition::followers_for(Context& context, Record const& from, std::set<std::string> const& lost) const
     -> std::vector<std::string> {
     auto const cores = context.cores();
     auto const area_of = [&](std::string const& identity) {
@@ -37,16 +37,16 @@
             std::find_if(cores.begin(), cores.end(), [&](auto const& member) { return member.identity == identity; });
         return found == cores.end() ? std::string() : found->area;
     };
-    auto chosen = Record{0, from.primary, {}, {}};
-    auto areas = std::set<std::string>{area_of(from.primary)};
+    auto chosen = Record{0, from.leader, {}, {}};
+    auto areas = std::set<std::string>{area_of(from.leader)};
     auto const take = [&](std::string const& identity) {
-        if (chosen.understudies.size() + 1 >= copies() || chosen.has_member(identity)) return;
-        chosen.understudies.push_back(identity);
+        if (chosen.followers.size() + 1 >= copies() || chosen.has_member(identity)) return;
+        chosen.followers.push_back(identity);
         areas.insert(area_of(identity));
     };
-    for (auto const& identity : from.understudies)
+    for (auto const& identity : from.followers)
         if (!lost.contains(identity)) take(identity);
-    while (chosen.understudies.size() + 1 < copies()) {
+    while (chosen.followers.size() + 1 < copies()) {
         std::vector<std::string> same_area;
         std::vector<std::string> other_area;
         for (auto const& member : cores) {
@@ -58,14 +58,14 @@
         take(list[context.random.below(list.size())]);
     }
     for (auto living : {true, false})
-        for (auto const& identity : from.understudies)
+        for (auto const& identity : from.followers)
             if (context.alive(identity) == living) take(identity);
-    return chosen.understudies;
+    return chosen.followers;
 }
 
 // A core node whose disk came back empty has a new identity; it votes only
 // once a majority has decided a record that names it (design 5.5).
-auto Part::renewed_voters(Context& context) const -> std::vector<std::string> {
+auto Partition::renewed_voters(Context& context) const -> std::vector<std::string> {
     auto voters = votes.decided.voters;
     std::vector<std::string> fresh;
     for (auto const& member : context.cores())
--- a/source/process/machine/part_pair.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -1,7 +1,7 @@
-// The group: owner and understudies, changes and their outcomes. docs/design.md 5.4 to 5.6.
+// The group: leader and followers, changes and their outcomes. docs/design.md 5.4 to 5.6.
 #include <algorithm>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
@@ -14,7 +14,7 @@
 }
 }  // namespace
 
-auto Part::step_down(Context& context) -> void {
+auto Partition::step_down(Context& context) -> void {
     committed.reset();
     in_flight = false;
     for (auto const& waiter : waiters)
@@ -24,22 +24,23 @@
     waiters.clear();
     for (auto const& item : queued)
         context.done.push_back(
-            {item.origin, item.token, 503, error_body("the owner of this part changed; nothing was changed"), ""});
+            {item.origin, item.token, 503, error_body("the leader of this partition changed; nothing was changed"),
+             ""});
     queued.clear();
 }
 
-auto Part::tick(Context& context) -> void {
+auto Partition::tick(Context& context) -> void {
     if (last_tick != 0 && context.now - last_tick > times.frozen_gap) {
-        primary_heard = context.now;  // a frozen node distrusts its own timers
-        for (auto& [identity, follower] : followers) follower.heard = context.now;
+        leader_heard = context.now;  // a frozen node distrusts its own timers
+        for (auto& [identity, follower] : progress) follower.heard = context.now;
     }
     last_tick = context.now;
     if (!healthy || disk_late(context.now)) {
-        if (is_owner(context.self) && !licensed(context.self, context.now)) {
+        if (is_leader(context.self) && !has_lease(context.self, context.now)) {
             std::erase_if(queued, [&](auto const& item) {
                 if (context.now - item.since <= queued_limit) return false;
                 context.done.push_back(
-                    {item.origin, item.token, 503, error_body("the owner's disk does not answer"), ""});
+                    {item.origin, item.token, 503, error_body("the leader's disk does not answer"), ""});
                 return true;
             });
         }
@@ -52,11 +53,11 @@
     }
     proposal_tick(context);
     tick_claims(context);
-    if (is_owner(context.self)) own_tick(context);
-    else if (votes.decided.has_understudy(context.self) && votes.decided.epoch > 0) understudy_tick(context);
+    if (is_leader(context.self)) leader_tick(context);
+    else if (votes.decided.has_follower(context.self) && votes.decided.term > 0) follower_tick(context);
 }
 
-auto Part::proposal_tick(Context& context) -> void {
+auto Partition::proposal_tick(Context& context) -> void {
     if (!proposal) return;
     if (context.now - proposal->started > times.proposal_limit) {
         proposal.reset();
@@ -67,27 +68,27 @@
     if (context.now - proposal->sent > times.resend_interval) send_proposal(context);
 }
 
-auto Part::own_tick(Context& context) -> void {
+auto Partition::leader_tick(Context& context) -> void {
     auto const& record = votes.decided;
-    if (context.now - last_ask >= times.renew_interval || last_ask == 0) {
+    if (context.now - last_ask >= times.heartbeat_interval || last_ask == 0) {
         last_ask = context.now;
         for (auto const& voter : record.voters)
-            context.sends.push_back({voter, LicenceAsk{index, record, context.now}});
-        for (auto const& understudy : record.understudies)
-            context.sends.push_back({understudy, Beat{index, record, copy.sequence}});
+            context.sends.push_back({voter, LeaseRequest{index, record, context.now}});
+        for (auto const& follower : record.followers)
+            context.sends.push_back({follower, Heartbeat{index, record, copy.sequence}});
         if (committed && context.now - last_spare > times.spare_interval) {  // the sweep for old spare copies
             last_spare = context.now;
             for (auto const& member : context.cores())
                 if (!record.has_member(member.identity))
-                    context.sends.push_back({member.identity, Beat{index, record, committed->sequence}});
+                    context.sends.push_back({member.identity, Heartbeat{index, record, committed->sequence}});
         }
     }
-    auto const has_licence = licensed(context.self, context.now);
-    if (has_licence) owner_since = context.now;
-    auto const sealed_now = votes.sealed >= record.epoch;
-    if (!sealed_now && has_licence && !in_flight) {
-        if (copy.sequence.epoch < record.epoch) {
-            copy.sequence = Sequence{record.epoch, copy.sequence.number + 1};
+    auto const leased = has_lease(context.self, context.now);
+    if (leased) leader_since = context.now;
+    auto const sealed_now = votes.sealed >= record.term;
+    if (!sealed_now && leased && !in_flight) {
+        if (copy.sequence.term < record.term) {
+            copy.sequence = Sequence{record.term, copy.sequence.number + 1};
             save(context, true, {});
             fly(context);
         } else if (!committed) {
@@ -112,84 +113,85 @@
         return;
     auto wanted = record;
     wanted.voters = renewed_voters(context);
-    auto const lost = lost_understudies(context);
-    auto const too_few = has_licence && record.understudies.size() + 1 < copies();
-    if (!lost.empty() || too_few) wanted.understudies = understudies_for(context, record, lost);
-    auto const grows = wanted.understudies.size() > record.understudies.size();
-    auto const unlicensed = context.now - owner_since > times.grantor_term;
-    auto const voters_changed = wanted.voters != record.voters && has_licence;
-    if (lost.empty() && !grows && !sealed_now && !unlicensed && !voters_changed) return;
+    auto const lost = lost_followers(context);
+    auto const too_few = leased && record.followers.size() + 1 < copies();
+    if (!lost.empty() || too_few) wanted.followers = followers_for(context, record, lost);
+    auto const grows = wanted.followers.size() > record.followers.size();
+    auto const without_lease = context.now - leader_since > times.grant_duration;
+    auto const voters_changed = wanted.voters != record.voters && leased;
+    if (lost.empty() && !grows && !sealed_now && !without_lease && !voters_changed) return;
     last_try = context.now;
     propose(context, wanted);
 }
 
-// Any understudy may take over. Those named earlier go first, so that ballots
+// Any follower may take over. Those named earlier go first, so that ballots
 // do not race; one that does not get there holds the others up for a time only.
-auto Part::understudy_tick(Context& context) -> void {
+auto Partition::follower_tick(Context& context) -> void {
     if (proposal) return;
-    auto const& understudies = votes.decided.understudies;
-    auto const place = std::find(understudies.begin(), understudies.end(), context.self);
+    auto const& followers = votes.decided.followers;
+    auto const place = std::find(followers.begin(), followers.end(), context.self);
     auto const before =
-        std::count_if(understudies.begin(), place, [&](auto const& other) { return context.alive(other); });
-    auto const silent = context.now - primary_heard - before * times.try_interval;
-    if (silent <= times.silence_limit && (silent <= 2 * times.renew_interval || context.alive(votes.decided.primary)))
+        std::count_if(followers.begin(), place, [&](auto const& other) { return context.alive(other); });
+    auto const silent = context.now - leader_heard - before * times.try_interval;
+    if (silent <= times.leader_timeout &&
+        (silent <= 2 * times.heartbeat_interval || context.alive(votes.decided.leader)))
         return;
     if (rival_tried != 0 && context.now - rival_tried < 2 * times.try_interval &&
-        silent < times.silence_limit + times.rival_patience)
+        silent < times.leader_timeout + times.rival_patience)
         return;
     if (context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000))) return;
     last_try = context.now;
     auto wanted = votes.decided;
-    wanted.primary = context.self;
-    wanted.understudies.erase(wanted.understudies.begin() + (place - understudies.begin()));
-    wanted.understudies.push_back(votes.decided.primary);
-    auto lost = std::set<std::string>{votes.decided.primary};
-    for (auto const& other : understudies)
+    wanted.leader = context.self;
+    wanted.followers.erase(wanted.followers.begin() + (place - followers.begin()));
+    wanted.followers.push_back(votes.decided.leader);
+    auto lost = std::set<std::string>{votes.decided.leader};
+    for (auto const& other : followers)
         if (!context.alive(other)) lost.insert(other);
-    wanted.understudies = understudies_for(context, wanted, lost);
+    wanted.followers = followers_for(context, wanted, lost);
     wanted.voters = renewed_voters(context);
     propose(context, wanted);
 }
 
-// A polite stop: an understudy becomes owner by an ordinary decision. It holds
+// A polite stop: an follower becomes leader by an ordinary decision. It holds
 // all that was acknowledged; all of the new group get the sealed copy (design 5.6).
-auto Part::hand_over(Context& context) -> bool {
-    if (!is_owner(context.self) || !healthy) return false;
+auto Partition::hand_over(Context& context) -> bool {
+    if (!is_leader(context.self) || !healthy) return false;
     if (proposal || context.now - last_try < times.try_interval) return true;
     last_try = context.now;
     auto wanted = votes.decided;
     auto lost = std::set<std::string>{context.self};
-    for (auto const& understudy : votes.decided.understudies)
-        if (!context.alive(understudy)) lost.insert(understudy);
-    auto& others = wanted.understudies;
+    for (auto const& follower : votes.decided.followers)
+        if (!context.alive(follower)) lost.insert(follower);
+    auto& others = wanted.followers;
     auto const next =
         std::find_if(others.begin(), others.end(), [&](auto const& item) { return !lost.contains(item); });
     if (next == others.end()) return false;
-    wanted.primary = *next;
+    wanted.leader = *next;
     others.erase(next);
-    others = understudies_for(context, wanted, lost);
+    others = followers_for(context, wanted, lost);
     auto const living = [&](auto const& item) { return context.alive(item); };
     if (others.size() + 1 < copies() || !std::all_of(others.begin(), others.end(), living)) return false;
     propose(context, wanted);
     return true;
 }
 
-auto Part::on(Context& context, std::string const& from, Beat const& message) -> void {
+auto Partition::on(Context& context, std::string const& from, Heartbeat const& message) -> void {
     learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.primary || !healthy || disk_late(context.now)) return;
-    primary_heard = context.now;
-    // A sealed understudy can acknowledge nothing more: silent, so that the
-    // owner decides on a new group.
-    if (votes.decided.has_understudy(context.self) && votes.sealed >= votes.decided.epoch) return;
-    context.sends.push_back({from, Appended{index, votes.decided.epoch, synced}});
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy || disk_late(context.now)) return;
+    leader_heard = context.now;
+    // A sealed follower can acknowledge nothing more: silent, so that the
+    // leader decides on a new group.
+    if (votes.decided.has_follower(context.self) && votes.sealed >= votes.decided.term) return;
+    context.sends.push_back({from, Appended{index, votes.decided.term, synced}});
 }
 
-auto Part::on(Context& context, std::string const& from, Append const& message) -> void {
+auto Partition::on(Context& context, std::string const& from, Append const& message) -> void {
     learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (!votes.decided.has_understudy(context.self) || votes.sealed >= votes.decided.epoch) return;
-    primary_heard = context.now;
-    auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.epoch, message.copy.sequence}};
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (!votes.decided.has_follower(context.self) || votes.sealed >= votes.decided.term) return;
+    leader_heard = context.now;
+    auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.term, message.copy.sequence}};
     if (message.copy.sequence > copy.sequence) {
         copy = message.copy;
         save(context, true, {reply});
@@ -198,24 +200,24 @@
     }
 }
 
-auto Part::on(Context& context, std::string const& from, Appended const& message) -> void {
-    if (!is_owner(context.self) || message.epoch != votes.decided.epoch) return;
-    if (!votes.decided.has_understudy(from)) {
+auto Partition::on(Context& context, std::string const& from, Appended const& message) -> void {
+    if (!is_leader(context.self) || message.term != votes.decided.term) return;
+    if (!votes.decided.has_follower(from)) {
         if (committed && message.sequence != committed->sequence)
             context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
         return;
     }
-    auto& follower = followers[from];
+    auto& follower = progress[from];
     follower.heard = context.now;
     follower.has = std::max(follower.has, message.sequence);
     settle(context);
 }
 
-auto Part::on(Context& context, std::string const& from, SpareOffer const& message) -> void {
+auto Partition::on(Context& context, std::string const& from, SpareOffer const& message) -> void {
     learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
-    if (votes.decided.has_understudy(context.self) || message.copy.sequence == copy.sequence) return;
-    if (votes.sealed >= votes.decided.epoch) return;  // the copy it took for the next epoch stays (design 5.8)
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (votes.decided.has_follower(context.self) || message.copy.sequence == copy.sequence) return;
+    if (votes.sealed >= votes.decided.term) return;  // the copy it took for the next term stays (design 5.8)
     copy = message.copy;
     save(context, true, {});
 }
--- a/source/process/machine/part.hpp
+++ b/source/consensus/partition.hpp
@@ -1,39 +1,39 @@
 #pragma once
-// One part of the control state on one node: voter, member of its group, owner.
+// One partition of the control state on one node: voter, member of its group, leader.
 // docs/design.md section 5.
 #include <functional>
 #include <set>
 
-#include "process/machine/claims.hpp"
+#include "consensus/claims.hpp"
 
 namespace dockrock {
 
-struct PartTimes {
-    Microseconds grantor_term = 1'200 * one_millisecond;
-    Microseconds holder_term = 950 * one_millisecond;
-    Microseconds renew_interval = 200 * one_millisecond;
-    Microseconds silence_limit = 650 * one_millisecond;
+struct PartitionTimes {
+    Microseconds grant_duration = 1'200 * one_millisecond;
+    Microseconds lease_duration = 950 * one_millisecond;
+    Microseconds heartbeat_interval = 200 * one_millisecond;
+    Microseconds leader_timeout = 650 * one_millisecond;
     Microseconds try_interval = 100 * one_millisecond;
     Microseconds proposal_limit = 1'500 * one_millisecond;
-    Microseconds understudy_limit = 1'000 * one_millisecond;
+    Microseconds follower_timeout = 1'000 * one_millisecond;
     Microseconds resend_interval = 400 * one_millisecond;
     Microseconds copy_patience = 200 * one_millisecond;     // a silent partner is passed over
-    Microseconds rival_patience = 2'000 * one_millisecond;  // an earlier understudy goes first
+    Microseconds rival_patience = 2'000 * one_millisecond;  // an earlier follower goes first
     Microseconds disk_limit = 600 * one_millisecond;
     Microseconds spare_interval = 2 * one_second;
     Microseconds frozen_gap = 400 * one_millisecond;
 };
 
-// What is on disk for a part; nothing else survives (design 6).
+// What is on disk for a partition; nothing else survives (design 6).
 struct Votes {
     Record decided;
     Ballot promised;
     Ballot accepted_ballot;
     std::optional<Record> accepted;
-    std::uint64_t sealed = 0;  // this node takes no further part as member of groups of epochs up to here
+    std::uint64_t sealed = 0;  // this node takes no further partition as member of groups of terms up to here
 };
-struct PartSaved {
-    int part = 0;
+struct SavedPartition {
+    int partition = 0;
     Votes votes;
     std::optional<Copy> copy;   // only where it changed
     std::string claims;         // lines that came since (design 10.5)
@@ -45,8 +45,8 @@
     Message message;
 };
 
-// What the disk holds of a part, and a later save on top of it.
-inline auto merge_saved(PartSaved& into, PartSaved const& from) -> void {
+// What the disk holds of a partition, and a later save on top of it.
+inline auto merge_saved(SavedPartition& into, SavedPartition const& from) -> void {
     into.votes = from.votes;
     if (from.copy) into.copy = from.copy;
     if (from.claims_whole) into.claims = from.claims;
@@ -56,7 +56,7 @@
 // Written through to the disk; `after` is sent only once it is synced.
 struct Save {
     std::uint64_t token = 0;
-    PartSaved saved;
+    SavedPartition saved;
     std::vector<IdentifiedMessage> after;
     std::optional<Sequence> copy_sequence;
 };
@@ -89,16 +89,16 @@
 };
 using ApplyChange = std::function<ChangeResult(Copy const& current, Call const& call)>;
 
-struct Part {
+struct Partition {
     int index = 0;
     std::size_t core_count = 4;  // 0: not told, then the first voters' number stays
     std::size_t machines_lost = 1;
-    PartTimes times;
+    PartitionTimes times;
     ApplyChange apply;
     Votes votes;
     Copy copy;                      // newest held, may be uncommitted
     Sequence synced;                // of `copy`, what is on the disk
-    std::optional<Copy> committed;  // only on the owner, once proven
+    std::optional<Copy> committed;  // only on the leader, once proven
     ClaimTable claims;
     bool healthy = true;         // the disk answers
     Microseconds vote_from = 0;  // a restarted voter waits out one full grant
@@ -108,19 +108,19 @@
     // voter
     Microseconds granted_until = 0;
     std::string granted_to;
-    // owner
+    // leader
     std::map<std::string, Microseconds> grants;  // voter -> asked_at of its newest grant
     Microseconds last_ask = 0;
-    Microseconds owner_since = 0;
+    Microseconds leader_since = 0;
     bool in_flight = false;
     bool sent_flight = false;
     Copy flying;
     Microseconds flown_at = 0;
-    struct Follower {
+    struct FollowerProgress {
         Microseconds heard = 0;
         Sequence has;
     };
-    std::map<std::string, Follower> followers;  // the understudies of the decided record
+    std::map<std::string, FollowerProgress> progress;  // the followers of the decided record
     Microseconds last_spare = 0;
     struct Waiter {
         std::string origin;
@@ -137,10 +137,10 @@
         Microseconds since = 0;
     };
     std::vector<Queued> queued;
-    // understudy
-    Microseconds primary_heard = 0;
+    // follower
+    Microseconds leader_heard = 0;
     Microseconds last_try = 0;
-    Microseconds rival_tried = 0;  // an understudy before this one asked for votes
+    Microseconds rival_tried = 0;  // an follower before this one asked for votes
     // proposer
     struct Proposal {
         enum class Stage : int { preparing, copying, accepting };
@@ -151,7 +151,7 @@
         std::set<std::string> promises;
         std::set<std::string> accepts;
         std::set<std::string> refusals;
-        std::uint64_t seal_token = 0;  // the save that seals the epoch
+        std::uint64_t seal_token = 0;  // the save that seals the term
         bool seal_synced = false;
         std::set<std::string> taken;        // who holds the sealed copy
         std::set<std::string> passed_over;  // who did not take it in time
@@ -165,18 +165,18 @@
     std::optional<Proposal> proposal;
     std::uint64_t highest_round = 0;
 
-    auto is_owner(std::string const& self) const -> bool {
-        return votes.decided.epoch > 0 && votes.decided.primary == self;
+    auto is_leader(std::string const& self) const -> bool {
+        return votes.decided.term > 0 && votes.decided.leader == self;
     }
     auto all_have(Sequence const& sequence) const -> bool {
         return std::all_of(
-            followers.begin(), followers.end(), [&](auto const& item) { return item.second.has >= sequence; });
+            progress.begin(), progress.end(), [&](auto const& item) { return item.second.has >= sequence; });
     }
     // Of a group: losses borne at once, and one, but no more than a majority of the voters (design 5).
     auto copies() const -> std::size_t;
-    auto follow(Microseconds now) -> void;  // counts anew what the understudies were heard to have
-    auto licensed_until(std::string const& self) const -> Microseconds;
-    auto licensed(std::string const& self, Microseconds now) const -> bool;
+    auto follow(Microseconds now) -> void;  // counts anew what the followers were heard to have
+    auto lease_until(std::string const& self) const -> Microseconds;
+    auto has_lease(std::string const& self, Microseconds now) const -> bool;
 
     auto tick(Context& context) -> void;
     auto saved(Context& context, std::uint64_t token, bool ok) -> void;
@@ -190,9 +190,9 @@
     auto on(Context&, std::string const& from, Accepted const&) -> void;
     auto on(Context&, std::string const& from, Refusal const&) -> void;
     auto on(Context&, std::string const& from, Decided const&) -> void;
-    auto on(Context&, std::string const& from, LicenceAsk const&) -> void;
-    auto on(Context&, std::string const& from, LicenceGrant const&) -> void;
-    auto on(Context&, std::string const& from, Beat const&) -> void;
+    auto on(Context&, std::string const& from, LeaseRequest const&) -> void;
+    auto on(Context&, std::string const& from, LeaseGrant const&) -> void;
+    auto on(Context&, std::string const& from, Heartbeat const&) -> void;
     auto on(Context&, std::string const& from, Append const&) -> void;
     auto on(Context&, std::string const& from, Appended const&) -> void;
     auto on(Context&, std::string const& from, CopyOffer const&) -> void;
@@ -206,11 +206,11 @@
 
    private:
     auto save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t;
-    auto may_vote(Context& context, std::string const& from, std::uint64_t epoch, Record const& proof) -> bool;
+    auto may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool;
     auto disk_late(Microseconds now) const -> bool;
     auto step_down(Context& context) -> void;
-    auto own_tick(Context& context) -> void;
-    auto understudy_tick(Context& context) -> void;
+    auto leader_tick(Context& context) -> void;
+    auto follower_tick(Context& context) -> void;
     auto proposal_tick(Context& context) -> void;
     auto begin_copying(Context& context) -> void;
     auto begin_accepting(Context& context) -> void;
@@ -231,8 +231,8 @@
     auto settle_claims(Context& context) -> void;
     auto tick_claims(Context& context) -> void;
     auto claims_under_new_record(Context& context) -> void;
-    auto lost_understudies(Context& context) const -> std::set<std::string>;
-    auto understudies_for(Context& context, Record const& from, std::set<std::string> const& lost) const
+    auto lost_followers(Context& context) const -> std::set<std::string>;
+    auto followers_for(Context& context, Record const& from, std::set<std::string> const& lost) const
         -> std::vector<std::string>;
     auto renewed_voters(Context& context) const -> std::vector<std::string>;
 };
@@ -243,4 +243,4 @@
 }  // namespace dockrock
 
 BOOST_HANA_ADAPT_STRUCT(dockrock::Votes, decided, promised, accepted_ballot, accepted, sealed);
-BOOST_HANA_ADAPT_STRUCT(dockrock::PartSaved, part, votes, copy, claims, claims_whole);
+BOOST_HANA_ADAPT_STRUCT(dockrock::SavedPartition, partition, votes, copy, claims, claims_whole);
--- a/source/process/machine/part_vote.cpp
+++ b/source/consensus/voting_and_lease.cpp
@@ -1,7 +1,7 @@
-// Voting on who holds a part, and granting its licence. docs/design.md 5.1 to 5.3.
+// Voting on who holds a partition, and granting its lease. docs/design.md 5.1 to 5.3.
 #include <algorithm>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
@@ -11,10 +11,10 @@
 }
 }  // namespace
 
-auto Part::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t {
+auto Partition::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t {
     Save request;
     request.token = context.random.next() | 1U;
-    request.saved.part = index;
+    request.saved.partition = index;
     request.saved.votes = votes;
     if (with_copy) {
         request.saved.copy = copy;
@@ -30,7 +30,7 @@
     return token;
 }
 
-auto Part::saved(Context& context, std::uint64_t token, bool ok) -> void {
+auto Partition::saved(Context& context, std::uint64_t token, bool ok) -> void {
     auto const found = saving.find(token);
     if (found == saving.end()) return;
     auto kept = std::move(found->second.second);
@@ -49,17 +49,17 @@
     copies_taken(context);
 }
 
-auto Part::disk_late(Microseconds now) const -> bool {
+auto Partition::disk_late(Microseconds now) const -> bool {
     for (auto const& [token, entry] : saving)
         if (now - entry.first > times.disk_limit) return true;
     return false;
 }
 
-auto Part::learn(Context& context, Record const& record) -> void {
-    auto const blank = votes.decided.epoch == 0 && votes.decided.voters.empty();
-    if (record.epoch < votes.decided.epoch || record.voters.empty()) return;
-    if (record.epoch == votes.decided.epoch && !blank) return;
-    auto const was_owner = is_owner(context.self);
+auto Partition::learn(Context& context, Record const& record) -> void {
+    auto const blank = votes.decided.term == 0 && votes.decided.voters.empty();
+    if (record.term < votes.decided.term || record.voters.empty()) return;
+    if (record.term == votes.decided.term && !blank) return;
+    auto const was_leader = is_leader(context.self);
     votes.decided = record;
     votes.promised = {};
     votes.accepted_ballot = {};
@@ -70,11 +70,11 @@
     grants.clear();
     in_flight = false;
     follow(context.now);
-    primary_heard = context.now;
+    leader_heard = context.now;
     rival_tried = 0;
     last_ask = 0;
-    if (is_owner(context.self)) {
-        if (!was_owner) owner_since = context.now;
+    if (is_leader(context.self)) {
+        if (!was_leader) leader_since = context.now;
     } else {
         step_down(context);
     }
@@ -82,51 +82,50 @@
     save(context, false, {});
 }
 
-auto Part::may_vote(Context& context, std::string const& from, std::uint64_t epoch, Record const& proof) -> bool {
-    if (proof.epoch + 1 != epoch || !healthy) return false;
+auto Partition::may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool {
+    if (proof.term + 1 != term || !healthy) return false;
     learn(context, proof);
     auto const refuse = [&] {
-        context.sends.push_back({from, Refusal{index, epoch, votes.promised, votes.decided}});
+        context.sends.push_back({from, Refusal{index, term, votes.promised, votes.decided}});
         return false;
     };
-    if (votes.decided.epoch >= epoch) return refuse();
+    if (votes.decided.term >= term) return refuse();
     if (votes.decided.voters != proof.voters || !contains(votes.decided.voters, context.self)) return false;
-    if (context.now < vote_from && votes.decided.epoch > 0) return refuse();
+    if (context.now < vote_from && votes.decided.term > 0) return refuse();
     if (granted_until > context.now && granted_to != from) return refuse();
     return true;
 }
 
-auto Part::on(Context& context, std::string const& from, Prepare const& message) -> void {
-    auto const may = may_vote(context, from, message.epoch, message.proof);
-    auto const& understudies = votes.decided.understudies;
-    auto const place = std::find(understudies.begin(), understudies.end(), context.self);
-    if (message.epoch == votes.decided.epoch + 1 && std::find(understudies.begin(), place, from) != place)
+auto Partition::on(Context& context, std::string const& from, Prepare const& message) -> void {
+    auto const may = may_vote(context, from, message.term, message.proof);
+    auto const& followers = votes.decided.followers;
+    auto const place = std::find(followers.begin(), followers.end(), context.self);
+    if (message.term == votes.decided.term + 1 && std::find(followers.begin(), place, from) != place)
         rival_tried = context.now;
     if (!may) return;
     if (message.ballot < votes.promised) {
-        context.sends.push_back({from, Refusal{index, message.epoch, votes.promised, votes.decided}});
+        context.sends.push_back({from, Refusal{index, message.term, votes.promised, votes.decided}});
         return;
     }
     votes.promised = message.ballot;
-    save(
-        context, false, {{from, Promise{index, message.epoch, message.ballot, votes.accepted_ballot, votes.accepted}}});
+    save(context, false, {{from, Promise{index, message.term, message.ballot, votes.accepted_ballot, votes.accepted}}});
 }
 
-auto Part::on(Context& context, std::string const& from, Accept const& message) -> void {
-    if (!may_vote(context, from, message.epoch, message.proof)) return;
-    if (message.ballot < votes.promised || message.record.epoch != message.epoch) {
-        context.sends.push_back({from, Refusal{index, message.epoch, votes.promised, votes.decided}});
+auto Partition::on(Context& context, std::string const& from, Accept const& message) -> void {
+    if (!may_vote(context, from, message.term, message.proof)) return;
+    if (message.ballot < votes.promised || message.record.term != message.term) {
+        context.sends.push_back({from, Refusal{index, message.term, votes.promised, votes.decided}});
         return;
     }
     votes.promised = message.ballot;
     votes.accepted_ballot = message.ballot;
     votes.accepted = message.record;
-    save(context, false, {{from, Accepted{index, message.epoch, message.ballot}}});
+    save(context, false, {{from, Accepted{index, message.term, message.ballot}}});
 }
 
-auto Part::on(Context& context, std::string const& from, Refusal const& message) -> void {
+auto Partition::on(Context& context, std::string const& from, Refusal const& message) -> void {
     learn(context, message.decided);
-    if (message.epoch == votes.decided.epoch + 1) highest_round = std::max(highest_round, message.promised.round);
+    if (message.term == votes.decided.term + 1) highest_round = std::max(highest_round, message.promised.round);
     if (!proposal) return;
     proposal->refusals.insert(from);
     auto const count = votes.decided.voters.size();
@@ -135,43 +134,45 @@
         proposal.reset();
 }
 
-auto Part::on(Context& context, std::string const&, Decided const& message) -> void { learn(context, message.record); }
+auto Partition::on(Context& context, std::string const&, Decided const& message) -> void {
+    learn(context, message.record);
+}
 
-// A voter that accepted another record for the next epoch grants no more: so a
-// decided successor and a live licence exclude each other (design 5.3).
-auto Part::on(Context& context, std::string const& from, LicenceAsk const& message) -> void {
+// A voter that accepted another record for the next term grants no more: so a
+// decided successor and a live lease exclude each other (design 5.3).
+auto Partition::on(Context& context, std::string const& from, LeaseRequest const& message) -> void {
     learn(context, message.record);
-    if (votes.decided.epoch > message.record.epoch) {
+    if (votes.decided.term > message.record.term) {
         context.sends.push_back({from, Decided{index, votes.decided}});
         return;
     }
-    if (votes.decided != message.record || from != votes.decided.primary || !healthy) return;
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
     if (votes.accepted || !contains(votes.decided.voters, context.self)) return;
-    granted_until = context.now + times.grantor_term;
+    granted_until = context.now + times.grant_duration;
     granted_to = from;
-    context.sends.push_back({from, LicenceGrant{index, message.record.epoch, message.asked_at}});
+    context.sends.push_back({from, LeaseGrant{index, message.record.term, message.asked_at}});
 }
 
-auto Part::on(Context& context, std::string const& from, LicenceGrant const& message) -> void {
-    if (message.epoch != votes.decided.epoch || !is_owner(context.self) || message.asked_at > context.now) return;
+auto Partition::on(Context& context, std::string const& from, LeaseGrant const& message) -> void {
+    if (message.term != votes.decided.term || !is_leader(context.self) || message.asked_at > context.now) return;
     auto& newest = grants[from];
     newest = std::max(newest, message.asked_at);
     settle(context);
 }
 
-auto Part::licensed_until(std::string const& self) const -> Microseconds {
-    if (!is_owner(self)) return 0;
+auto Partition::lease_until(std::string const& self) const -> Microseconds {
+    if (!is_leader(self)) return 0;
     std::vector<Microseconds> asked;
     for (auto const& voter : votes.decided.voters)
         if (auto const found = grants.find(voter); found != grants.end()) asked.push_back(found->second);
     auto const needed = blocking_of(votes.decided.voters.size());
     if (asked.size() < needed) return 0;
     std::sort(asked.begin(), asked.end(), std::greater<>());
-    return asked[needed - 1] + times.holder_term;
+    return asked[needed - 1] + times.lease_duration;
 }
 
-auto Part::licensed(std::string const& self, Microseconds now) const -> bool {
-    return healthy && licensed_until(self) > now && !disk_late(now);
+auto Partition::has_lease(std::string const& self, Microseconds now) const -> bool {
+    return healthy && lease_until(self) > now && !disk_late(now);
 }
 
 }  // namespace dockrock
--- a/source/process/machine/control.cpp
+++ b/source/control/control.cpp
@@ -1,35 +1,35 @@
 // The node's control side: routing of events to its machines. docs/design.md section 5 and 9.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
 auto Control::start(
     ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
-    std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void {
+    std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void {
     settings = given;
     random.state = seed;
     membership.self = Member{
         identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
     if (given.core && !given.may_form) membership.self.never_forms = true;
     membership.seeds = given.seeds;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
-        auto& part = parts[index];
-        part.index = static_cast<int>(index);
-        part.core_count = given.core_count;
-        part.machines_lost = given.machines_lost;
-        part.claims.life = incarnation;
-        part.primary_heard = part.owner_since = now;
-        if (had_state) part.vote_from = now + part.times.grantor_term;
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
+        auto& partition = partitions[index];
+        partition.index = static_cast<int>(index);
+        partition.core_count = given.core_count;
+        partition.machines_lost = given.machines_lost;
+        partition.claims.life = incarnation;
+        partition.leader_heard = partition.leader_since = now;
+        if (had_state) partition.vote_from = now + partition.times.grant_duration;
     }
     for (auto const& saved_part : saved_parts) {
-        if (saved_part.part < 0 || saved_part.part >= static_cast<int>(part_count)) continue;
-        auto& part = parts[static_cast<std::size_t>(saved_part.part)];
-        part.votes = saved_part.votes;
-        part.follow(now);
-        part.claims.load(saved_part.claims, now);
+        if (saved_part.partition < 0 || saved_part.partition >= static_cast<int>(partition_count)) continue;
+        auto& partition = partitions[static_cast<std::size_t>(saved_part.partition)];
+        partition.votes = saved_part.votes;
+        partition.follow(now);
+        partition.claims.load(saved_part.claims, now);
         if (saved_part.copy) {
-            part.copy = *saved_part.copy;
-            part.synced = part.copy.sequence;
+            partition.copy = *saved_part.copy;
+            partition.synced = partition.copy.sequence;
         }
     }
     membership.self.knows_fleet = knows_fleet();
@@ -37,17 +37,17 @@
 }
 
 auto Control::knows_fleet() const -> bool {
-    for (auto const& part : parts)
-        if (part.votes.decided.epoch > 0) return true;
+    for (auto const& partition : partitions)
+        if (partition.votes.decided.term > 0) return true;
     for (auto const& item : news)
-        if (item.record.epoch > 0) return true;
+        if (item.record.term > 0) return true;
     return false;
 }
 
-auto Control::best_record(int part) const -> Record const& {
-    auto const index = static_cast<std::size_t>(part);
-    return news[index].record.epoch > parts[index].votes.decided.epoch ? news[index].record
-                                                                       : parts[index].votes.decided;
+auto Control::best_record(int partition) const -> Record const& {
+    auto const index = static_cast<std::size_t>(partition);
+    return news[index].record.term > partitions[index].votes.decided.term ? news[index].record
+                                                                          : partitions[index].votes.decided;
 }
 
 auto Control::drain(Context& context, ControlOutput& output) -> void {
@@ -105,32 +105,33 @@
             } else if constexpr (std::is_same_v<Body, ProbeFor>) {
                 membership.on(body, address, now, output.sends);
             } else if constexpr (std::is_same_v<Body, NewsAsk>) {
-                if (body.part >= 0 && body.part < static_cast<int>(part_count))
+                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count))
                     answer_news(now, address, body, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
-                if (body.part >= 0 && body.part < static_cast<int>(part_count)) take_news(body, output);
+                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count)) take_news(body, output);
             } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
                 output.digests.emplace_back(from, body);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
-                if (body.call.part < 0 || body.call.part >= static_cast<int>(part_count)) return;
-                auto const& record = best_record(body.call.part);
-                auto& part = parts[static_cast<std::size_t>(body.call.part)];
-                if (part.is_owner(membership.self.identity) || body.hops >= 2 ||
-                    record.primary == membership.self.identity) {
-                    with_parts(
-                        now, output, [&](Context& context) { part.call(context, body.origin, body.token, body.call); });
-                } else if (auto const owner = membership.address_of(record.primary); !owner.empty()) {
-                    output.sends.push_back({owner, CallForward{body.token, body.hops + 1, body.origin, body.call}});
+                if (body.call.partition < 0 || body.call.partition >= static_cast<int>(partition_count)) return;
+                auto const& record = best_record(body.call.partition);
+                auto& partition = partitions[static_cast<std::size_t>(body.call.partition)];
+                if (partition.is_leader(membership.self.identity) || body.hops >= 2 ||
+                    record.leader == membership.self.identity) {
+                    with_parts(now, output, [&](Context& context) {
+                        partition.call(context, body.origin, body.token, body.call);
+                    });
+                } else if (auto const leader = membership.address_of(record.leader); !leader.empty()) {
+                    output.sends.push_back({leader, CallForward{body.token, body.hops + 1, body.origin, body.call}});
                 }
             } else if constexpr (std::is_same_v<Body, ClaimAsk>) {
-                if (body.part < 0 || body.part >= static_cast<int>(part_count) || !settings.core) return;
+                if (body.partition < 0 || body.partition >= static_cast<int>(partition_count) || !settings.core) return;
                 with_parts(now, output, [&](Context& context) {
-                    parts[static_cast<std::size_t>(body.part)].claim(context, address, body);
+                    partitions[static_cast<std::size_t>(body.partition)].claim(context, address, body);
                 });
             } else if constexpr (std::is_same_v<Body, AnewAsk>) {
                 output.sends.push_back({address, AnewAnswer{body.token, held_parts()}});
             } else if constexpr (std::is_same_v<Body, AnewAnswer>) {
-                if (anew && anew->token == body.token && anew->silent.erase(address) > 0) take_anew(body.parts);
+                if (anew && anew->token == body.token && anew->silent.erase(address) > 0) take_anew(body.partitions);
             } else if constexpr (std::is_same_v<Body, FormAnew>) {
                 on_form_anew(now, body, output);
             } else if constexpr (std::is_same_v<Body, ClaimAnswer>) {
@@ -139,17 +140,17 @@
                 finish_call(body.token, body.status, body.body, body.etag, output);
             } else {
                 if constexpr (std::is_same_v<Body, Decided>) {
-                    if (body.part < 0 || body.part >= static_cast<int>(part_count)) return;
-                    auto& item = news[static_cast<std::size_t>(body.part)];
-                    if (body.record.epoch > item.record.epoch) {
+                    if (body.partition < 0 || body.partition >= static_cast<int>(partition_count)) return;
+                    auto& item = news[static_cast<std::size_t>(body.partition)];
+                    if (body.record.term > item.record.term) {
                         item.record = body.record;
-                        item.ask_token = 0;  // the old owner's answer is not waited for
+                        item.ask_token = 0;  // the old leader's answer is not waited for
                         item.unanswered = 0;
                     }
                 }
-                if (!settings.core || body.part < 0 || body.part >= static_cast<int>(part_count)) return;
+                if (!settings.core || body.partition < 0 || body.partition >= static_cast<int>(partition_count)) return;
                 with_parts(now, output, [&](Context& context) {
-                    parts[static_cast<std::size_t>(body.part)].on(context, from, body);
+                    partitions[static_cast<std::size_t>(body.partition)].on(context, from, body);
                 });
             }
         },
@@ -165,8 +166,9 @@
     // The next question follows an answer that was held, or that brought news,
     // without waiting for a tick; answers given at once are paced by the ticks.
     auto const* answer = std::get_if<NewsAnswer>(&message);
-    if (answer != nullptr && answer->part >= 0 && answer->part < static_cast<int>(part_count) && !resting) {
-        auto const& item = news[static_cast<std::size_t>(answer->part)];
+    if (answer != nullptr && answer->partition >= 0 && answer->partition < static_cast<int>(partition_count) &&
+        !resting) {
+        auto const& item = news[static_cast<std::size_t>(answer->partition)];
         if (output.news || now - item.asked_at > times.hold_limit / 3) ask_news(now, output);
     }
     return output;
@@ -175,7 +177,7 @@
 auto Control::saved(Microseconds now, std::uint64_t token, bool ok) -> ControlOutput {
     ControlOutput output;
     with_parts(now, output, [&](Context& context) {
-        for (auto& part : parts) part.saved(context, token, ok);
+        for (auto& partition : partitions) partition.saved(context, token, ok);
     });
     publish(now, output);
     return output;
@@ -188,7 +190,7 @@
     if (settings.core) {
         with_parts(now, output, [&](Context& context) {
             form(now, context);
-            for (auto& part : parts) part.tick(context);
+            for (auto& partition : partitions) partition.tick(context);
         });
     }
     publish(now, output);
--- a/source/process/machine/control.hpp
+++ b/source/control/control.hpp
@@ -1,24 +1,24 @@
 #pragma once
-// One node's control side whole: membership, parts, news and operator calls.
+// One node's control side whole: membership, partitions, news and operator calls.
 // docs/design.md sections 4 to 8.
 #include <array>
 
-#include "process/machine/membership.hpp"
-#include "process/machine/part.hpp"
-#include "process/machine/part_news.hpp"
+#include "membership/membership.hpp"
+#include "consensus/partition.hpp"
+#include "control/partition_news.hpp"
 
 namespace dockrock {
 
-inline constexpr auto part_names =
+inline constexpr auto partition_names =
     std::to_array<std::string_view>({"configuration", "service-0", "service-1", "service-2", "resting"});
-inline constexpr auto part_count = part_names.size();
-inline constexpr auto configuration_part = 0;
-inline constexpr auto resting_part = 4;
-inline constexpr auto service_parts = 3;
+inline constexpr auto partition_count = partition_names.size();
+inline constexpr auto configuration_partition = 0;
+inline constexpr auto resting_partition = 4;
+inline constexpr auto service_partitions = 3;
 
-// The part that holds a service, by hash of its name (design 5).
-inline auto part_of_service(std::string_view service) -> int {
-    return 1 + static_cast<int>(hash_text(service) % service_parts);
+// The partition that holds a service, by hash of its name (design 5).
+inline auto partition_of_service(std::string_view service) -> int {
+    return 1 + static_cast<int>(hash_text(service) % service_partitions);
 }
 
 struct ControlSettings {
@@ -50,7 +50,7 @@
 struct ClaimDone {
     std::uint64_t local_token = 0;
     ClaimState state = ClaimState::not_here;  // not_here: its fate is not known
-    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
 };
 
 struct ControlOutput {
@@ -67,8 +67,8 @@
     NewsTimes times;
     Random random;
     Membership membership;
-    std::array<Part, part_count> parts;
-    std::array<PartNews, part_count> news;
+    std::array<Partition, partition_count> partitions;
+    std::array<PartitionNews, partition_count> news;
     struct WaitingAsk {
         std::string address;
         NewsAsk ask;
@@ -95,8 +95,8 @@
         std::uint64_t local_token = 0;
         Microseconds since = 0;
         std::set<std::string> silent;  // addresses that have not answered yet
-        std::vector<PartHeld> best;
-        std::uint64_t epoch = 0;  // once it is sent
+        std::vector<HeldPartition> best;
+        std::uint64_t term = 0;  // once it is sent
     };
     std::optional<PendingAnew> anew;
     bool forms_anew = false;  // this core node holds the copies to form from
@@ -112,7 +112,7 @@
 
     auto start(
         ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
-        std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
+        std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void;
     auto tick(Microseconds now) -> ControlOutput;
     auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message)
         -> ControlOutput;
@@ -120,10 +120,10 @@
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
     auto form_anew(Microseconds now, std::uint64_t local_token) -> ControlOutput;
     auto claim(Microseconds now, std::uint64_t local_token, ClaimAsk ask) -> ControlOutput;
-    // A part's live text, as its reader or owner knows it now (design 8.4 and 11).
-    auto live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
+    // A partition's live text, as its reader or leader knows it now (design 8.4 and 11).
+    auto live_read(int partition, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
     auto list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
-        return live_read(configuration_part, now, asked_at, text);
+        return live_read(configuration_partition, now, asked_at, text);
     }
     auto wants_list(Microseconds now) const -> bool;
     auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
@@ -131,14 +131,14 @@
 
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
-    auto owns(int part, Microseconds now) const -> bool {
-        return parts[static_cast<std::size_t>(part)].licensed(membership.self.identity, now);
+    auto leads(int partition, Microseconds now) const -> bool {
+        return partitions[static_cast<std::size_t>(partition)].has_lease(membership.self.identity, now);
     }
-    auto proof_age(int part, Microseconds now) const -> Microseconds {
-        return now - news[static_cast<std::size_t>(part)].proven_at;
+    auto proof_age(int partition, Microseconds now) const -> Microseconds {
+        return now - news[static_cast<std::size_t>(partition)].proven_at;
     }
     auto knows_fleet() const -> bool;
-    auto best_record(int part) const -> Record const&;
+    auto best_record(int partition) const -> Record const&;
 
    private:
     auto with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void;
@@ -150,7 +150,7 @@
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
     auto answer_news(
         Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
-    auto answer_waiting(Microseconds now, int part, ControlOutput& output) -> void;
+    auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(NewsAnswer const& answer, ControlOutput& output) -> void;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
@@ -162,11 +162,11 @@
     auto form(Microseconds now, Context& context) -> void;
     auto may_form_now(Microseconds now, std::vector<Member> const& cores) -> bool;
     auto cores_needed() const -> std::size_t;
-    auto held_parts() const -> std::vector<PartHeld>;
-    auto take_anew(std::vector<PartHeld> const& told) -> void;
+    auto held_parts() const -> std::vector<HeldPartition>;
+    auto take_anew(std::vector<HeldPartition> const& told) -> void;
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
-    auto old_voter_alive(std::vector<PartHeld> const& held) const -> std::string;
+    auto old_voter_alive(std::vector<HeldPartition> const& held) const -> std::string;
     auto on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void;
 };
 
--- a/source/process/machine/control_anew.cpp
+++ b/source/control/control_anew.cpp
@@ -2,7 +2,7 @@
 // order, from the newest copies that living nodes hold. docs/design.md 5.9.
 #include <algorithm>
 
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
@@ -11,22 +11,22 @@
 constexpr Microseconds forming_limit = 10 * one_second;
 }  // namespace
 
-auto Control::held_parts() const -> std::vector<PartHeld> {
-    std::vector<PartHeld> held;
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+auto Control::held_parts() const -> std::vector<HeldPartition> {
+    std::vector<HeldPartition> held;
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto const& record = best_record(static_cast<int>(index));
-        auto const& own = parts[index].copy;
+        auto const& own = partitions[index].copy;
         auto const& told = news[index].copy;
         auto const& newest = own.sequence > told.sequence ? own : told;
-        auto const voters = record.primary.empty() ? std::vector<std::string>() : record.voters;
-        held.push_back({record.epoch, voters, newest.sequence, newest.document});
+        auto const voters = record.leader.empty() ? std::vector<std::string>() : record.voters;
+        held.push_back({record.term, voters, newest.sequence, newest.document});
     }
     return held;
 }
 
-auto Control::old_voter_alive(std::vector<PartHeld> const& held) const -> std::string {
-    for (auto const& part : held)
-        for (auto const& voter : part.voters)
+auto Control::old_voter_alive(std::vector<HeldPartition> const& held) const -> std::string {
+    for (auto const& partition : held)
+        for (auto const& voter : partition.voters)
             if (voter == membership.self.identity || membership.alive(voter)) return voter;
     return "";
 }
@@ -55,11 +55,11 @@
     return output;
 }
 
-auto Control::take_anew(std::vector<PartHeld> const& told) -> void {
+auto Control::take_anew(std::vector<HeldPartition> const& told) -> void {
     for (auto index = std::size_t{0}; index < std::min(told.size(), anew->best.size()); ++index) {
         auto& best = anew->best[index];
-        if (told[index].epoch > best.epoch) {
-            best.epoch = told[index].epoch;
+        if (told[index].term > best.term) {
+            best.term = told[index].term;
             if (!told[index].voters.empty()) best.voters = told[index].voters;
         }
         if (told[index].sequence > best.sequence) {
@@ -77,9 +77,9 @@
 
 auto Control::tick_anew(Microseconds now, ControlOutput& output) -> void {
     if (!anew) return;
-    if (anew->epoch != 0) {
-        auto const& record = best_record(configuration_part);
-        if (record.epoch > anew->epoch && !record.primary.empty()) return end_anew(200, "formed anew", output);
+    if (anew->term != 0) {
+        auto const& record = best_record(configuration_partition);
+        if (record.term > anew->term && !record.leader.empty()) return end_anew(200, "formed anew", output);
         if (now - anew->since > forming_limit) end_anew(504, "not formed yet; look at the status, order again", output);
         return;
     }
@@ -92,9 +92,9 @@
         return left.control_address < right.control_address;
     });
     auto order = FormAnew{0, {}, anew->best};
-    for (auto const& part : anew->best) order.epoch = std::max(order.epoch, part.epoch + 1);
+    for (auto const& partition : anew->best) order.term = std::max(order.term, partition.term + 1);
     for (auto const& core : cores) order.voters.push_back(core.identity);
-    anew->epoch = order.epoch;
+    anew->term = order.term;
     anew->since = now;
     if (cores.front().identity == membership.self.identity) on_form_anew(now, order, output);
     else output.sends.push_back({cores.front().control_address, std::move(order)});
@@ -102,21 +102,21 @@
 
 // Only a core node that had no say in the fleet that was: its disk knows nothing better.
 auto Control::on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void {
-    auto const named = std::any_of(parts.begin(), parts.end(), [&](auto const& part) {
-        auto const& record = part.votes.decided;
+    auto const named = std::any_of(partitions.begin(), partitions.end(), [&](auto const& partition) {
+        auto const& record = partition.votes.decided;
         auto const& self = membership.self.identity;
         auto const votes = std::find(record.voters.begin(), record.voters.end(), self) != record.voters.end();
-        return !record.primary.empty() && (votes || record.has_member(self));
+        return !record.leader.empty() && (votes || record.has_member(self));
     });
     auto const listed = std::find(order.voters.begin(), order.voters.end(), membership.self.identity);
-    if (!settings.core || named || order.parts.size() != part_count || listed == order.voters.end()) return;
-    if (!old_voter_alive(order.parts).empty()) return;
+    if (!settings.core || named || order.partitions.size() != partition_count || listed == order.voters.end()) return;
+    if (!old_voter_alive(order.partitions).empty()) return;
     forms_anew = true;
     with_parts(now, output, [&](Context& context) {
-        for (auto index = std::size_t{0}; index < part_count; ++index) {
-            auto& part = parts[index];
-            part.copy = {order.parts[index].sequence, order.parts[index].document, {}};
-            part.learn(context, Record{order.epoch, "", {}, order.voters});
+        for (auto index = std::size_t{0}; index < partition_count; ++index) {
+            auto& partition = partitions[index];
+            partition.copy = {order.partitions[index].sequence, order.partitions[index].document, {}};
+            partition.learn(context, Record{order.term, "", {}, order.voters});
         }
     });
 }
--- a/source/process/machine/control_calls.cpp
+++ b/source/control/control_calls.cpp
@@ -1,5 +1,5 @@
-// Operators' calls, passed on to the owner of their part. docs/design.md section 7.
-#include "process/machine/control.hpp"
+// Operators' calls, passed on to the leader of their partition. docs/design.md section 7.
+#include "control/control.hpp"
 
 namespace dockrock {
 
@@ -18,19 +18,20 @@
 auto Control::send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void {
     pending.sent_at = now;
     auto const call = pending.call;
-    auto const& record = best_record(call.part);
-    if (record.primary.empty()) return;
-    if (record.primary == membership.self.identity) {
+    auto const& record = best_record(call.partition);
+    if (record.leader.empty()) return;
+    if (record.leader == membership.self.identity) {
         ++pending.outstanding;
         with_parts(now, output, [&](Context& context) {
-            parts[static_cast<std::size_t>(call.part)].call(context, membership.self.control_address, token, call);
+            partitions[static_cast<std::size_t>(call.partition)].call(
+                context, membership.self.control_address, token, call);
         });
         return;
     }
-    auto const owner = membership.address_of(record.primary);
-    if (owner.empty()) return;
+    auto const leader = membership.address_of(record.leader);
+    if (leader.empty()) return;
     ++pending.outstanding;
-    output.sends.push_back({owner, CallForward{token, 0, membership.self.control_address, call}});
+    output.sends.push_back({leader, CallForward{token, 0, membership.self.control_address, call}});
 }
 
 auto Control::finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
@@ -63,7 +64,7 @@
         output.results.push_back(
             {"", pending.local_token, unknown ? 504 : 503,
              unknown ? R"({"error":"outcome not known; ask again under the same change identity"})"
-                     : R"({"error":"no owner of this part can be reached; nothing was changed"})",
+                     : R"({"error":"no leader of this partition can be reached; nothing was changed"})",
              ""});
         calls.erase(token);
     }
--- a/source/process/machine/control_claims.cpp
+++ b/source/control/control_claims.cpp
@@ -1,5 +1,5 @@
 // A node's asking for claims of its run-once tickets. docs/design.md 10.5.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
@@ -14,23 +14,23 @@
 auto Control::send_claim(Microseconds now, PendingClaim& pending, ControlOutput& output) -> void {
     pending.sent_at = now;
     auto const ask = pending.ask;
-    auto const& record = best_record(ask.part);
-    if (record.primary.empty()) return;
-    if (record.primary == membership.self.identity) {
+    auto const& record = best_record(ask.partition);
+    if (record.leader.empty()) return;
+    if (record.leader == membership.self.identity) {
         with_parts(now, output, [&](Context& context) {
-            parts[static_cast<std::size_t>(ask.part)].claim(context, membership.self.control_address, ask);
+            partitions[static_cast<std::size_t>(ask.partition)].claim(context, membership.self.control_address, ask);
         });
         return;
     }
-    if (auto owner = membership.address_of(record.primary); !owner.empty()) output.sends.push_back({owner, ask});
+    if (auto leader = membership.address_of(record.leader); !leader.empty()) output.sends.push_back({leader, ask});
 }
 
 auto Control::take_claim_answer(ClaimAnswer const& answer, ControlOutput& output) -> void {
     auto const state = static_cast<ClaimState>(answer.state);
     auto const found = claims.find(answer.token);
-    if (found == claims.end() || found->second.ask.part != answer.part) return;
+    if (found == claims.end() || found->second.ask.partition != answer.partition) return;
     if (state != ClaimState::granted && state != ClaimState::seen && state != ClaimState::full) return;  // asked again
-    output.claims.push_back({found->second.local_token, state, answer.epoch});
+    output.claims.push_back({found->second.local_token, state, answer.term});
     claims.erase(found);
 }
 
--- a/source/process/machine/control_form.cpp
+++ b/source/control/control_form.cpp
@@ -1,7 +1,7 @@
 // First forming, handing over, leaving, and digests to others. docs/design.md 5.6, 5.7.
 #include <algorithm>
 
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
@@ -44,12 +44,12 @@
     auto const members = membership.alive_members(false);
     auto const somebody_knows =
         std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
-    auto const& first = parts[0].votes.decided;
-    if (somebody_knows && !forms_anew && first.epoch == 0 && first.voters.empty()) {
+    auto const& first = partitions[0].votes.decided;
+    if (somebody_knows && !forms_anew && first.term == 0 && first.voters.empty()) {
         blank_since = cores_since = now;
         return;
     }
-    if (first.epoch == 0 && first.voters.empty()) {
+    if (first.term == 0 && first.voters.empty()) {
         auto cores = membership.alive_members(true);
         std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
             return left.control_address < right.control_address;
@@ -57,40 +57,40 @@
         if (!may_form_now(now, cores)) return;
         Record blank;
         for (auto const& member : cores) blank.voters.push_back(member.identity);
-        for (auto& part : parts) part.learn(context, blank);
+        for (auto& partition : partitions) partition.learn(context, blank);
     }
     if (now - last_forming < 700 * one_millisecond + static_cast<Microseconds>(random.below(400'000))) return;
     last_forming = now;
-    for (auto& part : parts) {
-        auto const& record = part.votes.decided;
-        auto const named = !record.primary.empty() || record.voters.empty();
-        if (named || part.proposal || (record.epoch != 0 && !forms_anew)) continue;
+    for (auto& partition : partitions) {
+        auto const& record = partition.votes.decided;
+        auto const named = !record.leader.empty() || record.voters.empty();
+        if (named || partition.proposal || (record.term != 0 && !forms_anew)) continue;
         auto const count = record.voters.size();
         auto wanted = record;
-        // After a loss the one that holds the copies is the first owner of all parts.
+        // After a loss the one that holds the copies is the first leader of all partitions.
         auto const own = std::find(record.voters.begin(), record.voters.end(), membership.self.identity);
-        auto const place = record.epoch != 0 ? static_cast<std::size_t>(own - record.voters.begin()) % count
-                                             : static_cast<std::size_t>(part.index) % count;
-        wanted.primary = record.voters[place];
-        auto const* primary = membership.find(wanted.primary);
-        auto areas = std::set<std::string>{primary != nullptr ? primary->area : ""};
+        auto const place = record.term != 0 ? static_cast<std::size_t>(own - record.voters.begin()) % count
+                                            : static_cast<std::size_t>(partition.index) % count;
+        wanted.leader = record.voters[place];
+        auto const* leader = membership.find(wanted.leader);
+        auto areas = std::set<std::string>{leader != nullptr ? leader->area : ""};
         for (auto spread : {true, false})  // groups lie in different areas, where there are enough
-            for (auto step = std::size_t{1}; step < count && wanted.understudies.size() + 1 < part.copies(); ++step) {
+            for (auto step = std::size_t{1}; step < count && wanted.followers.size() + 1 < partition.copies(); ++step) {
                 auto const& identity = record.voters[(place + step) % count];
                 auto const* other = membership.find(identity);
                 if (wanted.has_member(identity) || (spread && (other == nullptr || areas.contains(other->area))))
                     continue;
-                wanted.understudies.push_back(identity);
+                wanted.followers.push_back(identity);
                 if (other != nullptr) areas.insert(other->area);
             }
-        part.propose(context, wanted);
+        partition.propose(context, wanted);
     }
 }
 
 auto Control::hand_over(Microseconds now, bool& pending) -> ControlOutput {
     ControlOutput output;
     with_parts(now, output, [&](Context& context) {
-        for (auto& part : parts) pending = part.hand_over(context) || pending;
+        for (auto& partition : partitions) pending = partition.hand_over(context) || pending;
     });
     return output;
 }
--- a/source/process/machine/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -1,24 +1,24 @@
 // News to every node, with proofs of freshness, and operator calls passed on.
 // docs/design.md sections 7 and 8.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
-// The licensed owner's committed copy is the news; nothing else ever is.
+// The leased leader's committed copy is the news; nothing else ever is.
 auto Control::publish(Microseconds now, ControlOutput& output) -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
-        auto& part = parts[index];
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
+        auto& partition = partitions[index];
         auto& item = news[index];
-        if (part.votes.decided.epoch > item.record.epoch) item.record = part.votes.decided;
-        if (!part.committed || !part.licensed(membership.self.identity, now)) continue;
-        auto const changed = part.committed->sequence > item.copy.sequence;
+        if (partition.votes.decided.term > item.record.term) item.record = partition.votes.decided;
+        if (!partition.committed || !partition.has_lease(membership.self.identity, now)) continue;
+        auto const changed = partition.committed->sequence > item.copy.sequence;
         if (changed) {
             remember(item);
-            item.copy = *part.committed;
+            item.copy = *partition.committed;
         }
         item.proven_at = now;
-        if (item.told_epoch < item.record.epoch) {  // a new owner tells everyone where to ask (design 8.1)
-            item.told_epoch = item.record.epoch;
+        if (item.told_term < item.record.term) {  // a new leader tells everyone where to ask (design 8.1)
+            item.told_term = item.record.term;
             for (auto const& member : membership.alive_members(false))
                 if (member.identity != membership.self.identity)
                     output.sends.push_back({member.control_address, Decided{static_cast<int>(index), item.record}});
@@ -29,26 +29,26 @@
     }
 }
 
-auto Control::answer_waiting(Microseconds now, int part, ControlOutput& output) -> void {
+auto Control::answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void {
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& entry : waiting) {
-        if (entry.ask.part == part) answer_news(now, entry.address, entry.ask, output, false);
+        if (entry.ask.partition == partition) answer_news(now, entry.address, entry.ask, output, false);
         else waiting_asks.push_back(entry);
     }
 }
 
 auto Control::answer_news(
     Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
-    auto const& item = news[static_cast<std::size_t>(ask.part)];
+    auto const& item = news[static_cast<std::size_t>(ask.partition)];
     auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
-    auto const newer = item.copy.sequence > ask.have || list_newer || item.record.epoch > ask.epoch;
-    if (may_wait && !newer && owns(ask.part, now)) {
+    auto const newer = item.copy.sequence > ask.have || list_newer || item.record.term > ask.term;
+    if (may_wait && !newer && leads(ask.partition, now)) {
         if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
         return;
     }
     NewsAnswer answer;
-    answer.part = ask.part;
+    answer.partition = ask.partition;
     answer.token = ask.token;
     answer.record = item.record;
     answer.proven = now - item.proven_at < 10 * one_second;
@@ -66,11 +66,11 @@
 }
 
 auto Control::take_news(NewsAnswer const& answer, ControlOutput& output) -> void {
-    auto& item = news[static_cast<std::size_t>(answer.part)];
+    auto& item = news[static_cast<std::size_t>(answer.partition)];
     if (answer.token != item.ask_token || item.ask_token == 0) return;
     item.ask_token = 0;
     item.unanswered = 0;
-    if (answer.record.epoch > item.record.epoch) item.record = answer.record;
+    if (answer.record.term > item.record.term) item.record = answer.record;
     if (answer.copy && answer.copy->sequence > item.copy.sequence) {  // never back to an older one
         auto made = apply_news(item, *answer.copy);
         item.whole_wanted = !made.has_value();
@@ -99,19 +99,19 @@
 }
 
 auto Control::ask_news(Microseconds now, ControlOutput& output) -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto& item = news[index];
-        if (owns(static_cast<int>(index), now)) continue;
-        if (resting && index != configuration_part && index != resting_part) continue;
+        if (leads(static_cast<int>(index), now)) continue;
+        if (resting && index != configuration_partition && index != resting_partition) continue;
         if (resting && now - item.asked_at < times.resting_interval) continue;
         if (item.ask_token != 0) {
             if (now - item.asked_at < times.ask_limit) continue;
             ++item.unanswered;
         }
         auto const& record = best_record(static_cast<int>(index));
-        auto target = membership.address_of(record.primary);
-        // The owner first; where it does not answer, anyone may relay its proof.
-        if (target.empty() || record.primary == membership.self.identity || item.unanswered % 2 == 1) {
+        auto target = membership.address_of(record.leader);
+        // The leader first; where it does not answer, anyone may relay its proof.
+        if (target.empty() || record.leader == membership.self.identity || item.unanswered % 2 == 1) {
             auto members = membership.alive_members(item.unanswered < 6);
             std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
             if (members.empty()) continue;
@@ -123,23 +123,24 @@
         output.sends.push_back(
             {target,
              NewsAsk{
-                 static_cast<int>(index), item.ask_token, item.record.epoch, item.copy.sequence, item.live_digest,
+                 static_cast<int>(index), item.ask_token, item.record.term, item.copy.sequence, item.live_digest,
                  now - item.live_at, item.whole_wanted}});
     }
 }
 
 auto Control::wants_list(Microseconds now) const -> bool {
-    if (owns(configuration_part, now)) return now - last_list_read >= times.list_interval;
+    if (leads(configuration_partition, now)) return now - last_list_read >= times.list_interval;
     if (resting) return false;
-    return now - news[configuration_part].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
+    return now - news[configuration_partition].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
 }
 
-// A list that was read whole, or the word of a part's owner. What can't be read
+// A list that was read whole, or the word of a partition's leader. What can't be read
 // never reaches this machine, so silence undoes no mark (design 8).
-auto Control::live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
+auto Control::live_read(int partition, Microseconds now, Microseconds asked_at, std::string const& text)
+    -> ControlOutput {
     ControlOutput output;
-    if (part == configuration_part) last_list_read = now;
-    auto& item = news[static_cast<std::size_t>(part)];
+    if (partition == configuration_partition) last_list_read = now;
+    auto& item = news[static_cast<std::size_t>(partition)];
     if (asked_at <= item.live_at) return output;  // overtaken by a later reading
     item.live_at = asked_at;
     auto const digest = digest_of(text);
@@ -147,7 +148,7 @@
     item.live = text;
     item.live_digest = digest;
     output.news = true;
-    answer_waiting(now, part, output);
+    answer_waiting(now, partition, output);
     return output;
 }
 
--- a/source/process/machine/list_pace.cpp
+++ b/source/control/list_pace.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/list_pace.hpp"
+#include "control/list_pace.hpp"
 
 #include <algorithm>
 
@@ -26,7 +26,7 @@
 }
 
 auto ListPace::due(ListView const& view, Microseconds now, Random& random) -> bool {
-    if (view.owner) {
+    if (view.leader) {
         turn.reset();
         return now >= not_before && now - began_at >= interval;
     }
@@ -51,7 +51,7 @@
 
 // Doubled each time, and never in step with other nodes.
 auto ListPace::failed(ListView const& view, Microseconds now, Random& random) -> void {
-    auto const most = view.owner ? longest_backoff : std::max(longest_backoff, spread_over(view.members));
+    auto const most = view.leader ? longest_backoff : std::max(longest_backoff, spread_over(view.members));
     backoff = std::min(most, backoff == 0 ? first_backoff : 2 * backoff);
     not_before = now + backoff / 2 + static_cast<Microseconds>(random.below(static_cast<std::uint64_t>(backoff / 2)));
 }
--- a/source/process/machine/list_pace.hpp
+++ b/source/control/list_pace.hpp
@@ -1,12 +1,12 @@
 #pragma once
 // When a node reads the platform's list where each call has its price and all
 // nodes together have a limit. docs/design.md section 8.4.
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
 struct ListView {
-    bool owner = false;  // licensed owner of the configuration's part
+    bool leader = false;  // leased leader of the configuration's partition
     bool resting = false;
     Microseconds list_at = 0;  // when the list held was asked for
     std::size_t members = 1;   // nodes held alive
--- a/source/process/machine/orders.cpp
+++ b/source/control/orders.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/orders.hpp"
+#include "control/orders.hpp"
 
 namespace dockrock {
 
@@ -7,8 +7,8 @@
     Microseconds now) -> std::vector<Order> {
     std::vector<Order> orders;
     for (auto const& [model, target] : snapshot.target_weights) {
-        auto const part = part_of_service(model);
-        if (!control.owns(part, now) || control.proof_age(part, now) > one_second) {
+        auto const partition = partition_of_service(model);
+        if (!control.leads(partition, now) || control.proof_age(partition, now) > one_second) {
             rollouts.erase(model);
             continue;
         }
@@ -20,8 +20,8 @@
             for (auto const& entry : snapshot.list.replicas)
                 if (entry.name == name)
                     orders.push_back(
-                        {name, entry.address, target, reports.at(name).incarnation, control.best_record(part).epoch,
-                         part});
+                        {name, entry.address, target, reports.at(name).incarnation, control.best_record(partition).term,
+                         partition});
     }
     return orders;
 }
--- a/source/process/machine/orders.hpp
+++ b/source/control/orders.hpp
@@ -1,8 +1,8 @@
 #pragma once
-// Which replicas the licensed owner of a service's part orders to load weights
+// Which replicas the leased leader of a service's partition orders to load weights
 // now. docs/design.md section 11.
-#include "process/machine/rollout.hpp"
-#include "process/machine/snapshot.hpp"
+#include "control/rollout.hpp"
+#include "control/snapshot.hpp"
 
 namespace dockrock {
 
@@ -12,7 +12,7 @@
     std::string weights;
     std::string incarnation;  // the receiver's life: an order for a former one is refused
     std::uint64_t fence = 0;
-    int part = 0;
+    int partition = 0;
 };
 
 struct Orders {
@@ -24,7 +24,7 @@
 
 // Asked again right before an order is sent.
 inline auto may_order(Control const& control, Order const& order, Microseconds now) -> bool {
-    return control.owns(order.part, now) && control.best_record(order.part).epoch == order.fence;
+    return control.leads(order.partition, now) && control.best_record(order.partition).term == order.fence;
 }
 
 }  // namespace dockrock
--- a/source/process/machine/part_news.cpp
+++ b/source/control/partition_news.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/part_news.hpp"
+#include "control/partition_news.hpp"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 
 auto digest_of(std::string_view text) -> std::uint64_t { return hash_text(text) >> 1U; }
 
-auto remember(PartNews& item) -> void {
+auto remember(PartitionNews& item) -> void {
     if (item.copy.document.empty()) return;
     item.past.emplace_back(item.copy.sequence, item.copy.document);
     auto const bytes = [&] {
@@ -22,7 +22,7 @@
     while (item.past.size() > past_kept || (item.past.size() > 1 && bytes() > past_bytes)) item.past.pop_front();
 }
 
-auto copy_for(PartNews const& item, NewsAsk const& ask) -> NewsCopy {
+auto copy_for(PartitionNews const& item, NewsAsk const& ask) -> NewsCopy {
     auto const& fresh = item.copy.document;
     auto whole = NewsCopy{item.copy.sequence, digest_of(fresh), true, 0, 0, fresh};
     auto const held =
@@ -40,7 +40,7 @@
     return {whole.sequence, whole.digest, false, front, back, std::move(middle)};
 }
 
-auto apply_news(PartNews const& item, NewsCopy const& news) -> std::optional<std::string> {
+auto apply_news(PartitionNews const& item, NewsCopy const& news) -> std::optional<std::string> {
     auto made = news.text;
     if (!news.whole) {
         auto const& held = item.copy.document;
--- a/source/process/machine/part_news.hpp
+++ b/source/control/partition_news.hpp
@@ -1,34 +1,34 @@
 #pragma once
-// A part as news: what a node holds of it, and differences between its
+// A partition as news: what a node holds of it, and differences between its
 // documents. docs/design.md section 8.
 #include <deque>
 
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
-// What a node holds of a part as news (design 8).
-struct PartNews {
+// What a node holds of a partition as news (design 8).
+struct PartitionNews {
     Record record;
-    Copy copy;                                          // elsewhere than at the owner without outcomes
+    Copy copy;                                          // elsewhere than at the leader without outcomes
     std::deque<std::pair<Sequence, std::string>> past;  // documents held before, for differences
     bool whole_wanted = false;                          // a difference did not fit
     Microseconds proven_at = -3'600 * one_second;
-    std::string live;  // the replica list, or the word of the part's owner; told apart by its digest
+    std::string live;  // the replica list, or the word of the partition's leader; told apart by its digest
     std::uint64_t live_digest = 0;
     Microseconds live_at = -3'600 * one_second;
     std::uint64_t ask_token = 0;
     Microseconds asked_at = 0;
     std::string asked_whom;
-    std::uint64_t told_epoch = 0;  // as owner: the epoch that all members were told of
+    std::uint64_t told_term = 0;  // as leader: the term that all members were told of
     int unanswered = 0;
 };
 
 auto digest_of(std::string_view text) -> std::uint64_t;
 // Whole, or as the difference from what the asker holds, whichever is smaller.
-auto copy_for(PartNews const& item, NewsAsk const& ask) -> NewsCopy;
+auto copy_for(PartitionNews const& item, NewsAsk const& ask) -> NewsCopy;
 // The document it makes; nothing where it does not fit what is held.
-auto apply_news(PartNews const& item, NewsCopy const& news) -> std::optional<std::string>;
-auto remember(PartNews& item) -> void;
+auto apply_news(PartitionNews const& item, NewsCopy const& news) -> std::optional<std::string>;
+auto remember(PartitionNews& item) -> void;
 
 }  // namespace dockrock
--- a/source/process/machine/replica_weights.hpp
+++ b/source/control/replica_weights.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // What is known of the weights a replica holds. docs/design.md section 11.
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
@@ -13,7 +13,7 @@
 
 inline constexpr auto first_version = std::int64_t{1};  // of weights that nobody has named yet
 
-// What the list shows, overridden by the owner's word; a listed version that
+// What the list shows, overridden by the leader's word; a listed version that
 // is higher than the word's shows that the word is over.
 inline auto apply_word(ReplicaWeights& listed, ReplicaWeights const& word) -> void {
     for (auto const& [model, version] : word.versions)
--- a/source/process/machine/resting.cpp
+++ b/source/control/resting.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/resting.hpp"
+#include "control/resting.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/source/process/machine/resting.hpp
+++ b/source/control/resting.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <set>
 
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/rollout.cpp
+++ b/source/control/rollout.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/rollout.hpp"
+#include "control/rollout.hpp"
 
 #include <algorithm>
 
--- a/source/process/machine/rollout.hpp
+++ b/source/control/rollout.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // Naming new weights to replicas in waves. docs/design.md section 11.
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/snapshot.cpp
+++ b/source/control/snapshot.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/snapshot.hpp"
+#include "control/snapshot.hpp"
 
 namespace dockrock {
 
@@ -48,7 +48,7 @@
 
 auto make_snapshot(Control const& control, Snapshot const& old, DocumentForm const* form) -> std::shared_ptr<Snapshot> {
     auto fresh = std::make_shared<Snapshot>();
-    auto const& configuration = control.news[configuration_part];
+    auto const& configuration = control.news[configuration_partition];
     fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence ? old.rules
         : form == nullptr ? compile_rules(configuration.copy.sequence, configuration.copy.document)
                           : compile_relayed(configuration.copy, *form);
@@ -56,14 +56,15 @@
     read_list(configuration.live, fresh->list);
     for (auto const& model : fresh->rules->checked.configuration.models)
         fresh->target_weights[model.name] = model.weights;
-    for (auto part = std::size_t{1}; part <= service_parts; ++part)
-        for (auto const& item : read_object(control.news[part].copy.document)) {
+    for (auto partition = std::size_t{1}; partition <= service_partitions; ++partition)
+        for (auto const& item : read_object(control.news[partition].copy.document)) {
             if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
             if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
         }
     for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
-    for (auto part = std::size_t{1}; part <= service_parts; ++part) take_words(*fresh, control.news[part].live);
-    auto const resting = read_object(control.news[resting_part].copy.document);
+    for (auto partition = std::size_t{1}; partition <= service_partitions; ++partition)
+        take_words(*fresh, control.news[partition].live);
+    auto const resting = read_object(control.news[resting_partition].copy.document);
     if (auto const* names = resting.if_contains("resting"); names != nullptr && names->is_array())
         for (auto const& name : names->as_array())
             if (name.is_string()) fresh->resting.insert(std::string(name.as_string()));
--- a/source/process/machine/snapshot.hpp
+++ b/source/control/snapshot.hpp
@@ -1,8 +1,8 @@
 #pragma once
 // What tickets are read against: made from a node's news, immutable, swapped
 // whole. docs/design.md section 14.
-#include "process/machine/control.hpp"
-#include "process/machine/replica_weights.hpp"
+#include "control/control.hpp"
+#include "control/replica_weights.hpp"
 #include "sequence/rules.hpp"
 #include "ticket/burden.hpp"
 
@@ -27,7 +27,7 @@
 auto make_snapshot(Control const& control, Snapshot const& old, DocumentForm const* form = nullptr)
     -> std::shared_ptr<Snapshot>;
 
-// An owner's words of its replicas; none where the text can't be read.
+// An leader's words of its replicas; none where the text can't be read.
 auto read_words(std::string const& text) -> WeightsWords;
 
 }  // namespace dockrock
--- a/source/process/machine/versions_rollout.cpp
+++ b/source/control/versions_rollout.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/versions_rollout.hpp"
+#include "control/versions_rollout.hpp"
 
 #include <algorithm>
 #include <set>
--- a/source/process/machine/versions_rollout.hpp
+++ b/source/control/versions_rollout.hpp
@@ -3,7 +3,7 @@
 // the decisions, apart from who may order. docs/design.md section 11.
 #include <array>
 
-#include "process/machine/replica_weights.hpp"
+#include "control/replica_weights.hpp"
 
 namespace dockrock {
 
@@ -17,7 +17,7 @@
     refused,      // not done, and no such order known
     unknown,      // no clear answer: it may have been taken
     unreachable,  // nothing was sent
-    not_sent,     // held back by its sender: the licence was not sure
+    not_sent,     // held back by its sender: the lease was not sure
 };
 inline constexpr auto order_end_names = std::to_array<std::string_view>(
     {"taken", "holds", "conflict", "fenced", "elsewhere", "refused", "unknown", "unreachable", "not-sent"});
@@ -88,7 +88,7 @@
     auto reported(
         std::string const& replica, std::optional<ReportedWeights> const& report, Microseconds asked_at,
         Microseconds now) -> void;
-    // What a former owner told of a replica: an order may be under way there.
+    // What a former leader told of a replica: an order may be under way there.
     auto adopt(ListedReplica const& replica, std::int64_t version, bool loading, Microseconds now) -> void;
     // The present word of each replica that the list does not tell.
     auto words(std::string const& model, WeightsWords& into) const -> void;
--- a/source/process/machine/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/weights_duty.hpp"
+#include "control/weights_duty.hpp"
 
 #include <algorithm>
 
@@ -7,10 +7,11 @@
 namespace {
 constexpr auto no_words = std::string_view("{}");
 
-auto listed_for(Snapshot const& snapshot, int part, std::string const& model) -> std::vector<ListedReplica> {
+auto listed_for(Snapshot const& snapshot, int partition, std::string const& model) -> std::vector<ListedReplica> {
     std::vector<ListedReplica> replicas;
     for (auto const& entry : snapshot.list.replicas)
-        if (auto const found = entry.weights.find(model); found != entry.weights.end() && ordering_part(entry) == part)
+        if (auto const found = entry.weights.find(model);
+            found != entry.weights.end() && ordering_partition(entry) == partition)
             replicas.push_back({entry.name, entry.model, entry.area, found->second, entry.drain});
     return replicas;
 }
@@ -23,47 +24,48 @@
 
 }  // namespace
 
-auto ordering_part(ReplicaEntry const& entry) -> int {
-    return entry.weights.empty() ? -1 : part_of_service(entry.weights.begin()->first);
+auto ordering_partition(ReplicaEntry const& entry) -> int {
+    return entry.weights.empty() ? -1 : partition_of_service(entry.weights.begin()->first);
 }
 
-auto may_order(Control const& control, int part, std::uint64_t fence, Microseconds now) -> bool {
-    auto const& held = control.parts[static_cast<std::size_t>(part)];
-    return control.owns(part, now) && held.votes.sealed < held.votes.decided.epoch &&
-        control.best_record(part).epoch == fence;
+auto may_order(Control const& control, int partition, std::uint64_t fence, Microseconds now) -> bool {
+    auto const& held = control.partitions[static_cast<std::size_t>(partition)];
+    return control.leads(partition, now) && held.votes.sealed < held.votes.decided.term &&
+        control.best_record(partition).term == fence;
 }
 
 auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions {
     DutyActions actions;
-    for (auto part = 1; part <= service_parts; ++part) step_part(part, control, snapshot, now, actions);
+    for (auto partition = 1; partition <= service_partitions; ++partition)
+        step_partition(partition, control, snapshot, now, actions);
     return actions;
 }
 
-auto WeightsDuty::step_part(
-    int part, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions) -> void {
-    auto const& record = control.best_record(part);
-    auto const primary = record.epoch > 0 && record.primary == control.membership.self.identity;
-    auto const licensed = control.owns(part, now);
-    auto const waited = tenures[static_cast<std::size_t>(part)].step(record.epoch, primary, licensed, wait, now);
-    if (!primary) {
-        std::erase_if(rollouts, [&](auto const& item) { return item.first.first == part; });
+auto WeightsDuty::step_partition(
+    int partition, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions) -> void {
+    auto const& record = control.best_record(partition);
+    auto const leader = record.term > 0 && record.leader == control.membership.self.identity;
+    auto const leased = control.leads(partition, now);
+    auto const waited = tenures[static_cast<std::size_t>(partition)].step(record.term, leader, leased, wait, now);
+    if (!leader) {
+        std::erase_if(rollouts, [&](auto const& item) { return item.first.first == partition; });
         return;
     }
-    auto const& news = control.news[static_cast<std::size_t>(part)];
-    auto const sure =
-        control.proof_age(part, now) <= one_second && control.proof_age(configuration_part, now) <= one_second;
+    auto const& news = control.news[static_cast<std::size_t>(partition)];
+    auto const sure = control.proof_age(partition, now) <= one_second &&
+        control.proof_age(configuration_partition, now) <= one_second;
     std::set<std::string> models;
     for (auto const& entry : snapshot.list.replicas)
-        if (ordering_part(entry) == part)
+        if (ordering_partition(entry) == partition)
             for (auto const& [model, version] : entry.weights) models.insert(model);
     auto told = WeightsWords();
     auto words = WeightsWords();
     auto read_told = false;
     for (auto const& model : models) {
-        auto const replicas = listed_for(snapshot, part, model);
-        auto const [place, fresh] = rollouts.try_emplace({part, model});
+        auto const replicas = listed_for(snapshot, partition, model);
+        auto const [place, fresh] = rollouts.try_emplace({partition, model});
         auto& rollout = place->second;
-        if (fresh) {  // what a former owner had under way is asked after first
+        if (fresh) {  // what a former leader had under way is asked after first
             if (!read_told) told = read_words(news.live);
             read_told = true;
             rollout.target = snapshot.target_version(model);
@@ -72,31 +74,31 @@
                     if (auto const version = word->second.versions.find(model); version != word->second.versions.end())
                         rollout.adopt(replica, version->second, word->second.loading, now);
         }
-        auto const fence = record.epoch;
-        auto const ordering = waited && sure && may_order(control, part, fence, now);
+        auto const fence = record.term;
+        auto const ordering = waited && sure && may_order(control, partition, fence, now);
         auto const due = rollout.step(snapshot.target_version(model), fence, ordering, at_once, replicas, now);
         for (auto const& order : due.orders)
-            actions.orders.push_back({order, address_of(snapshot, order.replica), model, fence, part});
+            actions.orders.push_back({order, address_of(snapshot, order.replica), model, fence, partition});
         for (auto const& replica : due.reports)
-            actions.reports.push_back({replica, address_of(snapshot, replica), model, part});
+            actions.reports.push_back({replica, address_of(snapshot, replica), model, partition});
         rollout.words(model, words);
         actions.under_way = actions.under_way || rollout.under_way();
     }
-    if (!licensed) return;
+    if (!leased) return;
     auto text = json::serialize(write_json(words));
     if (text != news.live && !(text == no_words && news.live.empty()))
-        actions.words.emplace_back(part, std::move(text));
+        actions.words.emplace_back(partition, std::move(text));
 }
 
 auto WeightsDuty::order_ended(DutyOrder const& order, OrderEnd end, Microseconds now) -> void {
-    auto const found = rollouts.find({order.part, order.model});
+    auto const found = rollouts.find({order.partition, order.model});
     if (found != rollouts.end()) found->second.order_ended(order.order.replica, end, now);
 }
 
 auto WeightsDuty::reported(
     DutyReport const& asked, std::optional<ReportedWeights> const& report, Microseconds asked_at, Microseconds now)
     -> void {
-    auto const found = rollouts.find({asked.part, asked.model});
+    auto const found = rollouts.find({asked.partition, asked.model});
     if (found != rollouts.end()) found->second.reported(asked.replica, report, asked_at, now);
 }
 
--- a/source/process/machine/weights_duty.hpp
+++ b/source/control/weights_duty.hpp
@@ -1,9 +1,9 @@
 #pragma once
-// The duty of a service part's licensed owner to bring replicas to the
+// The duty of a service partition's leased leader to bring replicas to the
 // versions named: which calls are due now. docs/design.md section 11.
-#include "process/machine/snapshot.hpp"
-#include "process/machine/tenure.hpp"
-#include "process/machine/versions_rollout.hpp"
+#include "control/snapshot.hpp"
+#include "control/tenure.hpp"
+#include "control/versions_rollout.hpp"
 
 namespace dockrock {
 
@@ -12,26 +12,26 @@
     std::string address;
     std::string model;
     std::uint64_t fence = 0;
-    int part = 0;
+    int partition = 0;
 };
 struct DutyReport {
     std::string replica;
     std::string address;
     std::string model;
-    int part = 0;
+    int partition = 0;
 };
 struct DutyActions {
     std::vector<DutyOrder> orders;
     std::vector<DutyReport> reports;
-    std::vector<std::pair<int, std::string>> words;  // part, and the text to be spread for it
+    std::vector<std::pair<int, std::string>> words;  // partition, and the text to be spread for it
     bool under_way = false;
 };
 
 struct WeightsDuty {
     std::size_t at_once = 3;                      // replicas of one service
     Microseconds wait = 3'200 * one_millisecond;  // of a new holder
-    std::array<Tenure, part_count> tenures;
-    std::map<std::pair<int, std::string>, VersionsRollout> rollouts;  // by part and model
+    std::array<Tenure, partition_count> tenures;
+    std::map<std::pair<int, std::string>, VersionsRollout> rollouts;  // by partition and model
 
     auto step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions;
     auto order_ended(DutyOrder const& order, OrderEnd end, Microseconds now) -> void;
@@ -40,14 +40,15 @@
         -> void;
 
    private:
-    auto step_part(int part, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions)
+    auto step_partition(
+        int partition, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions)
         -> void;
 };
 
-// One replica takes orders of one holder: that of the part which its first model lies in.
-auto ordering_part(ReplicaEntry const& entry) -> int;
+// One replica takes orders of one holder: that of the partition which its first model lies in.
+auto ordering_partition(ReplicaEntry const& entry) -> int;
 
 // Asked again right before an order is sent.
-auto may_order(Control const& control, int part, std::uint64_t fence, Microseconds now) -> bool;
+auto may_order(Control const& control, int partition, std::uint64_t fence, Microseconds now) -> bool;
 
 }  // namespace dockrock
--- a/source/process/machine/membership.cpp
+++ b/source/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/membership.hpp"
+#include "membership/membership.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/membership.hpp
+++ b/source/membership/membership.hpp
@@ -3,7 +3,7 @@
 // parties, suspicion before removal. A hint only. docs/design.md section 4.
 #include <set>
 
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 
 namespace dockrock {
 
--- a/source/process/clock.hpp
+++ b/source/process/clock.hpp
@@ -2,7 +2,7 @@
 // A clock that counts suspension and knows no wall-clock jumps. docs/design.md 5.3.
 #include <time.h>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -52,11 +52,11 @@
         settings.may_form};
     auto device = std::random_device();
     control.start(
-        given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts,
-        had_state, started_at);
-    for (auto index = std::size_t{0}; index < part_count; ++index)
-        control.parts[index].apply =
-            index == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
+        given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(),
+        storage.state.partitions, had_state, started_at);
+    for (auto index = std::size_t{0}; index < partition_count; ++index)
+        control.partitions[index].apply =
+            index == configuration_partition ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
     if (form != nullptr) relay_changes();
     table.granting.burden.self = identity;
     take_limits();
@@ -120,7 +120,7 @@
             if (disk_queue.empty()) return;
             batch.swap(disk_queue);
         }
-        std::vector<PartSaved> saves;
+        std::vector<SavedPartition> saves;
         for (auto const& save : batch) saves.push_back(save.saved);
         auto const began = clock_now();
         auto const good = storage.write(saves);
@@ -169,7 +169,7 @@
         for (auto const& [node, digest] : output.digests)
             table.granting.burden.take_digest(node, digest.number, digest.body, now);
     }
-    proven_at = control.news[configuration_part].proven_at;
+    proven_at = control.news[configuration_partition].proven_at;
     if (output.news) publish_snapshot();
 }
 
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -9,10 +9,10 @@
 #include "connection/http_client.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/form.hpp"
-#include "process/machine/list_pace.hpp"
-#include "process/machine/orders.hpp"
-#include "process/machine/resting.hpp"
-#include "process/machine/weights_duty.hpp"
+#include "control/list_pace.hpp"
+#include "control/orders.hpp"
+#include "control/resting.hpp"
+#include "control/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -92,8 +92,8 @@
     Microseconds started_at = 0;
     std::map<std::uint64_t, std::function<void(ClaimDone)>> claim_waiters;  // inside control_work
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;    // inside control_work
-    std::array<std::uint64_t, part_count> logged_epochs{};                  // inside control_work
-    std::array<bool, part_count> logged_owned{};
+    std::array<std::uint64_t, partition_count> logged_epochs{};             // inside control_work
+    std::array<bool, partition_count> logged_owned{};
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
@@ -157,7 +157,7 @@
     auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
     auto weights_loop() -> awaitable<void>;
     auto step_weights() -> void;
-    auto licence_checked(int part, std::uint64_t fence) -> awaitable<bool>;
+    auto lease_checked(int partition, std::uint64_t fence) -> awaitable<bool>;
     auto send_duty_order(DutyOrder order) -> awaitable<void>;
     auto ask_duty_report(DutyReport asked) -> awaitable<void>;
     auto poll_metrics(std::string& text) const -> void;
--- a/source/process/node_list.cpp
+++ b/source/process/node_list.cpp
@@ -64,10 +64,10 @@
     auto wanted = std::make_shared<std::atomic<bool>>(false);
     auto const view = [this](Microseconds now) {
         ListView seen;
-        seen.owner = control.owns(configuration_part, now);
+        seen.leader = control.leads(configuration_partition, now);
         seen.resting = control.resting;
-        seen.list_at = control.news[configuration_part].live_at;
-        if (!seen.owner && now - seen.list_at > list_pace.fallback)
+        seen.list_at = control.news[configuration_partition].live_at;
+        if (!seen.leader && now - seen.list_at > list_pace.fallback)
             seen.members = control.membership.alive_members(false).size();
         return seen;
     };
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -1,4 +1,4 @@
-// What a node reads of the back ends, and the orders an owner gives them.
+// What a node reads of the back ends, and the orders an leader gives them.
 // docs/design.md sections 8.4, 9.3 and 11.
 #include "process/clock.hpp"
 #include "process/log.hpp"
@@ -114,8 +114,8 @@
     report_loops.erase(name);
 }
 
-// Orders come from the licensed owner of the service's part alone, and carry
-// its epoch as the fence and the life of their receiver (design 11).
+// Orders come from the leased leader of the service's part alone, and carry
+// its term as the fence and the life of their receiver (design 11).
 auto Node::order_loop() -> awaitable<void> {
     if (form != nullptr) co_return co_await weights_loop();
     while (!finished) {
@@ -135,10 +135,10 @@
 }
 
 auto Node::send_order(Order order) -> awaitable<void> {
-    auto licensed = std::make_shared<std::atomic<int>>(-1);
-    in_control([this, licensed, order] { *licensed = may_order(control, order, clock_now()) ? 1 : 0; });
-    for (auto count = 0; licensed->load() < 0 && count < 50; ++count) co_await pause(5);
-    if (licensed->load() != 1) co_return;
+    auto leased = std::make_shared<std::atomic<int>>(-1);
+    in_control([this, leased, order] { *leased = may_order(control, order, clock_now()) ? 1 : 0; });
+    for (auto count = 0; leased->load() < 0 && count < 50; ++count) co_await pause(5);
+    if (leased->load() != 1) co_return;
     ++counters.orders;
     auto const body = json::serialize(fields(
         "weights", order.weights, "fence", order.fence, "holder", settings.control_address, "incarnation",
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -12,9 +12,9 @@
 }  // namespace
 
 auto Node::relay_changes() -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
-        if (index == resting_part) continue;
-        control.parts[index].apply = index == configuration_part
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
+        if (index == resting_partition) continue;
+        control.partitions[index].apply = index == configuration_partition
             ? ApplyChange([this](Copy const& current, Call const& call) {
                   return apply_versioned(form->documents, current, call);
               })
--- a/source/process/node_rest.cpp
+++ b/source/process/node_rest.cpp
@@ -14,7 +14,7 @@
 auto Node::judge_resting(Microseconds now) -> void {
     auto const current = snapshot.load();
     auto const named = current->resting.contains(control.membership.self.identity);
-    auto const heard = control.proof_age(resting_part, now) < unheard_limit;
+    auto const heard = control.proof_age(resting_partition, now) < unheard_limit;
     auto const rests =
         named && heard && settings.resting && !stopping && now > awake_until && settings.data_folder.empty();
     control.resting = rests;
@@ -36,7 +36,7 @@
 
 auto Node::step_resting() -> void {
     auto const now = clock_now();
-    if (!control.owns(resting_part, now) || control.proof_age(configuration_part, now) > one_second) {
+    if (!control.leads(resting_partition, now) || control.proof_age(configuration_partition, now) > one_second) {
         resting.low_since = 0;
         return;
     }
@@ -58,7 +58,7 @@
     for (auto const& name : *wanted) names.push_back(json::string(name));
     write_log(Level::information, "resting-changed", {{"resting", wanted->size()}, {"edges", edges.size()}});
     auto const body = json::serialize(fields("resting", std::move(names)));
-    make_call(Call{resting_part, "rest-" + std::to_string(now), "rest", "", body}, [](CallDone const&) {});
+    make_call(Call{resting_partition, "rest-" + std::to_string(now), "rest", "", body}, [](CallDone const&) {});
 }
 
 auto Node::rest_loop() -> awaitable<void> {
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -14,23 +14,22 @@
 }
 
 auto Node::log_parts(Microseconds now) -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto const number = static_cast<int>(index);
-        auto const name = std::string(part_names[index]);
+        auto const name = std::string(partition_names[index]);
         auto const& record = control.best_record(number);
-        if (record.epoch != logged_epochs[index])
+        if (record.term != logged_epochs[index])
             write_log(
                 Level::information, "record",
-                {{"part", name},
-                 {"epoch", record.epoch},
-                 {"primary", record.primary},
-                 {"understudies", write_json(record.understudies)}});
-        logged_epochs[index] = record.epoch;
-        auto const owned = control.owns(number, now);
+                {{"partition", name},
+                 {"term", record.term},
+                 {"leader", record.leader},
+                 {"followers", write_json(record.followers)}});
+        logged_epochs[index] = record.term;
+        auto const owned = control.leads(number, now);
         if (owned != logged_owned[index])
             write_log(
-                Level::information, owned ? "licence-held" : "licence-ended",
-                {{"part", name}, {"epoch", record.epoch}});
+                Level::information, owned ? "lease-held" : "lease-ended", {{"partition", name}, {"term", record.term}});
         logged_owned[index] = owned;
     }
 }
@@ -92,8 +91,8 @@
 }
 
 auto Node::make_claim(Ticket const& ticket, bool release, std::function<void(ClaimDone)> done) -> void {
-    auto const part = part_of_service(ticket.body.model);
-    auto ask = ClaimAsk{part, 0, claim_key(ticket), "", release};
+    auto const partition = partition_of_service(ticket.body.model);
+    auto ask = ClaimAsk{partition, 0, claim_key(ticket), "", release};
     in_control([this, ask = std::move(ask), number = ticket.number, done = std::move(done)]() mutable {
         ask.ticket = claim_ticket(control.membership.self.identity, number);
         auto const token = control.random.next() | 1U;
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -11,7 +11,7 @@
 constexpr Microseconds connect_limit = 300 * one_millisecond;
 constexpr Microseconds order_limit = 400 * one_millisecond;  // in flight
 constexpr Microseconds report_limit = 400 * one_millisecond;
-constexpr Microseconds check_age = 5 * one_millisecond;  // of the licence, when an order is written
+constexpr Microseconds check_age = 5 * one_millisecond;  // of the lease, when an order is written
 constexpr auto checks = 3;
 
 auto pause(Microseconds length) -> awaitable<void> {
@@ -42,7 +42,7 @@
     auto const now = clock_now();
     auto due = weights_duty.step(control, *snapshot.load(), now);
     weights_under_way = due.under_way;
-    for (auto const& [part, text] : due.words) act_on(control.live_read(part, now, now, text));
+    for (auto const& [partition, text] : due.words) act_on(control.live_read(partition, now, now, text));
     for (auto& order : due.orders)
         asio::co_spawn(asio::make_strand(context), send_duty_order(std::move(order)), asio::detached);
     for (auto& report : due.reports)
@@ -61,14 +61,14 @@
     }
 }
 
-// True only where the licence was seen held a moment ago: a node that was
+// True only where the lease was seen held a moment ago: a node that was
 // frozen in between looks again.
-auto Node::licence_checked(int part, std::uint64_t fence) -> awaitable<bool> {
+auto Node::lease_checked(int partition, std::uint64_t fence) -> awaitable<bool> {
     for (auto count = 0; count < checks; ++count) {
         auto const seen = std::make_shared<std::atomic<Microseconds>>(-1);
-        in_control([this, seen, part, fence] {
+        in_control([this, seen, partition, fence] {
             auto const now = clock_now();
-            *seen = may_order(control, part, fence, now) ? now : 0;
+            *seen = may_order(control, partition, fence, now) ? now : 0;
         });
         for (auto waited = 0; seen->load() < 0 && waited < 100; ++waited) co_await pause(one_millisecond);
         if (seen->load() == 0) co_return false;
@@ -86,7 +86,7 @@
         boost::system::error_code ignored;
         connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         auto const call = form->order_call(written(order, control.membership.self.identity));
-        if (co_await licence_checked(order.part, order.fence)) {
+        if (co_await lease_checked(order.partition, order.fence)) {
             ++counters.orders;
             auto const answer = co_await connection.call(order.address, call, order_limit);
             status = answer.status;
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // A node's own settings, from a file or flags. docs/design.md section 13.
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <iterator>
 
-#include "process/machine/frame.hpp"
+#include "base/frame.hpp"
 
 namespace dockrock {
 
@@ -64,28 +64,49 @@
     return good;
 }
 
-// A folder of the former format: its records name one understudy (design 6).
-auto renew_record(json::object& record) -> void {
-    auto const* understudy = record.if_contains("understudy");
-    if (understudy == nullptr || !understudy->is_string()) return;
-    json::array list;
-    if (!understudy->as_string().empty() && *understudy != record["primary"]) list.push_back(*understudy);
-    record["understudies"] = std::move(list);
-    record.erase("understudy");
+// Field names of the two former formats on disk, and what they are called now.
+struct RenamedField {
+    std::string_view former;
+    std::string_view now;
+};
+constexpr auto renamed_fields = std::to_array<RenamedField>(
+    {{"parts", "partitions"},
+     {"part", "partition"},
+     {"epoch", "term"},
+     {"primary", "leader"},
+     {"understudies", "followers"}});
+
+auto rename_fields(json::object& object) -> void {
+    for (auto const& [former, now] : renamed_fields) {
+        auto* value = object.if_contains(former);
+        if (value == nullptr || object.contains(now)) continue;
+        auto moved = std::move(*value);
+        object.erase(former);
+        object[now] = std::move(moved);
+    }
 }
 
-auto renew_part(json::value& part) -> void {
-    auto* votes = part.is_object() ? part.as_object().if_contains("votes") : nullptr;
-    if (votes == nullptr || !votes->is_object()) return;
-    for (auto const* name : {"decided", "accepted"})
-        if (auto* record = votes->as_object().if_contains(name); record != nullptr && record->is_object())
-            renew_record(record->as_object());
+// The first format named one follower only.
+auto list_single_follower(json::object& record) -> void {
+    auto const* single = record.if_contains("understudy");
+    if (single == nullptr || !single->is_string()) return;
+    json::array list;
+    if (!single->as_string().empty() && *single != record["leader"]) list.push_back(*single);
+    record["followers"] = std::move(list);
+    record.erase("understudy");
 }
 
-auto renew(json::value& state) -> void {
-    auto* parts = state.is_object() ? state.as_object().if_contains("parts") : nullptr;
-    if (parts == nullptr || !parts->is_array()) return renew_part(state);
-    for (auto& part : parts->as_array()) renew_part(part);
+// Brings a state or log entry of a former format to the present one (design 6).
+auto renew(json::value& value) -> void {
+    if (value.is_array()) {
+        for (auto& item : value.as_array()) renew(item);
+        return;
+    }
+    if (!value.is_object()) return;
+    auto& object = value.as_object();
+    rename_fields(object);
+    list_single_follower(object);
+    for (auto& [name, item] : object) renew(item);
 }
 
 template <typename Type>
@@ -102,12 +123,12 @@
 
 }  // namespace
 
-auto Storage::apply(PartSaved const& saved) -> void {
-    for (auto& part : state.parts) {
-        if (part.part != saved.part) continue;
-        return merge_saved(part, saved);
+auto Storage::apply(SavedPartition const& saved) -> void {
+    for (auto& partition : state.partitions) {
+        if (partition.partition != saved.partition) continue;
+        return merge_saved(partition, saved);
     }
-    state.parts.push_back(saved);
+    state.partitions.push_back(saved);
 }
 
 auto Storage::open(std::filesystem::path const& where) -> LoadResult {
@@ -142,7 +163,7 @@
         }
         if (entry->generation > generation) return LoadResult::damaged;  // the slot these belong to is lost
         if (entry->generation < generation) continue;
-        auto const saved = read_as<PartSaved>(entry->body);
+        auto const saved = read_as<SavedPartition>(entry->body);
         if (!saved) return LoadResult::damaged;
         apply(*saved);
     }
@@ -188,14 +209,14 @@
 
 // Also where a damaged or blank folder begins anew, under a new identity.
 auto Storage::begin(std::string const& identity, std::uint64_t incarnation) -> bool {
-    if (state.identity != identity) state.parts.clear();
+    if (state.identity != identity) state.partitions.clear();
     state.identity = identity;
     state.incarnation = incarnation;
     broken = !write_slot();
     return !broken;
 }
 
-auto Storage::write(std::vector<PartSaved> const& batch) -> bool {
+auto Storage::write(std::vector<SavedPartition> const& batch) -> bool {
     if (broken) return false;
     std::string bytes;
     for (auto const& saved : batch) {
--- a/source/process/storage.hpp
+++ b/source/process/storage.hpp
@@ -5,14 +5,14 @@
 #include <filesystem>
 #include <functional>
 
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
 struct StoredState {
     std::string identity;
     std::uint64_t incarnation = 0;
-    std::vector<PartSaved> parts;
+    std::vector<SavedPartition> partitions;
 };
 
 // What is done to the files, told to whoever records it (the recovery test).
@@ -37,11 +37,11 @@
 
     auto open(std::filesystem::path const& where) -> LoadResult;
     auto begin(std::string const& identity, std::uint64_t incarnation) -> bool;
-    auto write(std::vector<PartSaved> const& batch) -> bool;
+    auto write(std::vector<SavedPartition> const& batch) -> bool;
     auto close() -> void;
 
    private:
-    auto apply(PartSaved const& saved) -> void;
+    auto apply(SavedPartition const& saved) -> void;
     auto write_slot() -> bool;
     auto open_log(bool truncate) -> bool;
     auto tell(FileEvent::Kind kind, std::string const& file, std::string_view bytes = {}) const -> void;
@@ -49,4 +49,4 @@
 
 }  // namespace dockrock
 
-BOOST_HANA_ADAPT_STRUCT(dockrock::StoredState, identity, incarnation, parts);
+BOOST_HANA_ADAPT_STRUCT(dockrock::StoredState, identity, incarnation, partitions);
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -7,8 +7,8 @@
 #include <mutex>
 #include <thread>
 
-#include "process/machine/frame.hpp"
-#include "process/machine/membership.hpp"
+#include "base/frame.hpp"
+#include "membership/membership.hpp"
 
 namespace dockrock {
 
--- a/source/sequence/changes.hpp
+++ b/source/sequence/changes.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // What an operator's change makes of a part's document. docs/design.md section 7.
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 
 namespace dockrock {
 
--- a/source/sequence/configuration.hpp
+++ b/source/sequence/configuration.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // The operator's tree: groups and tenants that inherit walls, rank, share and
 // keys. Checked whole. docs/design.md section 7.
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/source/sequence/patch.hpp
+++ b/source/sequence/patch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // JSON Patch (RFC 6902) over the configuration, by a library. docs/design.md section 7.2.
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/source/sequence/plan.cpp
+++ b/source/sequence/plan.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <set>
 
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
@@ -12,7 +12,7 @@
 
 inline constexpr auto wall_words = std::to_array<char const*>({"shared", "group", "isolated"});
 inline constexpr auto subjects =
-    std::to_array<char const*>({"models", "kinds", "mappings", "limits", "tenants", "keys", "walls", "parts"});
+    std::to_array<char const*>({"models", "kinds", "mappings", "limits", "tenants", "keys", "walls", "partitions"});
 
 using Facts = std::map<std::string, json::object>;  // name -> what is known of it
 
@@ -104,18 +104,18 @@
     return facts;
 }
 
-// Services live in the part of their name's hash; a new one joins a part, and
+// Services live in the partition of their name's hash; a new one joins a partition, and
 // the pair that holds it.
-auto part_facts(CheckedConfiguration const& checked, std::vector<PlanPart> const& parts) -> Facts {
+auto part_facts(CheckedConfiguration const& checked, std::vector<PlanPartition> const& partitions) -> Facts {
     Facts facts;
     for (auto const& model : checked.configuration.models) {
-        auto const name = std::string(part_names[static_cast<std::size_t>(part_of_service(model.name))]);
+        auto const name = std::string(partition_names[static_cast<std::size_t>(partition_of_service(model.name))]);
         auto& entry = facts[model.name];
-        entry = {{"part", name}};
-        for (auto const& part : parts)
-            if (part.name == name) {
-                auto members = part.primary;
-                for (auto const& understudy : part.understudies) members += ", " + understudy;
+        entry = {{"partition", name}};
+        for (auto const& partition : partitions)
+            if (partition.name == name) {
+                auto members = partition.leader;
+                for (auto const& follower : partition.followers) members += ", " + follower;
                 entry["pair"] = std::move(members);
             }
     }
@@ -125,7 +125,7 @@
 }  // namespace
 
 auto plan_change(
-    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts)
+    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPartition> const& partitions)
     -> json::object {
     json::object plan;
     plan["models"] = compare(model_facts(before), model_facts(after));
@@ -135,7 +135,7 @@
     plan["tenants"] = compare(tenant_facts(before), tenant_facts(after));
     plan["keys"] = compare(key_facts(before), key_facts(after));
     plan["walls"] = compare(wall_facts(before), wall_facts(after));
-    plan["parts"] = compare(part_facts(before, parts), part_facts(after, parts));
+    plan["partitions"] = compare(part_facts(before, partitions), part_facts(after, partitions));
     return plan;
 }
 
--- a/source/sequence/plan.hpp
+++ b/source/sequence/plan.hpp
@@ -4,17 +4,17 @@
 
 namespace dockrock {
 
-// Where the parts stand now; as a node's status gives it.
-struct PlanPart {
+// Where the partitions stand now; as a node's status gives it.
+struct PlanPartition {
     std::string name;
-    std::string primary;
-    std::vector<std::string> understudies;
+    std::string leader;
+    std::vector<std::string> followers;
 };
 
 // An object with the lists models, kinds, mappings, limits, tenants, keys,
-// walls and parts; each names what is added, removed or changed.
+// walls and partitions; each names what is added, removed or changed.
 auto plan_change(
-    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPart> const& parts)
+    CheckedConfiguration const& before, CheckedConfiguration const& after, std::vector<PlanPartition> const& partitions)
     -> json::object;
 
 // The plan for people, a line for each thing that moves.
--- a/source/sequence/rules.hpp
+++ b/source/sequence/rules.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <set>
 
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 #include "sequence/configuration.hpp"
 #include "version/services.hpp"
 
--- a/source/ticket/answering.cpp
+++ b/source/ticket/answering.cpp
@@ -1,6 +1,6 @@
 #include "ticket/answering.hpp"
 
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/source/ticket/answering.hpp
+++ b/source/ticket/answering.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <unordered_map>
 
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 #include "ticket/ticket.hpp"
 
 namespace dockrock {
--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -33,12 +33,12 @@
     return last_checks(facts);
 }
 
-auto Course::claimed(ClaimState state, std::uint64_t epoch, Microseconds asked_at, CourseFacts const& facts)
+auto Course::claimed(ClaimState state, std::uint64_t term, Microseconds asked_at, CourseFacts const& facts)
     -> CourseStep {
     if (state == ClaimState::granted && facts.now - asked_at <= claim_use_limit) {
         claim_held = true;
         claimed_at = asked_at;
-        claim_epoch = epoch;
+        claim_term = term;
         return last_checks(facts);
     }
     auto step = CourseStep();
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -2,7 +2,7 @@
 // A ticket's course: entry, wait, claim, last checks, tries, one outcome. A
 // value type: events in, the next step out; the connection and the simulator
 // drive the same. docs/design.md sections 8.3, 10 and 10.5.
-#include "process/machine/messages.hpp"
+#include "base/messages.hpp"
 #include "ticket/answering.hpp"
 #include "ticket/granting.hpp"
 #include "ticket/interpreter.hpp"
@@ -11,7 +11,7 @@
 
 enum class Step : int {
     enter,           // into the buffer; `avoid` is set where it is an extra try
-    claim,           // the identity, at the owner of the service's part
+    claim,           // the identity, at the leader of the service's part
     interpret,       // the rules moved: run them again
     send,            // the try may go to its replica now
     answer_shed,     // 503: did not run, never will
@@ -53,13 +53,13 @@
     bool may_have_run = false;
     bool claim_held = false;
     Microseconds claimed_at = 0;
-    std::uint64_t claim_epoch = 0;
+    std::uint64_t claim_term = 0;
     std::optional<std::string> avoid;
 
     auto begin() const -> CourseStep { return {Step::enter}; }
     auto placed(Placement given, CourseFacts const& facts) -> CourseStep;
     auto given_up(std::string_view reason, std::int64_t retry_after) -> CourseStep;
-    auto claimed(ClaimState state, std::uint64_t epoch, Microseconds asked_at, CourseFacts const& facts) -> CourseStep;
+    auto claimed(ClaimState state, std::uint64_t term, Microseconds asked_at, CourseFacts const& facts) -> CourseStep;
     auto judged(Verdict verdict, Sequence under, CourseFacts const& facts) -> CourseStep;
     auto ended(TryEnd end, std::string_view reason) -> CourseStep;
     auto gone() const -> CourseStep;
--- a/source/ticket/ticket.hpp
+++ b/source/ticket/ticket.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // A ticket is one request of a caller. docs/design.md section 9.
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/source/version/changes.hpp
+++ b/source/version/changes.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // Changes under the operator's own versions: which one takes the place of the
 // document in force. docs/platform.md, docs/design.md section 7.
-#include "process/machine/part.hpp"
+#include "consensus/partition.hpp"
 #include "version/services.hpp"
 
 namespace dockrock {
--- a/source/version/services.hpp
+++ b/source/version/services.hpp
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock {
 
--- a/tests/anew_test.cpp
+++ b/tests/anew_test.cpp
@@ -29,7 +29,7 @@
         for (auto index = std::size_t{0}; index < 4; ++index) world->start(index);
         world->run_until(world->now + 12 * one_second);
         INFO("seed " << seed << " formed by itself");
-        REQUIRE_FALSE(world->owner(configuration_part).has_value());
+        REQUIRE_FALSE(world->leader(configuration_partition).has_value());
         CHECK(order_anew(*world, 6) == 200);
         CHECK(world->run_until_true([&] { return world->settled() && all_hold(*world, "second"); }, 12 * one_second));
         CHECK(put_and_wait(*world, 5, "third") == 200);
--- a/tests/claim_test.cpp
+++ b/tests/claim_test.cpp
@@ -75,15 +75,15 @@
     }
 }
 
-TEST_CASE("claims outlive the owner, then its successor, and a loss of all processes") {
+TEST_CASE("claims outlive the leader, then its successor, and a loss of all processes") {
     for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
         auto fleet = ClaimWorld(seed);
-        auto const part = 1 + static_cast<int>(hash_text("key") % service_parts);
+        auto const part = 1 + static_cast<int>(hash_text("key") % service_partitions);
         REQUIRE(fleet.ask(4, "key", "first").state == ClaimState::granted);
         for (auto round = 0; round < 2; ++round) {
-            auto const holder = *fleet.world.owner(part);
+            auto const holder = *fleet.world.leader(part);
             fleet.world.kill(holder, round == 0);
-            REQUIRE(fleet.world.run_until_true([&] { return fleet.world.owner(part).has_value(); }, 12 * one_second));
+            REQUIRE(fleet.world.run_until_true([&] { return fleet.world.leader(part).has_value(); }, 12 * one_second));
             CHECK(fleet.ask(5, "key", "second").state == ClaimState::seen);
             fleet.world.start(holder);
             REQUIRE(fleet.world.run_until_true([&] { return fleet.world.settled(); }, 12 * one_second));
@@ -96,7 +96,7 @@
     }
 }
 
-TEST_CASE("claims: without an owner the fate is not known, and a claim not saved by both is not granted") {
+TEST_CASE("claims: without an leader the fate is not known, and a claim not saved by both is not granted") {
     for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
         auto fleet = ClaimWorld(seed);
         for (auto index = std::size_t{0}; index < 4; ++index) fleet.world.kill(index, false);
@@ -116,7 +116,7 @@
     CHECK(table.held.size() == 2);
 }
 
-TEST_CASE("planted: claims that the understudy is not given, or that no disk keeps, are caught") {
+TEST_CASE("planted: claims that the follower is not given, or that no disk keeps, are caught") {
     CHECK(storm_with([](auto& options) { options.planted_claims_not_copied = true; }) >= 1);
     CHECK(storm_with([](auto& options) { options.planted_claims_not_saved = true; }) >= 1);
 }
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -34,13 +34,14 @@
     return 0;
 }
 
-// The owner of the configuration, then its understudies in their order.
+// The leader of the configuration, then its followers in their order.
 auto group_of(World& world) -> std::vector<std::size_t> {
-    auto const holder = world.owner(configuration_part);
+    auto const holder = world.leader(configuration_partition);
     REQUIRE(holder);
     auto members = std::vector<std::size_t>{*holder};
-    for (auto const& understudy : world.nodes[*holder]->control.parts[configuration_part].votes.decided.understudies)
-        members.push_back(index_of(world, understudy));
+    for (auto const& follower :
+         world.nodes[*holder]->control.partitions[configuration_partition].votes.decided.followers)
+        members.push_back(index_of(world, follower));
     return members;
 }
 
@@ -69,12 +70,13 @@
     for (auto const& shape : shapes)
         for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
             auto const world = two_lost(shape, seed);
-            for (auto part = 0; part < static_cast<int>(part_count); ++part) {
-                auto const& record =
-                    world->nodes[*world->owner(part)]->control.parts[static_cast<std::size_t>(part)].votes.decided;
-                auto areas = std::set<std::string>{world->nodes[index_of(*world, record.primary)]->area};
-                for (auto const& understudy : record.understudies)
-                    areas.insert(world->nodes[index_of(*world, understudy)]->area);
+            for (auto partition = 0; partition < static_cast<int>(partition_count); ++partition) {
+                auto const& record = world->nodes[*world->leader(partition)]
+                                         ->control.partitions[static_cast<std::size_t>(partition)]
+                                         .votes.decided;
+                auto areas = std::set<std::string>{world->nodes[index_of(*world, record.leader)]->area};
+                for (auto const& follower : record.followers)
+                    areas.insert(world->nodes[index_of(*world, follower)]->area);
                 CHECK(areas.size() == 3);
             }
         }
@@ -104,7 +106,7 @@
             }
 }
 
-TEST_CASE("two core nodes lost at once, the owner too: replaced within three seconds, acknowledged changes kept") {
+TEST_CASE("two core nodes lost at once, the leader too: replaced within three seconds, acknowledged changes kept") {
     for (auto const& shape : shapes)
         for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
             auto const world = two_lost(shape, seed);
@@ -112,9 +114,10 @@
             auto const members = group_of(*world);
             auto const other = seed % 3 == 0 ? members[2] : members[1];
             for (auto index : {members[0], other}) world->kill(index, seed % 2 == 0);
-            CHECK(world->run_until_true([&] { return world->owner(configuration_part).has_value(); }, 3 * one_second));
+            CHECK(world->run_until_true(
+                [&] { return world->leader(configuration_partition).has_value(); }, 3 * one_second));
             CHECK(put_and_wait(*world, shape.cores, "second") == 200);
-            CHECK(world->owner(configuration_part).has_value());
+            CHECK(world->leader(configuration_partition).has_value());
             for (auto index : {members[0], other}) world->start(index);
             CHECK(world->run_until_true([&] { return world->settled(); }, 12 * one_second));
             CHECK(world->run_until_true([&] { return all_hold(*world, "second"); }, 2 * one_second));
@@ -128,9 +131,9 @@
         for (auto seed = std::uint64_t{1}; seed <= 6; ++seed) {
             auto const world = two_lost(shapes[1], seed, plant);
             if (put_and_wait(*world, 8, "kept") != 200) continue;
-            auto const first = *world->owner(configuration_part);
+            auto const first = *world->leader(configuration_partition);
             world->kill(first, false);
-            while (!world->owner(configuration_part)) world->run_until(world->now + one_millisecond);
+            while (!world->leader(configuration_partition)) world->run_until(world->now + one_millisecond);
             auto const members = group_of(*world);
             world->start(first);
             lose_power(*world, {members[0], members[1]});
@@ -189,21 +192,21 @@
 TEST_CASE("of two proposers' copies the higher ballot's stays, whichever comes last") {
     auto random = Random{1};
     auto const self = std::string("c");
-    Part part;
+    Partition partition;
     auto context =
         Context{one_second, self, random, [] { return std::vector<Member>(); }, [](auto const&) { return true; }};
     auto const record = Record{1, "a", {"b", "c"}, {"a", "b", "c"}};
-    part.learn(context, record);
-    part.on(context, "b", CopyOffer{0, record, {5, "b"}, Copy{{1, 7}, "newer", {}}, ""});
-    CHECK(part.votes.sealed == 1);
+    partition.learn(context, record);
+    partition.on(context, "b", CopyOffer{0, record, {5, "b"}, Copy{{1, 7}, "newer", {}}, ""});
+    CHECK(partition.votes.sealed == 1);
     context.sends.clear();
-    part.on(context, "a", CopyOffer{0, record, {4, "a"}, Copy{{1, 6}, "older", {}}, ""});
-    CHECK(part.copy.document == "newer");
+    partition.on(context, "a", CopyOffer{0, record, {4, "a"}, Copy{{1, 6}, "older", {}}, ""});
+    CHECK(partition.copy.document == "newer");
     REQUIRE(context.sends.size() == 1);
     CHECK(std::holds_alternative<Refusal>(context.sends[0].message));
-    part.on(
+    partition.on(
         context, "b", CopyOffer{0, Record{0, "a", {"b"}, {"a", "b", "c"}}, {9, "b"}, Copy{{0, 9}, "stale", {}}, ""});
-    CHECK(part.copy.document == "newer");
+    CHECK(partition.copy.document == "newer");
 }
 
 TEST_CASE("a partner that stays silent is passed over for another") {
@@ -215,30 +218,30 @@
             list.push_back(Member{name, name, "", std::string("area-") + name, true, true, false, 1, 0});
         return list;
     };
-    Part part;
-    part.machines_lost = 2;
+    Partition partition;
+    partition.machines_lost = 2;
     auto context = Context{one_second, self, random, cores, [](auto const& name) { return name != "a"; }};
-    part.learn(context, Record{1, "a", {"b", "c"}, {"a", "b", "c", "d", "e"}});
+    partition.learn(context, Record{1, "a", {"b", "c"}, {"a", "b", "c", "d", "e"}});
     context.now += 5 * one_second;
-    part.saving.clear();  // synced
-    part.tick(context);
-    REQUIRE(part.proposal);
-    auto const ballot = part.proposal->ballot;
-    for (auto const* voter : {"b", "c", "d"}) part.on(context, voter, Promise{0, 2, ballot, {}, std::nullopt});
-    REQUIRE(part.proposal->stage == Part::Proposal::Stage::copying);
-    auto const silent = part.proposal->value.understudies.back();
-    CHECK(part.proposal->value.understudies.front() == "c");  // a member that lives stays
-    part.on(context, "c", CopyTaken{0, 1, ballot});
-    part.saved(context, context.saves.back().token, true);
+    partition.saving.clear();  // synced
+    partition.tick(context);
+    REQUIRE(partition.proposal);
+    auto const ballot = partition.proposal->ballot;
+    for (auto const* voter : {"b", "c", "d"}) partition.on(context, voter, Promise{0, 2, ballot, {}, std::nullopt});
+    REQUIRE(partition.proposal->stage == Partition::Proposal::Stage::copying);
+    auto const silent = partition.proposal->value.followers.back();
+    CHECK(partition.proposal->value.followers.front() == "c");  // a member that lives stays
+    partition.on(context, "c", CopyTaken{0, 1, ballot});
+    partition.saved(context, context.saves.back().token, true);
     context.sends.clear();
     context.now += 600 * one_millisecond;
-    part.saving.clear();
-    part.tick(context);
-    REQUIRE(part.proposal);
-    CHECK(part.proposal->stage == Part::Proposal::Stage::copying);
-    auto const other = part.proposal->value.understudies.back();
+    partition.saving.clear();
+    partition.tick(context);
+    REQUIRE(partition.proposal);
+    CHECK(partition.proposal->stage == Partition::Proposal::Stage::copying);
+    auto const other = partition.proposal->value.followers.back();
     CHECK(other != silent);
-    part.on(context, other, CopyTaken{0, 1, ballot});
-    CHECK(part.proposal->stage == Part::Proposal::Stage::accepting);
-    CHECK(part.proposal->value.understudies == std::vector<std::string>{"c", other});
+    partition.on(context, other, CopyTaken{0, 1, ballot});
+    CHECK(partition.proposal->stage == Partition::Proposal::Stage::accepting);
+    CHECK(partition.proposal->value.followers == std::vector<std::string>{"c", other});
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -84,7 +84,7 @@
     CHECK(caught([](auto& given) { given.planted_skip_pieces = true; }, "stitched") >= 1);
     CHECK(caught([](auto& given) { given.planted_skip_walls = true; }, "wall") >= 1);
     CHECK(caught([](auto& given) { given.planted_stale_weights = true; }, "other weights") >= 1);
-    CHECK(caught([](auto& given) { given.planted_skip_licence = true; }, "two holders") >= 1);
+    CHECK(caught([](auto& given) { given.planted_skip_lease = true; }, "two holders") >= 1);
     auto const crowded = [](auto& given) {  // replicas refuse what nine nodes overcommit
         given.granting.multiplier = 20;
         given.tickets_each_second = 250;
--- a/tests/forming_test.cpp
+++ b/tests/forming_test.cpp
@@ -25,9 +25,9 @@
         control.settings.machines_lost = told.machines_lost;
         control.settings.may_form = !told.never_form.contains(index);
         if (control.settings.core && !control.settings.may_form) control.membership.self.never_forms = true;
-        for (auto& part : control.parts) {
-            part.core_count = 0;
-            part.machines_lost = told.machines_lost;
+        for (auto& partition : control.partitions) {
+            partition.core_count = 0;
+            partition.machines_lost = told.machines_lost;
         }
         for (auto const& seed : told.more_seeds) control.membership.seeds.push_back(seed);
         if (told.incarnation != 0 && !control.knows_fleet()) control.membership.self.incarnation = told.incarnation;
@@ -40,13 +40,13 @@
 }
 
 auto all_owned(World& world) -> bool {
-    for (auto part = 0; part < static_cast<int>(part_count); ++part)
-        if (!world.owner(part)) return false;
+    for (auto partition = 0; partition < static_cast<int>(partition_count); ++partition)
+        if (!world.leader(partition)) return false;
     return true;
 }
 
-auto voters(World& world, std::size_t index, int part = configuration_part) -> std::vector<std::string> {
-    return world.nodes[index]->control.best_record(part).voters;
+auto voters(World& world, std::size_t index, int partition = configuration_partition) -> std::vector<std::string> {
+    return world.nodes[index]->control.best_record(partition).voters;
 }
 
 auto names(std::vector<std::string> const& list, std::string const& identity) -> bool {
@@ -65,9 +65,9 @@
             INFO("cores " << cores << " seed " << seed);
             REQUIRE(world->run_until_true([&] { return all_owned(*world); }, 4 * one_second));
             for (auto index = std::size_t{0}; index < cores; ++index)
-                CHECK(world->nodes[index]->control.best_record(configuration_part).voters.size() == cores);
-            for (auto part = 0; part < static_cast<int>(part_count); ++part)
-                CHECK(world->nodes[0]->control.best_record(part).understudies.size() == told.machines_lost);
+                CHECK(world->nodes[index]->control.best_record(configuration_partition).voters.size() == cores);
+            for (auto partition = 0; partition < static_cast<int>(partition_count); ++partition)
+                CHECK(world->nodes[0]->control.best_record(partition).followers.size() == told.machines_lost);
             REQUIRE(put_and_wait(*world, cores, "first") == 200);
             CHECK(world->violations.empty());
         }
@@ -107,7 +107,8 @@
         told.never_form = {0, 1, 2, 3};
         auto const none = untold(seed, 4, told);
         start_all(*none);
-        CHECK_FALSE(none->run_until_true([&] { return none->owner(configuration_part).has_value(); }, 30 * one_second));
+        CHECK_FALSE(
+            none->run_until_true([&] { return none->leader(configuration_partition).has_value(); }, 30 * one_second));
         told.never_form = {0, 1, 2};
         auto const one = untold(seed, 4, told);
         start_all(*one);
@@ -138,8 +139,8 @@
             INFO("seed " << seed << " incarnation " << incarnation);
             CHECK(world->run_until_true(
                 [&] {
-                    for (auto part = 0; part < static_cast<int>(part_count); ++part) {
-                        auto const list = voters(*world, (index + 1) % 4, part);
+                    for (auto partition = 0; partition < static_cast<int>(partition_count); ++partition) {
+                        auto const list = voters(*world, (index + 1) % 4, partition);
                         if (!names(list, fresh) || names(list, old) || list.size() != 4) return false;
                     }
                     return all_owned(*world);
@@ -161,11 +162,11 @@
             INFO("cores " << cores << " seed " << seed);
             REQUIRE(world->run_until_true([&] { return all_owned(*world); }, 4 * one_second));
             REQUIRE(put_and_wait(*world, cores, "kept") == 200);
-            auto const holder = *world->owner(configuration_part);
-            auto const record = world->nodes[holder]->control.best_record(configuration_part);
-            REQUIRE(record.understudies.size() == 2);
+            auto const holder = *world->leader(configuration_partition);
+            auto const record = world->nodes[holder]->control.best_record(configuration_partition);
+            REQUIRE(record.followers.size() == 2);
             for (auto index = std::size_t{0}; index < cores; ++index)
-                if (index == holder || world->nodes[index]->disk.identity == record.understudies.front())
+                if (index == holder || world->nodes[index]->disk.identity == record.followers.front())
                     world->kill(index, true);
             CHECK(world->run_until_true([&] { return all_owned(*world); }, 6 * one_second));
             CHECK(put_and_wait(*world, cores, "second") == 200);
@@ -174,16 +175,16 @@
 }
 
 TEST_CASE("a group is no larger than a majority of the voters") {
-    Part part;
-    part.machines_lost = 2;
-    part.core_count = 0;
-    CHECK(part.copies() == 3);  // nothing known yet
-    part.votes.decided.voters = {"a", "b", "c"};
-    CHECK(part.copies() == 2);
-    part.votes.decided.voters = {"a", "b", "c", "d", "e"};
-    CHECK(part.copies() == 3);
-    part.core_count = 1;
-    CHECK(part.copies() == 1);
+    Partition partition;
+    partition.machines_lost = 2;
+    partition.core_count = 0;
+    CHECK(partition.copies() == 3);  // nothing known yet
+    partition.votes.decided.voters = {"a", "b", "c"};
+    CHECK(partition.copies() == 2);
+    partition.votes.decided.voters = {"a", "b", "c", "d", "e"};
+    CHECK(partition.copies() == 3);
+    partition.core_count = 1;
+    CHECK(partition.copies() == 1);
 }
 
 TEST_CASE("a core node added to a whole fleet stays a spare") {
--- a/tests/hollow/figures.hpp
+++ b/tests/hollow/figures.hpp
@@ -11,7 +11,7 @@
 // One measured run of one size: names of figures and their values.
 struct Run {
     std::string what;  // "idle", "placement" ...
-    std::string role;  // "edge", "core", "owner", or empty
+    std::string role;  // "edge", "core", "leader", or empty
     std::size_t nodes = 0;
     std::size_t replicas = 0;
     std::uint64_t seed = 1;
--- a/tests/interleaving.hpp
+++ b/tests/interleaving.hpp
@@ -76,21 +76,21 @@
 };
 
 struct CheckedMutex {
-    int owner = -1;
+    int leader = -1;
     auto lock() -> void {
         auto* checker = Checker::current();
         if (checker == nullptr) return;
         checker->yield();
-        while (owner != -1) {
+        while (leader != -1) {
             checker->blocked_on[static_cast<std::size_t>(Checker::self())] = this;
             checker->yield();
         }
-        owner = Checker::self();
+        leader = Checker::self();
     }
     auto unlock() -> void {
         auto* checker = Checker::current();
         if (checker == nullptr) return;
-        owner = -1;
+        leader = -1;
         for (auto& place : checker->blocked_on)
             if (place == this) place = nullptr;
     }
--- a/tests/live/fleet.py
+++ b/tests/live/fleet.py
@@ -175,14 +175,14 @@
     def wipe(self, name):
         shutil.rmtree(self.folder / (name + "-data"), ignore_errors=True)
 
-    def owner(self, part="configuration"):
-        """Name of the node that owns a part, as that node itself says."""
+    def leader(self, partition="configuration"):
+        """Name of the node that leads a partition, as that node itself says."""
         for name in self.cores:
             if not self.processes[name].running():
                 continue
             status = self.status(name)
-            for entry in (status or {}).get("parts", []):
-                if entry["name"] == part and entry["owned_here"]:
+            for entry in (status or {}).get("partitions", []):
+                if entry["name"] == partition and entry["leads_here"]:
                     return name
         return None
 
