--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -67,8 +67,9 @@
     for (auto& item : pending) {
         auto const reads = item.call.operation == "get" || item.call.operation == "outcome";
         // What a change came to is told only once this term's first copy is on
-        // all disks: until then a partner may hold a copy in which it lives.
-        auto const own_term = committed && committed->sequence.term == votes.decided.term;
+        // all disks: until then a partner may hold a copy in which it lives; nor once it is sealed.
+        auto const own_term =
+            committed && committed->sequence.term == votes.decided.term && votes.sealed < votes.decided.term;
         auto const readable =
             committed && has_lease(context.self, context.now) && (own_term || item.call.operation == "get");
         if (reads ? readable : ready) change(context, item);
@@ -126,7 +127,8 @@
     auto result = apply(copy, asked);
     if (result.status != 200) return answer(result.status, std::move(result.body), "");
     copy.document = std::move(result.document);
-    ++copy.sequence.number;
+    // Under the term that decides on it: a sequence of an earlier one may have been given to a change that is lost.
+    copy.sequence = Sequence{votes.decided.term, copy.sequence.number + 1};
     copy.outcomes.push_back({asked.identity, copy.sequence, digest});
     if (copy.outcomes.size() > outcomes_kept) copy.outcomes.erase(copy.outcomes.begin());
     waiters.push_back({item.origin, item.token, copy.sequence, accepted_body(copy.sequence), context.now});
--- a/source/consensus/leader_and_follower.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -14,14 +14,19 @@
 }
 }  // namespace
 
-auto Partition::step_down(Context& context) -> void {
-    committed.reset();
-    in_flight = false;
+// Those who wait for changes of which nothing is known any more.
+auto Partition::tell_outcomes_unknown(Context& context) -> void {
     for (auto const& waiter : waiters)
         context.done.push_back(
             {waiter.origin, waiter.token, 504,
              error_body("outcome not known; ask again under the same change identity"), ""});
     waiters.clear();
+}
+
+auto Partition::step_down(Context& context) -> void {
+    committed.reset();
+    in_flight = false;
+    tell_outcomes_unknown(context);
     for (auto const& item : queued)
         context.done.push_back(
             {item.origin, item.token, 503, error_body("the leader of this partition changed; nothing was changed"),
--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -209,6 +209,7 @@
     auto may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool;
     auto disk_late(Microseconds now) const -> bool;
     auto step_down(Context& context) -> void;
+    auto tell_outcomes_unknown(Context& context) -> void;
     auto leader_tick(Context& context) -> void;
     auto follower_tick(Context& context) -> void;
     auto proposal_tick(Context& context) -> void;
