--- a/tests/model/invariants.cpp
+++ b/tests/model/invariants.cpp
@@ -69,6 +69,18 @@
             world.violation("refused: " + outcome.identity + " is in force");
 }
 
+// What a leader holds for committed, and may give out or acknowledge, is on the disk of each member.
+auto check_committed(World& world, Node const& leader) -> void {
+    auto const& record = leader.partition.votes.decided;
+    auto const& committed = leader.partition.committed;
+    if (!committed) return;
+    for (auto const& node : world.nodes)
+        if (record.has_member(node->identity) && (!node->disk.copy || node->disk.copy->sequence < committed->sequence))
+            world.violation(
+                "commit: " + etag_of(committed->sequence) + " of " + leader.identity + " is not on the disk of " +
+                node->identity);
+}
+
 // What was acknowledged is on the disk of each member of the newest group: any
 // `losses` of them may be lost at once.
 auto check_durability(World& world) -> void {
@@ -91,6 +103,7 @@
         if (!node->running || !node->partition.has_lease(node->identity, world.now)) continue;
         check_lease(world, *node);
         check_served(world, *node);
+        check_committed(world, *node);
     }
     check_durability(world);
 }
--- a/tests/model/main.cpp
+++ b/tests/model/main.cpp
@@ -53,6 +53,8 @@
     TCLAP::ValueArg<std::uint64_t> salt("", "salt", "of the machines' random source", false, 0, "number", line);
     TCLAP::ValueArg<int> percent("", "percent", "of a walk's steps that deviate", false, 8, "count", line);
     TCLAP::ValueArg<std::string> path("", "replay", "a path that a search printed", false, "", "path", line);
+    TCLAP::ValueArg<std::string> begin(
+        "", "begin", "a path from whose end the search goes on", false, "", "path", line);
     TCLAP::ValueArg<std::string> plant("", "planted", "a planted fault", false, "none", "name", line);
     line.parse(argument_count, arguments);
     auto const planted = planted_named(plant.getValue());
@@ -70,7 +72,8 @@
     if (walks.getValue() > 0) return run_walks(setup, limits, seed.getValue(), walks.getValue(), percent.getValue());
     auto result = 0;
     for (auto bound = 0; bound <= deviations.getValue() && result == 0; ++bound) {
-        auto const found = search(setup, {limits, bound, threads.getValue(), most.getValue()});
+        auto const found =
+            search(setup, {limits, bound, threads.getValue(), most.getValue(), read_path(begin.getValue())});
         result = tell(setup, limits, found, "at most " + std::to_string(bound) + " deviations");
     }
     return result;
--- a/tests/model/schedule.cpp
+++ b/tests/model/schedule.cpp
@@ -126,6 +126,7 @@
     offer.add(Step::drop, place);
     offer.add(Step::duplicate, place);
     offer.add(Step::advance_early, 0);
+    if (auto const ticking = next_tick(offer.world)) offer.add(Step::tick_early, *ticking);
     auto const target = offer.world.index_of(offer.world.network[place].to);
     if (!target) return;
     offer_late_messages(offer, *target);
@@ -185,7 +186,8 @@
         case Step::drop: return world.drop(choice.subject);
         case Step::hold: world.network[choice.subject].held = true; return;
         case Step::sync: return world.sync(choice.subject);
-        case Step::tick: return world.tick(choice.subject);
+        case Step::tick:
+        case Step::tick_early: return world.tick(choice.subject);
         case Step::submit: return world.submit(choice.subject, choice.target);
         case Step::crash_lose: return world.crash(choice.subject, false);
         case Step::crash_keep: return world.crash(choice.subject, true);
--- a/tests/model/schedule.hpp
+++ b/tests/model/schedule.hpp
@@ -20,6 +20,7 @@
     duplicate,  // delivered, and once more later
     submit_later,
     advance_early,
+    tick_early,  // before messages that are there
     crash_lose,  // what was not synced is gone
     crash_keep,  // it reached the disk all the same
     lose_disk,   // comes back blank, under another identity
@@ -36,10 +37,10 @@
     stop,  // politely: hands over first
 };
 inline constexpr auto step_names = std::to_array<std::string_view>(
-    {"deliver",   "sync",      "tick",         "submit",        "advance",    "hold",       "release",
-     "drop",      "duplicate", "submit-later", "advance-early", "crash-lose", "crash-keep", "lose-disk",
-     "restart",   "freeze",    "thaw",         "cut",           "heal",       "stall-disk", "unstall-disk",
-     "fail-disk", "suspect",   "trust",        "stop"});
+    {"deliver",      "sync",      "tick",         "submit",        "advance",    "hold",       "release",
+     "drop",         "duplicate", "submit-later", "advance-early", "tick-early", "crash-lose", "crash-keep",
+     "lose-disk",    "restart",   "freeze",       "thaw",          "cut",        "heal",       "stall-disk",
+     "unstall-disk", "fail-disk", "suspect",      "trust",         "stop"});
 
 struct Choice {
     Step step = Step::advance;
--- a/tests/model/search.cpp
+++ b/tests/model/search.cpp
@@ -131,6 +131,20 @@
     }
 };
 
+auto first_place(Setup const& setup, SearchOptions const& options) -> Place {
+    Place place{World(setup), 0, options.deviations, options.begin};
+    for (auto const& deviation : options.begin) {
+        for (; place.step < deviation.step; ++place.step) {
+            check(place.world);  // it notes what was seen
+            apply(place.world, choices(place.world, options.limits).front());
+        }
+        check(place.world);
+        apply(place.world, choices(place.world, options.limits)[deviation.choice]);
+        ++place.step;
+    }
+    return place;
+}
+
 auto seconds_since(Clock::time_point begun) -> double {
     return std::chrono::duration<double>(Clock::now() - begun).count();
 }
@@ -140,7 +154,7 @@
 auto search(Setup const& setup, SearchOptions const& options) -> Found {
     auto const begun = Clock::now();
     auto state = std::make_unique<Search>(options);
-    state->open.push_back({World(setup), 0, options.deviations, {}});
+    state->open.push_back(first_place(setup, options));
     std::vector<std::thread> threads;
     for (auto count = std::size_t{0}; count < options.threads; ++count) threads.emplace_back([&] { state->work(); });
     for (auto& thread : threads) thread.join();
--- a/tests/model/search.hpp
+++ b/tests/model/search.hpp
@@ -26,6 +26,7 @@
     int deviations = 1;
     std::size_t threads = 4;
     std::size_t most_states = 50'000'000;
+    std::vector<Deviation> begin;  // a run up to its last deviation, from where the search goes on
 };
 // All runs with at most that many deviations, states seen before left out.
 auto search(Setup const& setup, SearchOptions const& options) -> Found;
--- a/tests/model/world.hpp
+++ b/tests/model/world.hpp
@@ -114,6 +114,8 @@
 
 // To the machine, if it is one of its messages.
 auto hand_to(Partition& partition, Context& context, std::string const& from, Message const& message) -> void;
+// The machine of a node that has just started with an empty disk.
+auto fresh_partition(Setup const& setup, Node const& node, Microseconds now) -> Partition;
 auto model_times(Planted planted) -> PartitionTimes;
 auto group_size(Setup const& setup) -> std::size_t;
 
