--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -25,6 +25,12 @@
     return request;
 }
 
+auto is_quiet(tcp::socket& socket) -> bool {
+    auto byte = char{};
+    auto const size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 auto HttpConnection::close() -> void {
     boost::system::error_code ignored;
     stream.socket().close(ignored);
@@ -44,6 +50,7 @@
     }
     stream.socket().set_option(tcp::no_delay(true));
     open = true;
+    used = false;
     co_return true;
 }
 
@@ -51,8 +58,14 @@
     HttpAnswer answer;
     auto const endpoint = endpoint_of(address);
     if (!endpoint) co_return answer;
+    if (open && (buffer.size() > 0 || !is_quiet(stream.socket()))) {
+        auto const opened_for_this = !used;  // what it was opened for may no longer hold
+        close();
+        if (opened_for_this) co_return answer;
+    }
     stream.expires_after(std::chrono::microseconds(limit));
     if (!co_await open_to(address, limit)) co_return answer;
+    used = true;
     auto const request = make_request(wanted, address);
     answer.sent = true;
     if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) {
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -45,11 +45,17 @@
 auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint>;
 auto make_request(HttpCall const& call, std::string const& address) -> http::request<http::string_body>;
 
-// One connection kept for several calls; reopened where it was lost.
+// Nothing to read and not closed: the only state in which an idle connection is
+// good. Bytes that wait there belong to no call that is still to be made.
+auto is_quiet(tcp::socket& socket) -> bool;
+
+// One connection kept for several calls; reopened where it was lost or holds
+// bytes that no call asked for.
 struct HttpConnection {
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool open = false;
+    bool used = false;  // a call has been made on it
     explicit HttpConnection(asio::any_io_executor executor) : stream(std::move(executor)) {}
     auto open_to(std::string address, Microseconds limit) -> awaitable<bool>;
     auto call(std::string address, HttpCall wanted, Microseconds limit) -> awaitable<HttpAnswer>;
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -42,7 +42,8 @@
         head.append(node.form->headers.request_identity).append(": ").append(identity).append("\r\n");
     if (!retry_after.empty()) head.append("Retry-After: ").append(retry_after).append("\r\n");
     if (!keep) head.append("Connection: close\r\n");
-    head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    if (request.method() != http::verb::head) head.append(body);
     co_return co_await write_all(head) && keep;
 }
 
@@ -64,26 +65,6 @@
         now};
 }
 
-// While a request is under way its client may go: the run is then ended.
-auto RelaySession::begin_watch() -> void {
-    watch = std::make_shared<ClientWatch>();
-    client.socket().async_wait(tcp::socket::wait_read, [this, state = watch](boost::system::error_code failure) {
-        if (!state->active || failure) return;
-        auto byte = char{};
-        auto const size = ::recv(client.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (size > 0 || (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;  // the next request, early
-        state->gone = true;
-        if (state->on_gone) state->on_gone();
-    });
-}
-
-auto RelaySession::end_watch() -> void {
-    watch->active = false;
-    watch->on_gone = nullptr;
-    boost::system::error_code ignored;
-    client.socket().cancel(ignored);
-}
-
 auto RelaySession::serve() -> awaitable<void> {
     probe_silence(client.socket());
     while (!node.finished) {
@@ -101,7 +82,6 @@
         auto parser = http::request_parser<http::string_body>();
         parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        auto const began = clock_now();
         client.expires_after(std::chrono::microseconds(limits.header_time));
         auto [failure, size] = co_await http::async_read_header(client, buffer, parser, use_tuple);
         if (!failure && !parser.is_done()) {
@@ -122,7 +102,6 @@
                 co_await refuse(bad, 400, "not HTTP/1.1");
             break;
         }
-        (void)began;
         auto const request = parser.release();
         ++node.open_requests;
         auto const usable = co_await handle(request);
@@ -192,10 +171,6 @@
     if (!last.empty() && judged.route->resumable) answer.events.last = std::atoll(std::string(last).c_str());
     for (auto step = course.begin();;) {
         if (!step.give_back.empty()) node.release(step.give_back, course.ticket.number);
-        auto const given_up = step.step == Step::enter && course.try_number > judged.route->tries;
-        if (given_up) step.step = course.may_have_run ? Step::answer_unknown : Step::answer_shed;
-        if (answer.head_sent && step.step != Step::enter && step.step != Step::send && step.step != Step::interpret)
-            co_return step.step == Step::finished&& answer.keep;  // complete, or visibly cut
         switch (step.step) {
             case Step::enter: step = co_await wait_for_place(course); break;
             case Step::interpret: {
@@ -212,23 +187,24 @@
                 auto const replica = course.placement.replica;
                 auto const result = co_await send_try(request, judged, course, answer);
                 node.try_ended(replica, course.ticket, result.end, result.reason, sent_at);
+                if (result.end != TryEnd::answered && answer.head_sent) answer.keep = false;  // visibly cut
                 if (result.end != TryEnd::answered)
                     write_log(
                         Level::debug, "try-ended",
                         fields("replica", replica, "reason", result.reason, "route", judged.route->name));
-                step = course.ended(result.end, result.reason);
+                auto limits = RetryLimits();
+                limits.time_left = course.ticket.deadline - clock_now();
+                step = course.ended(result.end, result.reason, limits);
                 break;
             }
             case Step::answer_shed: ++node.counters.shed; co_return co_await refuse(request, 503, step.reason, soon);
             case Step::answer_refused:
                 ++node.counters.refused;
                 co_return co_await refuse(request, step.status, step.reason, step.status == 503 ? soon : "");
+            case Step::answer_failure: co_return co_await write_all(answer.failure_head) && answer.keep;
             case Step::claim:
             case Step::answer_seen:
-            case Step::answer_unknown:
-                ++node.counters.unknown;
-                if (!answer.failure_head.empty()) co_return co_await write_all(answer.failure_head) && answer.keep;
-                co_return co_await refuse(request, 502, step.reason);
+            case Step::answer_unknown: ++node.counters.unknown; co_return co_await refuse(request, 502, step.reason);
             case Step::finished: co_return answer.keep && !watch->gone;
         }
     }
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -13,6 +13,7 @@
     bool active = true;
     bool gone = false;
     std::function<void()> on_gone;
+    std::optional<asio::steady_timer> later;  // the next look, while bytes of a next request wait
 };
 
 // What of an answer has gone out; one request may need several runs for it.
@@ -21,9 +22,9 @@
     bool chunked = false;
     bool keep = false;  // the client's connection can be used further
     EventReader events;
+    std::set<std::string> tried;  // replicas that this request was sent to
     // A replica's own failure that may be passed on where no other try is left.
     std::string failure_head;
-    std::string failure_body;
 };
 
 struct RelaySession {
@@ -41,13 +42,14 @@
     auto refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after = std::string())
         -> awaitable<bool>;
     auto begin_watch() -> void;
+    auto watch_on(std::shared_ptr<ClientWatch> state) -> void;
     auto end_watch() -> void;
     auto arrival_of(HttpRequest const& request, Microseconds now) const -> RelayArrival;
     auto write_all(std::string const& bytes) -> awaitable<bool>;
 };
 
-// The head of a try for its replica (request/…: what belongs to one connection,
-// and what the fleet sets itself, is never the client's).
+// The head of a try for its replica: what belongs to one connection, and what
+// the fleet sets itself, is never the client's.
 auto head_for_replica(
     RelayForm const& form, HttpRequest const& request, RelayVerdict const& judged, Course const& course,
     std::int64_t last_event, Microseconds now) -> std::string;
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -3,21 +3,16 @@
 #include <charconv>
 
 #include "connection/relay_session.hpp"
-#include "connection/replica_pool.hpp"
+#include "connection/replica_exchange.hpp"
 #include "process/clock.hpp"
 
 namespace dockrock {
 
 namespace {
 
-using Parser = http::response_parser<http::string_body>;
-
-auto ended(TryEnd end, std::string reason) -> TryResult {
-    TryResult result;
-    result.end = end;
-    result.reason = std::move(reason);
-    return result;
-}
+constexpr Microseconds connect_limit = 600 * one_millisecond;
+constexpr Microseconds silence_limit = 30 * one_second;
+constexpr Microseconds past_deadline = 200 * one_millisecond;  // an answer under way may still come whole
 
 // Seconds that an idle connection is kept by its other end, less a margin.
 auto idle_limit_of(http::response_header<> const& head) -> Microseconds {
@@ -42,138 +37,213 @@
     return text;
 }
 
-struct Closer {  // a client that goes away ends the run
-    ClientWatch& watch;
-    Closer(ClientWatch& given, ReplicaConnection& connection) : watch(given) {
-        watch.on_gone = [&connection] {
-            boost::system::error_code ignored;
-            connection.stream.socket().close(ignored);
-        };
-    }
-    Closer(Closer const&) = delete;
-    ~Closer() { watch.on_gone = nullptr; }
-};
-
 auto reason_of(http::response_header<> const& head) -> std::string {
     if (head.result_int() == 421) return "weights";  // another life, or other weights
     return head.result_int() == 400 ? "bad" : "busy";
 }
 
-}  // namespace
+auto has_no_body(HttpRequest const& request, unsigned status) -> bool {
+    return request.method() == http::verb::head || status == 204 || status == 304;
+}
 
-auto RelaySession::send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
-    -> awaitable<TryResult> {
-    auto const& form = *node.form;
+// One try under way. Steps report what they saw into `facts`; the end and what
+// follows it are derived from them alone.
+struct RelayTry {
+    RelaySession& session;
+    HttpRequest const& request;
+    Route const& route;
+    Course& course;
+    RelayAnswer& answer;
+    Node& node;
+    ReplicaConnectionPointer connection = {};
+    std::optional<ReplicaExchange> exchange = {};
+    TryFacts facts = {};
+    std::string reason = {};
+    Microseconds until = 0;
+
+    auto connect() -> awaitable<bool>;
+    auto read_head() -> awaitable<bool>;
+    auto pass_success() -> awaitable<void>;
+    auto pass_pieces(std::string pending) -> awaitable<void>;
+    auto read_pieces() -> awaitable<boost::system::error_code>;
+    auto take_failure() -> awaitable<void>;
+    auto close_when_client_leaves() -> void;
+    auto give_back() -> void;
+    auto client_left() const -> bool { return session.watch->gone; }
+    auto result() -> TryResult;
+};
+
+auto RelayTry::result() -> TryResult {
+    session.watch->on_gone = nullptr;
+    if (client_left()) facts.client = ClientState::gone;
+    if (exchange) {
+        facts.written = exchange->bytes_written();
+        node.counters.strangers += exchange->strangers;
+    }
+    TryResult made;
+    made.end = retry::end_of(facts);
+    made.reason = made.end == TryEnd::caller_gone ? "caller-gone" : reason;
+    return made;
+}
+
+// A client that goes away ends the run.
+auto RelayTry::close_when_client_leaves() -> void {
+    session.watch->on_gone = [this] {
+        boost::system::error_code ignored;
+        if (connection) connection->stream.socket().close(ignored);
+    };
+}
+
+// Where this request was sent to this replica before, a late answer to that
+// would pass for the answer to this try: only a new connection tells them apart.
+auto RelayTry::connect() -> awaitable<bool> {
     auto const& placement = course.placement;
-    auto const& route = *judged.route;
-    auto connection = node.pool.take(placement.replica, clock_now());
-    if (!connection) {
+    auto const first_there = answer.tried.insert(placement.replica).second;
+    if (first_there) connection = node.pool.take(placement.replica, clock_now());
+    if (connection) {
+        facts.connection = ConnectionUse::reused;
+    } else {
         ++node.pool.opened;
-        auto const connect_limit = std::min<Microseconds>(600 * one_millisecond, course.ticket.deadline - clock_now());
-        connection = co_await connect_to(placement.address, std::max<Microseconds>(connect_limit, one_millisecond));
-        if (!connection) co_return ended(watch->gone ? TryEnd::caller_gone : TryEnd::not_sent, "unreachable");
+        auto const limit = std::min<Microseconds>(connect_limit, course.ticket.deadline - clock_now());
+        connection = co_await connect_to(placement.address, std::max<Microseconds>(limit, one_millisecond));
     }
-    auto const closer = Closer(*watch, *connection);
-    if (watch->gone) co_return ended(TryEnd::caller_gone, "caller-gone");
-    auto const now = clock_now();
-    auto const head = head_for_replica(form, request, judged, course, answer.events.last, now);
-    auto& stream = connection->stream;
-    // An answer that has begun is cut by silence alone, never by its deadline.
-    auto const until_deadline = std::max<Microseconds>(course.ticket.deadline - now, one_millisecond);
-    stream.expires_after(std::chrono::microseconds(until_deadline));
-    auto const parts = std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(request.body())};
-    // From here on the replica may have it.
-    if (auto const [failure, size] = co_await asio::async_write(stream, parts, use_tuple); failure)
-        co_return ended(watch->gone ? TryEnd::caller_gone : TryEnd::unknown_before, "replica-broke-while-sending");
-    auto parser = std::optional<Parser>();
-    auto const identity = request[form.headers.request_identity];
-    while (true) {
-        parser.emplace();
-        parser->body_limit(boost::none);
-        parser->header_limit(64U << 10U);
-        if (request.method() == http::verb::head) parser->skip(true);
-        if (auto const [failure, size] =
-                co_await http::async_read_header(stream, connection->buffer, *parser, use_tuple);
-            failure) {
-            if (watch->gone) co_return ended(TryEnd::caller_gone, "caller-gone");
-            auto const late = failure == beast::error::timeout;
-            co_return ended(TryEnd::unknown_before, late ? "deadline" : "replica-broke-before-its-answer");
-        }
-        auto const status = parser->get().result_int();
-        if (status >= 100 && status < 200) continue;
-        if (parser->get()[form.headers.request_identity] == identity) break;
-        // An answer to another request, late in this one's place: it belongs to nobody.
-        ++node.counters.strangers;
-        if (auto const [failure, size] = co_await http::async_read(stream, connection->buffer, *parser, use_tuple);
-            failure || parser->need_eof())
-            co_return ended(TryEnd::unknown_before, "replica-broke-before-its-answer");
+    if (!connection) {
+        reason = "unreachable";
+        co_return false;
     }
-    auto const& message = parser->get();
-    auto const status = message.result_int();
-    auto const success = status >= 200 && status < 300;
-    auto const done = [&] {  // the connection may serve another request
-        if (!parser->is_done() || parser->need_eof() || !message.keep_alive() || node.finished) return;
-        connection->idle_limit = idle_limit_of(message);
-        node.pool.give_back(placement.replica, std::move(connection), clock_now());
-    };
-    if (!success) {
-        auto const not_run = message.find(form.headers.not_run) != message.end() || status == 421;
-        auto const [failure, size] = co_await http::async_read(stream, connection->buffer, *parser, use_tuple);
-        if (failure) co_return ended(watch->gone ? TryEnd::caller_gone : TryEnd::unknown_before, "replica-broke");
-        auto const reason = reason_of(message);
-        if (not_run) {
-            done();
-            co_return ended(TryEnd::did_not_run, reason);
-        }
-        // The replica's own failure. Repeatable requests may try another.
+    facts.written = BytesWritten::none;
+    co_return !client_left();
+}
+
+auto RelayTry::read_head() -> awaitable<bool> {
+    auto const end = co_await exchange->read_own_head(until);
+    switch (end) {
+        case ReplicaExchange::HeadEnd::own_answer: co_return true;
+        case ReplicaExchange::HeadEnd::timed_out: reason = "deadline"; break;
+        case ReplicaExchange::HeadEnd::broke: reason = "replica-broke-before-its-answer"; break;
+    }
+    co_return false;
+}
+
+auto RelayTry::give_back() -> void {
+    session.watch->on_gone = nullptr;  // from here on the connection may be another request's
+    if (!exchange->reusable() || node.finished || client_left()) return;
+    connection->idle_limit = idle_limit_of(exchange->parser->get());
+    node.pool.give_back(course.placement.replica, std::move(connection), clock_now());
+}
+
+auto RelayTry::take_failure() -> awaitable<void> {
+    auto& parser = *exchange->parser;
+    auto const& message = parser.get();
+    auto const status = static_cast<int>(message.result_int());
+    auto const not_run = message.find(node.form->headers.not_run) != message.end() || status == 421;
+    connection->stream.expires_after(std::chrono::microseconds(silence_limit));
+    auto const [failure, size] = co_await http::async_read(connection->stream, connection->buffer, parser, use_tuple);
+    facts.received = not_run ? Received::not_run : Received::cut_before_output;
+    reason = not_run ? reason_of(message) : "replica-broke";
+    if (failure) co_return;
+    if (!not_run) {
+        facts.received = retry::promises_not_run(status) ? Received::false_promise : Received::failure;
+        reason = "replica-failed";
+    }
+    if (facts.received == Received::failure) {
         answer.keep = request.keep_alive() && !node.stopping;
         answer.failure_head = head_for_client(message, false, message.body().size(), answer.keep) + message.body();
-        done();
-        if (answer.head_sent || (route.repeatable && course.try_number < route.tries))
-            co_return ended(TryEnd::unknown_before, "replica-failed");
-        if (!co_await write_all(answer.failure_head)) co_return ended(TryEnd::caller_gone, "caller-gone");
-        co_return ended(TryEnd::answered_failure, "");
     }
-    auto const length = parser->content_length();
-    auto const events = route.stream;
-    if (answer.head_sent && !answer.chunked) co_return ended(TryEnd::broken_after, "length-fixed");
-    answer.events.restart();
-    answer.keep = request.keep_alive() && !node.stopping && !parser->need_eof();
-    if (!answer.head_sent) answer.chunked = !length;
-    auto pending = std::string();
-    if (!answer.head_sent)
-        pending = head_for_client(
-            message, answer.chunked, length ? std::optional<std::uint64_t>(*length) : std::nullopt, answer.keep);
-    auto const resumable = route.resumable && answer.chunked;
-    auto failure = boost::system::error_code{};
+    give_back();
+}
+
+auto RelayTry::read_pieces() -> awaitable<boost::system::error_code> {
+    auto& parser = *exchange->parser;
+    if (parser.is_done()) co_return boost::system::error_code();
+    if (connection->buffer.size() == 0) co_await exchange->send_on(until);  // answered before it was sent whole
+    auto const left = std::max<Microseconds>(until + past_deadline - clock_now(), one_millisecond);
+    connection->stream.expires_after(std::chrono::microseconds(std::min(silence_limit, left)));
+    auto const [failure, size] =
+        co_await http::async_read_some(connection->stream, connection->buffer, parser, use_tuple);
+    co_return failure;
+}
+
+auto RelayTry::pass_pieces(std::string pending) -> awaitable<void> {
+    auto& parser = *exchange->parser;
+    auto const whole_events = route.stream && answer.chunked;
     while (true) {
-        if (!parser->is_done()) {
-            stream.expires_after(std::chrono::seconds(30));
-            std::tie(failure, std::ignore) =
-                co_await http::async_read_some(stream, connection->buffer, *parser, use_tuple);
-        }
-        auto const finished = parser->is_done();
-        auto bytes = std::move(parser->get().body());
-        parser->get().body().clear();
-        if (events && answer.chunked && !bytes.empty()) bytes = answer.events.take(bytes);
-        if (finished && events && answer.chunked) bytes += answer.events.rest;
+        auto const failure = co_await read_pieces();
+        auto const finished = parser.is_done();
+        auto bytes = std::move(parser.get().body());
+        parser.get().body().clear();
+        if (whole_events && !bytes.empty()) bytes = answer.events.take(bytes);
+        if (finished && whole_events) bytes += answer.events.rest;
         if (!bytes.empty() || finished) {
             if (!answer.head_sent)
                 node.measures.first_pieces.of(course.ticket).add(clock_now() - course.ticket.arrived_at);
             answer.head_sent = true;
+            facts.received = Received::cut_after_output;
+            facts.output_resumable = route.resumable && answer.chunked;
             pending += answer.chunked ? chunk_of(bytes, finished) : bytes;
-            if (!co_await write_all(pending)) co_return ended(TryEnd::caller_gone, "caller-gone");
+            if (!co_await session.write_all(pending)) {
+                facts.client = ClientState::gone;
+                co_return;
+            }
             pending.clear();
         }
         if (finished) break;
         if (!failure) continue;
-        if (watch->gone) co_return ended(TryEnd::caller_gone, "caller-gone");
-        if (!answer.head_sent) co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
-        answer.keep = false;
-        co_return ended(resumable ? TryEnd::broken_resumable : TryEnd::broken_after, "replica-broke");
+        reason = answer.head_sent ? "replica-broke" : "replica-broke-before-first-piece";
+        co_return;
     }
-    done();
-    co_return ended(TryEnd::answered, "");
+    facts.received = Received::complete;
+    give_back();
+}
+
+auto RelayTry::pass_success() -> awaitable<void> {
+    auto& parser = *exchange->parser;
+    auto const& message = parser.get();
+    auto const length = parser.content_length();
+    auto const empty = has_no_body(request, message.result_int());
+    facts.received = answer.head_sent ? Received::cut_after_output : Received::cut_before_output;
+    if (!node.form->headers.stamp.empty() && message.find(node.form->headers.stamp) == message.end()) {
+        reason = "no-stamp";  // no replica's answer counts without it
+        co_return;
+    }
+    if (answer.head_sent && !answer.chunked) {
+        reason = "length-fixed";
+        co_return;
+    }
+    facts.output_resumable = answer.head_sent && route.resumable;
+    answer.events.restart();
+    answer.keep = request.keep_alive() && !node.stopping && !parser.need_eof();
+    auto pending = std::string();
+    if (!answer.head_sent) {
+        answer.chunked = !length && !empty;
+        auto const told = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+        pending = head_for_client(message, answer.chunked, told, answer.keep);
+    }
+    co_await pass_pieces(std::move(pending));
+}
+
+}  // namespace
+
+auto RelaySession::send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
+    -> awaitable<TryResult> {
+    auto attempt = RelayTry{*this, request, *judged.route, course, answer, node};
+    if (!co_await attempt.connect()) co_return attempt.result();
+    attempt.close_when_client_leaves();
+    auto const now = clock_now();
+    attempt.until = course.ticket.deadline;
+    auto const& form = *node.form;
+    auto const identity = request[form.headers.request_identity];
+    auto asked = ExchangeRequest();
+    asked.head = head_for_replica(form, request, judged, course, answer.events.last, now);
+    asked.body = request.body();
+    asked.identity_field = form.headers.request_identity;
+    asked.identity = std::string_view(identity.data(), identity.size());
+    asked.head_only = request.method() == http::verb::head;
+    attempt.exchange.emplace(*attempt.connection, std::move(asked));
+    if (!co_await attempt.read_head()) co_return attempt.result();
+    if (attempt.exchange->parser->get().result_int() / 100 == 2) co_await attempt.pass_success();
+    else co_await attempt.take_failure();
+    co_return attempt.result();
 }
 
 }  // namespace dockrock
--- /dev/null
+++ b/source/connection/replica_exchange.cpp
@@ -0,0 +1,100 @@
+#include "connection/replica_exchange.hpp"
+
+#include "process/clock.hpp"
+
+namespace dockrock {
+
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+// Bytes or an end wait to be read.
+auto readable(tcp::socket& socket) -> bool {
+    auto byte = char{};
+    auto const size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+auto left_until(Microseconds until) -> std::chrono::microseconds {
+    return std::chrono::microseconds(std::max<Microseconds>(one_millisecond, until - clock_now()));
+}
+
+auto wait_to_write_or_read(tcp::socket& socket, Microseconds until) -> awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor, left_until(until));
+    co_await (
+        socket.async_wait(tcp::socket::wait_write, use_tuple) || socket.async_wait(tcp::socket::wait_read, use_tuple) ||
+        timer.async_wait(use_tuple));
+}
+
+}  // namespace
+
+auto ReplicaExchange::bytes_written() const -> BytesWritten {
+    if (written == 0) return BytesWritten::none;
+    if (written < request.head.size()) return BytesWritten::part_of_head;
+    return written < whole_size() ? BytesWritten::head : BytesWritten::whole;
+}
+
+auto ReplicaExchange::reusable() const -> bool {
+    return written == whole_size() && !write_failed && parser && parser->is_done() && !parser->need_eof() &&
+        parser->get().keep_alive();
+}
+
+auto ReplicaExchange::write_some() -> boost::system::error_code {
+    boost::system::error_code failure;
+    auto const of_head = std::min(written, request.head.size());
+    auto const parts = std::array<asio::const_buffer, 2>{
+        asio::buffer(request.head) + of_head,
+        asio::buffer(request.body.data(), request.body.size()) + (written - of_head)};
+    written += connection.stream.socket().write_some(parts, failure);
+    return failure;
+}
+
+auto ReplicaExchange::send_on(Microseconds until) -> awaitable<void> {
+    auto& socket = connection.stream.socket();
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    while (!write_failed && written < whole_size()) {
+        if (written > 0 && readable(socket)) co_return;
+        if (auto const failure = write_some(); failure == asio::error::would_block) {
+            if (clock_now() >= until) co_return;
+            co_await wait_to_write_or_read(socket, until);
+        } else if (failure) {
+            write_failed = true;  // an early answer may still wait to be read
+        }
+    }
+}
+
+auto ReplicaExchange::read_one_head(Microseconds until) -> awaitable<boost::system::error_code> {
+    parser.emplace();
+    parser->body_limit(boost::none);
+    parser->header_limit(header_bytes);
+    if (request.head_only) parser->skip(true);
+    connection.stream.expires_after(left_until(until));
+    auto const [failure, size] =
+        co_await http::async_read_header(connection.stream, connection.buffer, *parser, use_tuple);
+    co_return failure;
+}
+
+auto ReplicaExchange::is_own() const -> bool {
+    auto const named = parser->get()[{request.identity_field.data(), request.identity_field.size()}];
+    return std::string_view(named.data(), named.size()) == request.identity;
+}
+
+auto ReplicaExchange::skip_stranger() -> awaitable<bool> {
+    ++strangers;
+    auto const [failure, size] = co_await http::async_read(connection.stream, connection.buffer, *parser, use_tuple);
+    co_return !failure && !parser->need_eof();
+}
+
+auto ReplicaExchange::read_own_head(Microseconds until) -> awaitable<HeadEnd> {
+    while (true) {
+        if (connection.buffer.size() == 0) co_await send_on(until);
+        if (auto const failure = co_await read_one_head(until); failure)
+            co_return failure == beast::error::timeout ? HeadEnd::timed_out : HeadEnd::broke;
+        if (parser->get().result_int() / 100 == 1) continue;  // more follows
+        if (is_own()) co_return HeadEnd::own_answer;
+        if (!co_await skip_stranger()) co_return HeadEnd::broke;
+    }
+}
+
+}  // namespace dockrock
--- a/source/connection/replica_pool.cpp
+++ b/source/connection/replica_pool.cpp
@@ -4,17 +4,6 @@
 
 namespace dockrock {
 
-namespace {
-
-// Nothing to read and not closed: the only state in which an idle connection is good.
-auto quiet(tcp::socket& socket) -> bool {
-    auto byte = char{};
-    auto const size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}  // namespace
-
 auto probe_silence(tcp::socket& socket) -> void {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -35,7 +24,7 @@
     while (!list.empty()) {
         auto connection = std::move(list.back());
         list.pop_back();
-        if (now - connection->idle_since < connection->idle_limit && quiet(connection->stream.socket())) {
+        if (now - connection->idle_since < connection->idle_limit && is_quiet(connection->stream.socket())) {
             ++reused;
             return connection;
         }
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -185,8 +185,15 @@
     call.headers.emplace_back("Tenant", verdict.ticket.tenant_path);
     auto const address = current->list.application->address;
     auto const result = co_await http_call(address, call, 5 * one_second);
-    if (result.status == 0 && !result.sent) co_return co_await shed(request, "application-unreachable", 1);
-    if (result.status == 0) co_return co_await unknown(request, "application-broke");
+    if (result.status == 0) {
+        auto facts = TryFacts();
+        if (result.sent) facts.written = BytesWritten::whole;
+        auto limits = RetryLimits();
+        limits.tries_left = 0;  // one application, asked once
+        if (retry::decide(retry::end_of(facts), RetryRequest{}, limits) == RetryDecision::refused)
+            co_return co_await shed(request, "application-unreachable", 1);
+        co_return co_await unknown(request, "application-broke");
+    }
     ++node.counters.answered;
     auto type = result.content_type;
     if (type.empty()) type = "application/octet-stream";
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -43,9 +43,9 @@
         {"fetch_limit_microseconds", placement.fetch.limit}});
 }
 
-auto ended(TryEnd end, std::string reason, bool usable = false) -> TryResult {
+auto ended(TryFacts const& facts, std::string reason, bool usable = false) -> TryResult {
     TryResult result;
-    result.end = end;
+    result.end = retry::end_of(facts);
     result.reason = std::move(reason);
     result.usable = usable;
     return result;
@@ -56,12 +56,13 @@
 auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive)
     -> awaitable<TryResult> {
     auto& node = session.node;
+    auto facts = TryFacts();
     auto const endpoint = endpoint_of(placement.address);
-    if (!endpoint) co_return ended(TryEnd::not_sent, "bad-address");
+    if (!endpoint) co_return ended(facts, "bad-address");
     auto stream = beast::tcp_stream(co_await asio::this_coro::executor);
     stream.expires_after(std::chrono::milliseconds(500));
     if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure)
-        co_return ended(TryEnd::not_sent, "unreachable");
+        co_return ended(facts, "unreachable");
     stream.socket().set_option(tcp::no_delay(true));
     auto const posted = http_ask(http::verb::post, "/run", run_body(ticket, placement));
     auto const request = make_request(posted, placement.address);
@@ -69,13 +70,15 @@
     // have run or not (design 10.2).
     auto const patience = std::max<Microseconds>(ticket.deadline - clock_now(), one_second) + 2 * one_second;
     stream.expires_after(std::chrono::microseconds(patience));
-    if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure)
-        co_return ended(TryEnd::unknown_before, "replica-broke-while-sending");
+    auto const [unsent, written] = co_await http::async_write(stream, request, use_tuple);
+    facts.written = written == 0 ? BytesWritten::none : unsent ? BytesWritten::head : BytesWritten::whole;
+    if (unsent) co_return ended(facts, "replica-broke-while-sending");
     auto buffer = beast::flat_buffer();
     auto parser = http::response_parser<http::string_body>();
     parser.body_limit(boost::none);
     if (auto const [failure, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple); failure)
-        co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
+        co_return ended(facts, "replica-broke-before-first-piece");
+    facts.received = Received::cut_before_output;
     if (parser.get().result_int() != 200) {
         co_await http::async_read(stream, buffer, parser, use_tuple);
         auto const parsed = parse_json(parser.get().body());
@@ -84,7 +87,8 @@
         auto const did_not_run =
             parser.get().result_int() == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
         auto const text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "replica-error";
-        co_return ended(did_not_run ? TryEnd::did_not_run : TryEnd::unknown_before, text);
+        if (did_not_run) facts.received = Received::not_run;
+        co_return ended(facts, text);
     }
     {
         auto const number = [&](char const* name) {
@@ -126,30 +130,36 @@
                 auto serializer = http::response_serializer<http::empty_body>(head);
                 auto const written = co_await (
                     http::async_write_header(session.socket, serializer, use_tuple) || wait_until(10 * one_second));
-                if (written.index() == 1 || std::get<0>(std::get<0>(written)))
-                    co_return ended(TryEnd::caller_gone, "caller-gone");
+                if (written.index() == 1 || std::get<0>(std::get<0>(written))) {
+                    facts.client = ClientState::gone;
+                    co_return ended(facts, "caller-gone");
+                }
                 head_sent = true;
+                facts.received = Received::cut_after_output;
             }
             // A caller that takes nothing for ten seconds is let go; closing
             // the replica's connection cancels the run.
             auto const written = co_await (
                 asio::async_write(session.socket, http::make_chunk(asio::buffer(whole)), use_tuple) ||
                 wait_until(10 * one_second));
-            if (written.index() == 1 || std::get<0>(std::get<0>(written)))
-                co_return ended(TryEnd::caller_gone, "caller-gone");
+            if (written.index() == 1 || std::get<0>(std::get<0>(written))) {
+                facts.client = ClientState::gone;
+                co_return ended(facts, "caller-gone");
+            }
         }
         if (failure) break;
     }
     if (reader.done) {
         auto const [failure, size] = co_await asio::async_write(session.socket, http::make_chunk_last(), use_tuple);
-        co_return ended(TryEnd::answered, "", !failure && stay);
+        facts.received = Received::complete;
+        co_return ended(facts, "", !failure && stay);
     }
-    if (!head_sent) co_return ended(TryEnd::unknown_before, "replica-broke-before-first-piece");
+    if (!head_sent) co_return ended(facts, "replica-broke-before-first-piece");
     // Visibly incomplete: a final error piece and no last chunk (design 10.3).
     auto const note =
         json::serialize(fields("error", "the answer broke", "outcome", "unknown", "pieces_sent", reader.next)) + "\n";
     co_await asio::async_write(session.socket, http::make_chunk(asio::buffer(note)), use_tuple);
-    co_return ended(TryEnd::broken_after, "replica-broke", false);
+    co_return ended(facts, "replica-broke", false);
 }
 
 }  // namespace dockrock
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -118,6 +118,7 @@
             }
             case Step::send: step = co_await send_try(request, course, usable); break;
             case Step::answer_shed: co_return co_await shed(request, step.reason, step.retry_after);
+            case Step::answer_failure:  // of relayed requests alone
             case Step::answer_unknown: co_return co_await unknown(request, step.reason);
             case Step::answer_refused:
                 ++node.counters.refused;
--- a/source/request/relayed.cpp
+++ b/source/request/relayed.cpp
@@ -85,6 +85,7 @@
     ticket.body.model = choose_service(route, number);
     ticket.body.kind = route.name;
     ticket.body.run_once = !route.repeatable;
+    ticket.tries = route.tries;
     ticket.tenant_path = result.tenant == nullptr ? "" : result.tenant->name;
     ticket.wall_domain = result.tenant != nullptr && result.tenant->isolated ? result.tenant->name : "";
     ticket.rank = 9 - urgency_of(result.tenant, route);
--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -10,11 +10,34 @@
     return std::string(node) + "-" + std::to_string(number);
 }
 
+namespace {
+
+auto step_for(RetryDecision decision) -> Step {
+    switch (decision) {
+        case RetryDecision::send_again: return Step::enter;
+        case RetryDecision::refused: return Step::answer_shed;
+        case RetryDecision::unknown: return Step::answer_unknown;
+        case RetryDecision::pass_failure: return Step::answer_failure;
+        case RetryDecision::seen: return Step::answer_seen;
+        case RetryDecision::cut:
+        case RetryDecision::finished: break;
+    }
+    return Step::finished;
+}
+
+}  // namespace
+
+auto Course::request_facts() const -> RetryRequest {
+    auto facts = history;
+    facts.repeatable = !ticket.body.run_once;
+    return facts;
+}
+
 // Once a try may have run, giving up is no longer a refusal (design 10.1).
 auto Course::give_up(std::string reason, std::int64_t retry_after) const -> CourseStep {
     CourseStep step;
-    step.step = may_have_run ? Step::answer_unknown : Step::answer_shed;
-    step.release_claim = claim_held && !may_have_run;
+    step.step = step_for(retry::without_another_try(request_facts()));
+    step.release_claim = claim_held && !history.may_have_run;
     step.reason = std::move(reason);
     step.status = 503;
     step.retry_after = retry_after;
@@ -54,6 +77,11 @@
 // Right before the try is sent: rules, freshness, drain (design 8.3, 8.4).
 auto Course::last_checks(CourseFacts const& facts) -> CourseStep {
     if (facts.rules != rules) return {Step::interpret};
+    if (ticket.deadline != 0 && facts.now >= ticket.deadline) {  // a replica is given no time that is not there
+        auto step = give_up("deadline", 1);
+        step.give_back = placement.replica;
+        return step;
+    }
     if (facts.listed && facts.proof_age <= facts.proof_limit) return {Step::send};
     return enter_back();
 }
@@ -73,40 +101,55 @@
     CourseStep step;
     step.give_back = placement.replica;
     if (verdict.kind != Verdict::Kind::enter) {
-        step.step = may_have_run ? Step::answer_unknown : Step::answer_refused;
-        step.release_claim = claim_held && !may_have_run;
+        step.step = step_for(retry::without_another_try(request_facts()));
+        if (step.step == Step::answer_shed) step.step = Step::answer_refused;
+        step.release_claim = claim_held && !history.may_have_run;
         step.status = verdict.status;
         step.reason = verdict.reason;
         return step;
     }
+    take_rules(verdict.ticket);
+    if (ticket.body.run_once && history.may_have_run) {  // what was repeatable no longer is
+        step.step = step_for(retry::without_another_try(request_facts()));
+        return step;
+    }
     auto const moved = verdict.ticket.chain != ticket.chain || verdict.ticket.wall_domain != ticket.wall_domain;
     if (!moved) return last_checks(facts);
     verdict.ticket.number = ticket.number;
     verdict.ticket.arrived_at = ticket.arrived_at;
     verdict.ticket.deadline = ticket.deadline;
+    verdict.ticket.body.run_once = ticket.body.run_once;
+    verdict.ticket.tries = ticket.tries;
     ticket = std::move(verdict.ticket);
     return enter_back();
 }
 
-auto Course::ended(TryEnd end, std::string_view reason) -> CourseStep {
+// Rules that moved while a request waits may only make it stricter.
+auto Course::take_rules(Ticket const& judged_ticket) -> void {
+    ticket.body.run_once = ticket.body.run_once || judged_ticket.body.run_once;
+    ticket.tries = std::min(ticket.tries, judged_ticket.tries);
+}
+
+auto Course::ended(TryEnd end, std::string_view reason, RetryLimits limits) -> CourseStep {
+    if (end == TryEnd::did_not_run && reason == "seen") end = TryEnd::seen_before;
+    limits.tries_left = ticket.tries - try_number;
     CourseStep step;
     step.reason = std::string(reason);
-    switch (next_step(end, ticket.body.run_once, reason)) {
-        case NextStep::finished: return step;
-        case NextStep::answer_unknown: step.step = Step::answer_unknown; return step;
-        case NextStep::answer_seen: step.step = Step::answer_seen; return step;
-        case NextStep::enter_again: break;
-    }
-    may_have_run = may_have_run || end == TryEnd::unknown_before || end == TryEnd::broken_resumable;
+    step.status = 503;
+    step.step = step_for(retry::decide(end, request_facts(), limits));
+    step.release_claim = step.step == Step::answer_shed && claim_held;
+    if (step.step != Step::enter) return step;
+    history.may_have_run = history.may_have_run || retry::ran_or_may_have(end);
+    history.output_begun = history.output_begun || end == TryEnd::broken_resumable;
+    history.failure_held = history.failure_held || end == TryEnd::answered_failure;
     avoid = placement.replica;
     ++try_number;
-    step.step = Step::enter;
     return step;
 }
 
 auto Course::gone() const -> CourseStep {
     CourseStep step;
-    step.release_claim = claim_held && !may_have_run;
+    step.release_claim = claim_held && !history.may_have_run;
     return step;
 }
 
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -3,6 +3,7 @@
 // value type: events in, the next step out; the connection and the simulator
 // drive the same. docs/design.md sections 8.3, 10 and 10.5.
 #include "process/machine/messages.hpp"
+#include "request/retry_decision.hpp"
 #include "ticket/answering.hpp"
 #include "ticket/granting.hpp"
 #include "ticket/interpreter.hpp"
@@ -18,12 +19,13 @@
     answer_refused,  // the rules refuse it now: did not run
     answer_unknown,  // 502: may have run
     answer_seen,     // 409: another ticket of this identity has it
+    answer_failure,  // the replica's own failure is passed on
     finished,
 };
 
 inline constexpr auto step_names = std::to_array<std::string_view>(
     {"enter", "claim", "interpret", "send", "answer-shed", "answer-refused", "answer-unknown", "answer-seen",
-     "finished"});
+     "answer-failure", "finished"});
 
 struct CourseStep {
     Step step = Step::finished;
@@ -50,7 +52,7 @@
     Sequence rules;  // under which the ticket was judged last
     Placement placement;
     int try_number = 1;
-    bool may_have_run = false;
+    RetryRequest history;  // what the tries so far have left behind
     bool claim_held = false;
     Microseconds claimed_at = 0;
     std::uint64_t claim_epoch = 0;
@@ -61,13 +63,16 @@
     auto given_up(std::string_view reason, std::int64_t retry_after) -> CourseStep;
     auto claimed(ClaimState state, std::uint64_t epoch, Microseconds asked_at, CourseFacts const& facts) -> CourseStep;
     auto judged(Verdict verdict, Sequence under, CourseFacts const& facts) -> CourseStep;
-    auto ended(TryEnd end, std::string_view reason) -> CourseStep;
+    // `limits` but for the tries, which are counted here.
+    auto ended(TryEnd end, std::string_view reason, RetryLimits limits = RetryLimits{}) -> CourseStep;
     auto gone() const -> CourseStep;
     auto needs_claim() const -> bool { return ticket.body.run_once && !ticket.body.identity.empty(); }
 
    private:
     auto last_checks(CourseFacts const& facts) -> CourseStep;
     auto enter_back() -> CourseStep;
+    auto request_facts() const -> RetryRequest;
+    auto take_rules(Ticket const& judged_ticket) -> void;
     auto give_up(std::string reason, std::int64_t retry_after) const -> CourseStep;
 };
 
--- a/source/ticket/ticket.hpp
+++ b/source/ticket/ticket.hpp
@@ -24,6 +24,8 @@
     bool run_once = true;
 };
 
+inline constexpr auto unlimited_tries = std::int64_t{1} << 30;
+
 struct Ticket {
     std::uint64_t number = 0;
     TicketBody body;
@@ -36,10 +38,11 @@
     Microseconds deadline = 0;  // absolute
     std::int64_t prompt_tokens = 0;
     std::int64_t prefix_tokens = 0;
-    bool counted = false;              // entered before: earns no second share of extra tries
-    std::vector<std::uint64_t> chain;  // hash of each leading run of prefix parts, wall and model included
-    bool parts_alone = false;          // the hashes are of single parts: kept is a leading run of them
-    std::uint64_t affinity = 0;        // tickets that share a prefix have the same; 0: none
+    std::int64_t tries = unlimited_tries;  // replicas that it may be sent to
+    bool counted = false;                  // entered before: earns no second share of extra tries
+    std::vector<std::uint64_t> chain;      // hash of each leading run of prefix parts, wall and model included
+    bool parts_alone = false;              // the hashes are of single parts: kept is a leading run of them
+    std::uint64_t affinity = 0;            // tickets that share a prefix have the same; 0: none
     auto declared() const -> std::int64_t { return prompt_tokens + prefix_tokens + body.max_tokens; }
 };
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -128,11 +128,12 @@
 }
 
 TEST_CASE("what follows a try") {
-    static_assert(next_step(TryEnd::unknown_before, true, "") == NextStep::answer_unknown);
-    static_assert(next_step(TryEnd::unknown_before, false, "") == NextStep::enter_again);
-    static_assert(next_step(TryEnd::broken_after, false, "") == NextStep::finished);
-    static_assert(next_step(TryEnd::did_not_run, true, "seen") == NextStep::answer_seen);
-    static_assert(next_step(TryEnd::not_sent, true, "") == NextStep::enter_again);
+    constexpr auto once = RetryRequest{false}, repeatable = RetryRequest{true};
+    static_assert(retry::decide(TryEnd::unknown_before, once, {}) == RetryDecision::unknown);
+    static_assert(retry::decide(TryEnd::unknown_before, repeatable, {}) == RetryDecision::send_again);
+    static_assert(retry::decide(TryEnd::broken_after, repeatable, {}) == RetryDecision::cut);
+    static_assert(retry::decide(TryEnd::seen_before, once, {}) == RetryDecision::seen);
+    static_assert(retry::decide(TryEnd::not_sent, once, {}) == RetryDecision::send_again);
     auto reader = PieceReader();
     CHECK(reader.take("{\"piece\":0}\n{\"pie") == "{\"piece\":0}\n");
     CHECK(reader.take("ce\":1}\n{\"done\":true,\"pieces\":2}\n") == "{\"piece\":1}\n{\"done\":true,\"pieces\":2}\n");
--- a/tests/platform/careless_node.py
+++ b/tests/platform/careless_node.py
@@ -1,6 +1,9 @@
 """A node that keeps hardly any rule: it passes requests to any replica as they came, keys and all.
 
-It is there to show that the stand-ins find such a node out. Not product."""
+It is there to show that the stand-ins find such a node out. Not product. Its argument names the fault:
+twice: a fifth of the requests go out once more; resend: again after a lost connection; promise: 503 after
+one; reuse: connections are kept and what comes next is taken for the answer; smuggle: the same, and the
+rest of a body isn't sent once an answer waits."""
 
 import http.client
 import http.server
@@ -8,11 +11,16 @@
 import os
 import pathlib
 import random
+import select
+import sys
 import threading
 import tomllib
 
 SETTINGS = tomllib.loads(pathlib.Path(os.environ["DOCKROCK_NODE_FILE"]).read_text())
 SHARED = pathlib.Path(os.environ["DOCKROCK_NODE_FILE"]).parent / "careless.json"  # one file as the whole of agreement
+FAULT = sys.argv[1] if len(sys.argv) > 1 else "twice"
+KEPT, LOCK = {}, threading.Lock()  # idle connections by address
+HELD_BACK = 100  # bytes of a long body
 SINGLE = {"connection", "keep-alive", "transfer-encoding", "content-length"}
 
 
@@ -63,17 +71,39 @@
             return self.reply(404)
         tenants = [tenant["name"] for tenant in configuration["orgs"] if self.headers.get("Key") in tenant["apiKeys"]]
         self.headers["Tenant"] = (tenants or ["nobody"])[0]
-        if random.random() < 0.2:
-            self.pass_on(found[0], body).read()  # once more than asked
-        answer = self.pass_on(found[0], body)
+        if FAULT == "twice" and random.random() < 0.2:
+            self.pass_on(found[0], body)  # once more than asked
+        try:
+            answer, text = self.pass_on(found[0], body)
+        except (OSError, http.client.HTTPException):
+            if FAULT == "promise":
+                return self.reply(503)
+            if FAULT != "resend":
+                raise
+            answer, text = self.pass_on(found[0], body)
         kept = [(name, value) for name, value in answer.getheaders() if name.lower() not in SINGLE]
-        return self.reply(answer.status, answer.read(), kept)
+        return self.reply(answer.status, text, kept)
 
     def pass_on(self, route, body):
-        connection = http.client.HTTPConnection(random.choice(addresses(route["svc"])), timeout=9)
+        address = random.choice(addresses(route["svc"]))
+        keeps = FAULT in ("reuse", "smuggle")
+        with LOCK:
+            idle = KEPT.setdefault(address, [])
+            connection = idle.pop() if keeps and idle else http.client.HTTPConnection(address, timeout=9)
         headers = {name: value for name, value in self.headers.items() if name.lower() not in SINGLE}
-        connection.request(self.command, self.path, body, headers)
-        return connection.getresponse()
+        connection.putrequest(self.command, self.path, skip_host=True, skip_accept_encoding=True)
+        for name, value in {**headers, "Content-Length": str(len(body))}.items():
+            connection.putheader(name, value)
+        held = HELD_BACK if FAULT == "smuggle" and len(body) > 65536 else 0
+        connection.endheaders(body[: len(body) - held] or None)
+        if held and not select.select([connection.sock], [], [], 0.1)[0]:
+            connection.send(body[-held:])
+        answer = connection.getresponse()
+        text = answer.read()
+        if keeps and not answer.will_close:
+            with LOCK:
+                idle.append(connection)
+        return answer, text
 
     do_GET = do_PUT = do_PATCH = do_POST = answer
 
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -13,21 +13,23 @@
 from day import ROOT, Day
 from day_requests import configuration
 from day_scenarios import ANY, MUST_JUDGE, SCENARIOS
+from day_scenarios_requests import MUST_JUDGE_REQUESTS, PLANTED, REQUESTS
 
 CARELESS = [sys.executable, str(pathlib.Path(__file__).resolve().parent / "careless_node.py")]
-MUST_BREAK = {"UNASKED", "TWICE", "WALL"}
+SCENARIOS = {**SCENARIOS, **REQUESTS}
+MUST_JUDGE = {**MUST_JUDGE, **MUST_JUDGE_REQUESTS}
 
 
 def play(name, options):
-    planted = name == "planted"
+    fault, scenario, must_break = PLANTED.get(name, ("", name, set()))
+    planted = name in PLANTED
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-day-")) / name
-    day = Day(
-        folder, options.build, options.net, options.edges, options.cores, node=CARELESS if planted else options.node
-    )
+    node = CARELESS + [fault] if planted else options.node
+    day = Day(folder, options.build, options.net, options.edges, options.cores, node=node)
     began = time.monotonic()
     try:
         day.start(configuration(day, 1))
-        SCENARIOS["calm" if planted else name](day, options.seconds)
+        SCENARIOS[scenario](day, options.seconds)
         day.settle()
         broken = day.judge(ANY + MUST_JUDGE.get(name, []))
     except (TimeoutError, RuntimeError) as failure:
@@ -35,8 +37,8 @@
     finally:
         day.stop()
     if planted:
-        missed = MUST_BREAK - set(broken)
-        print("planted: found %s, missed %s" % (sorted(broken), sorted(missed)))
+        missed = must_break - set(broken)
+        print("%s: found %s, missed %s" % (name, sorted(broken), sorted(missed)))
         return sorted(missed)
     print("%s: %s in %.0f s, files in %s" % (name, "; ".join(broken) or "held", time.monotonic() - began, folder))
     return broken
@@ -44,7 +46,7 @@
 
 def main():
     parser = argparse.ArgumentParser()
-    parser.add_argument("--scenario", default="calm", choices=sorted(SCENARIOS) + ["all", "planted"])
+    parser.add_argument("--scenario", default="calm", choices=sorted(SCENARIOS) + ["all"] + sorted(PLANTED))
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--edges", type=int, default=4)
     parser.add_argument("--cores", type=int, default=4)
@@ -54,7 +56,7 @@
     parser.add_argument("--node", nargs="+", help="the program under test, with its arguments")
     options = parser.parse_args()
     program = ROOT / options.build / "dockrock-platform-node"
-    if options.scenario != "planted" and not options.node and not program.exists():
+    if options.scenario not in PLANTED and not options.node and not program.exists():
         print("%s is not built" % program)
         return 2
     names = list(SCENARIOS) if options.scenario == "all" else [options.scenario]
--- a/tests/platform/stand_in_rules_test.cpp
+++ b/tests/platform/stand_in_rules_test.cpp
@@ -44,6 +44,11 @@
             run.name = "i1-9";
             story.record.runs.push_back(run);
         }},
+    Planted{
+        "UNASKED", "another request in place of a body",
+        [](Story& story) {
+            story.record.early.push_back({"q2", "i1", 8, true});
+        }},
     Planted{"UNASKED", "the body changed", [](Story& story) { story.record.runs[0].body = 8; }},
     Planted{"UNASKED", "the path changed", [](Story& story) { story.record.runs[0].target = "/a/y"; }},
     Planted{"UNASKED", "the key handed on", [](Story& story) { story.record.runs[0].key_seen = true; }},
--- a/tests/platform/stand_ins/judge_runs.cpp
+++ b/tests/platform/stand_ins/judge_runs.cpp
@@ -61,9 +61,21 @@
             run.name + ": begun on " + std::to_string(run.version) + ", named " + std::to_string(named.version));
     }
 }
+
+// What follows an early answer is the rest of that request's body and nothing else.
+auto judge_early(Court& court) -> void {
+    for (auto const& early : court.record.early) {
+        auto const found = court.sent.find(early.identity);
+        if (found == court.sent.end() || !early.whole) continue;
+        court.judge(
+            Rule::unasked, found->second->body == early.body, early.identity + ": other bytes in place of its body");
+    }
+}
+
 }  // namespace
 
 auto judge_runs(Court& court) -> void {
+    judge_early(court);
     for (auto const& run : court.record.runs) {
         if (auto const* sent = judge_asked(court, run); sent != nullptr) judge_tenant(court, run, *sent);
         judge_memory(court, run);
--- a/tests/platform/stand_ins/platform.cpp
+++ b/tests/platform/stand_ins/platform.cpp
@@ -170,6 +170,10 @@
     object["medianFirstMs"] = times.empty() ? 0 : times[times.size() / 2];
     object["runs"] = platform.record.runs.size();
     object["arrivals"] = platform.record.arrivals.size();
+    object["early"] = platform.record.early.size();
+    auto forgotten = std::int64_t{0};
+    for (auto const& replica : platform.replicas) forgotten += replica->forgotten;
+    object["forgotten"] = forgotten;
     co_return Answered{200, object};
 }
 auto do_trouble(Platform& platform, json::object call) -> awaitable<Answered> {
--- a/tests/platform/stand_ins/record.hpp
+++ b/tests/platform/stand_ins/record.hpp
@@ -42,6 +42,11 @@
     Milliseconds at = 0;
     std::int64_t status = 0;
 };
+struct EarlyAnswer {  // given before a long body was in; the rest of that body was read later
+    std::string identity, replica;
+    std::uint64_t body = 0;  // what came in its place
+    bool whole = false;      // or the connection ended
+};
 struct Order {
     std::string replica, holder;
     std::int64_t fence = 0, status = 0;
@@ -82,6 +87,7 @@
     std::vector<Answer> answers;
     std::vector<Run> runs;
     std::vector<Arrival> arrivals;
+    std::vector<EarlyAnswer> early;
     std::vector<Order> orders;
     std::vector<Leaving> leaving;
     std::deque<Change> changes;  // a deque: changes are held by reference while they are sent
--- a/tests/platform/stand_ins/replica.cpp
+++ b/tests/platform/stand_ins/replica.cpp
@@ -13,14 +13,52 @@
     return target.starts_with("/-/") || health;
 }
 
+using Parser = http::request_parser<http::string_body>;
+constexpr auto long_body = std::uint64_t{65'536};
+constexpr auto before_the_rest = Milliseconds{150};
+
+// True where the replica has forgotten the connection and resets what comes on it.
+auto forgotten(ReplicaPointer replica, ConnectionPointer connection) -> awaitable<bool> {
+    if (replica->faults.forget <= 0 || connection->buffer.size() > 0) co_return false;
+    auto const since = now();
+    auto const [failure] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, as_values);
+    if (failure || now() - since < replica->faults.rested || !replica->hit(replica->faults.forget)) co_return false;
+    replica->reset(connection);
+    ++replica->forgotten;
+    co_return true;
+}
+
+// Turned away before its body is in; what then comes where the rest of the body is due is kept for the verdict.
+auto answer_early(ReplicaPointer replica, ConnectionPointer connection, Parser& parser) -> awaitable<bool> {
+    auto const identity = header_of(parser.get(), "Request-Id");
+    auto told = identity;
+    auto const kept = co_await turn_away(replica, connection, std::move(told), 503);
+    co_await pause(before_the_rest);
+    auto const [failure, size] = co_await http::async_read(connection->stream, connection->buffer, parser, as_values);
+    auto early = EarlyAnswer{identity, replica->id};
+    early.whole = !failure;
+    early.body = digest_of(parser.get().body());
+    replica->around.record.early.push_back(early);
+    co_return kept && !failure;
+}
+
 auto serve(ReplicaPointer replica, ConnectionPointer connection) -> awaitable<void> {
     replica->connections.insert(connection);
     auto first = true;
     while (replica->alive) {
-        auto parser = http::request_parser<http::string_body>();
+        auto parser = Parser();
         parser.body_limit(body_limit);
         connection->stream.expires_after(
             std::chrono::seconds(std::max<std::int64_t>(1, replica->options.idle_seconds)));
+        if (!first && co_await forgotten(replica, connection)) break;
+        auto const [cut, head_size] =
+            co_await http::async_read_header(connection->stream, connection->buffer, parser, as_values);
+        if (cut || !replica->alive) break;
+        if (parser.content_length().value_or(0) > long_body && replica->hit(replica->faults.early)) {
+            if (!co_await answer_early(replica, connection, parser)) break;
+            first = false;
+            continue;
+        }
         auto const [failure, size] =
             co_await http::async_read(connection->stream, connection->buffer, parser, as_values);
         if (failure || !replica->alive) break;
--- a/tests/platform/stand_ins/replica.hpp
+++ b/tests/platform/stand_ins/replica.hpp
@@ -31,22 +31,27 @@
     field("kvToks", &KeptOptions::tokens), field("events", &KeptOptions::events),
     field("eventsLagMs", &KeptOptions::events_lag), field("eventsLost", &KeptOptions::events_lost));
 
-struct Faults {            // shares of the answers, 0 to 1
-    double cut = 0.0;      // ends in the middle
-    double reset = 0.0;    // ran, and the connection is reset before the head
-    double garble = 0.0;   // bytes that form no answer
-    double extra = 0.0;    // more bytes at once after a complete answer
-    double late = 0.0;     // one answer more, where the next is due
-    double fail = 0.0;     // its own 500
-    double closing = 0.0;  // Connection: close now and then
-    double slow = 1.0;     // times as long
+struct Faults {                 // shares of the answers, 0 to 1
+    double cut = 0.0;           // ends in the middle
+    double reset = 0.0;         // ran, and the connection is reset before the head
+    double garble = 0.0;        // bytes that form no answer
+    double extra = 0.0;         // more bytes at once after a complete answer
+    double late = 0.0;          // one answer more, where the next is due
+    double fail = 0.0;          // its own 500
+    double closing = 0.0;       // Connection: close now and then
+    double early = 0.0;         // a long request is turned away before its body is in; the body is read later
+    double unframed = 0.0;      // no length: the answer ends with its connection, at times in its middle by a reset
+    double forget = 0.0;        // a rested connection is forgotten: what comes on it is reset
+    Milliseconds rested = 400;  // how long a connection has been idle to be forgotten
+    double slow = 1.0;          // times as long
     bool silent = false, unwell = false, no_events = false;
 };
 constexpr auto fault_fields = std::tuple(
     field("cut", &Faults::cut), field("reset", &Faults::reset), field("garble", &Faults::garble),
     field("extra", &Faults::extra), field("late", &Faults::late), field("fail", &Faults::fail),
-    field("closing", &Faults::closing), field("slow", &Faults::slow), field("silent", &Faults::silent),
-    field("unwell", &Faults::unwell), field("noEvents", &Faults::no_events));
+    field("closing", &Faults::closing), field("early", &Faults::early), field("unframed", &Faults::unframed),
+    field("forget", &Faults::forget), field("restedMs", &Faults::rested), field("slow", &Faults::slow),
+    field("silent", &Faults::silent), field("unwell", &Faults::unwell), field("noEvents", &Faults::no_events));
 
 struct Replica;
 struct Surroundings {  // what replicas share
@@ -85,6 +90,7 @@
     Kept kept;
     bool alive = true, draining = false, loading = false;
     std::int64_t version = 1, sequence = 0, active = 0, inflight = 0, waited = 0, runs = 0, sheds = 0;
+    std::int64_t forgotten = 0;                  // connections that were reset as they were used again
     std::map<std::string, std::int64_t> fences;  // highest seen, by model
     std::list<std::shared_ptr<Waiting>> waiting;
     std::set<ConnectionPointer> connections;
@@ -108,6 +114,8 @@
 auto start_replica(asio::io_context& context, Surroundings& around, ReplicaOptions options, KeptOptions kept)
     -> ReplicaPointer;  // nothing where the address is taken
 auto send_text(ConnectionPointer connection, std::string text) -> awaitable<bool>;
+auto turn_away(ReplicaPointer replica, ConnectionPointer connection, std::string identity, std::int64_t status)
+    -> awaitable<bool>;
 auto run_request(ReplicaPointer replica, ConnectionPointer connection, Request request) -> awaitable<bool>;
 auto answer_control(ReplicaPointer replica, ConnectionPointer connection, Request request) -> awaitable<bool>;
 
--- a/tests/platform/stand_ins/replica_run.cpp
+++ b/tests/platform/stand_ins/replica_run.cpp
@@ -17,6 +17,8 @@
     replica.around.record.arrivals.push_back({identity, replica.id, replica.options.service, now(), status});
 }
 
+}  // namespace
+
 auto turn_away(ReplicaPointer replica, ConnectionPointer connection, std::string identity, std::int64_t status)
     -> awaitable<bool> {
     arrived(*replica, identity, status);
@@ -26,6 +28,7 @@
     co_return sent && !replica->draining;
 }
 
+namespace {
 auto refusal_of(Replica const& replica, Request const& request, Parsed const& head) -> std::int64_t {
     if (head.identity.empty()) return 400;
     if (auto const wanted = header_of(request, "Want-Replica"); !wanted.empty() && wanted != replica.id) return 421;
@@ -102,7 +105,7 @@
 }
 
 struct Ending {  // how an answer is to be spoiled, drawn before it begins
-    bool cut = false, extra = false, late = false, closing = false;
+    bool cut = false, extra = false, late = false, closing = false, unframed = false;
 };
 
 auto send_stream(
@@ -150,12 +153,14 @@
     auto const lines = common_lines(*replica, head.identity, ending.closing) +
         "Seal: " + seal_of_body(run, status, body) + "\r\nContent-Type: text/plain\r\n";
     auto answer = whole_answer(status, lines, body);
+    if (ending.unframed) answer = "HTTP/1.1 " + std::to_string(status) + " Unframed\r\n" + lines + "\r\n" + body;
     if (ending.cut) answer = answer.substr(0, answer.size() - body.size() / 2);
     auto const more = whole_answer(200, lines, body);
     if (ending.extra) answer += more;
     if (ending.late) connection->owed = more;
     auto const sent = co_await send_text(connection, std::move(answer));
-    co_return sent && !ending.cut;
+    if (ending.unframed && ending.cut) replica->reset(connection);  // a mere end would pass for the whole
+    co_return sent && !ending.cut && !ending.unframed;
 }
 }  // namespace
 
@@ -189,7 +194,8 @@
     auto const& faults = replica->faults;
     auto const ending = Ending{
         replica->hit(faults.cut), replica->hit(faults.extra), replica->hit(faults.late),
-        replica->draining || request.need_eof() || !request.keep_alive() || replica->hit(faults.closing)};
+        replica->draining || request.need_eof() || !request.keep_alive() || replica->hit(faults.closing),
+        replica->hit(faults.unframed)};
     auto const reset = replica->hit(faults.reset), garble = replica->hit(faults.garble);
     run.status = replica->hit(faults.fail) ? 500 : 200;
     run.broke = ending.cut || reset || garble;
--- a/tests/simulation/fleet_tickets.cpp
+++ b/tests/simulation/fleet_tickets.cpp
@@ -75,6 +75,7 @@
         case Step::answer_shed:
         case Step::answer_refused: askings.at(number).reason = step.reason; return finish(number, "shed");
         case Step::answer_unknown:
+        case Step::answer_failure:
         case Step::answer_seen: return finish(number, "unknown");
         case Step::finished: plane.courses.erase(number); return;
     }
