Connections that a replica forgets without notice: others rest a shorter time

Ruled out: sending them again, since a reset may follow a run. A reset within 10 ms of a reuse after some rest now halves the rest of all connections of the node for 20 s.

--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -12,18 +12,8 @@
 
 constexpr Microseconds connect_limit = 600 * one_millisecond;
 constexpr Microseconds silence_limit = 30 * one_second;
-constexpr Microseconds past_deadline = 200 * one_millisecond;  // an answer under way may still come whole
-
-// Seconds that an idle connection is kept by its other end, less a margin.
-auto idle_limit_of(http::response_header<> const& head) -> Microseconds {
-    auto const value = head[http::field::keep_alive];
-    auto const text = std::string_view(value.data(), value.size());
-    auto const place = text.find("timeout=");
-    if (place == std::string_view::npos) return 4 * one_second;
-    auto seconds = std::int64_t{0};
-    std::from_chars(text.data() + place + 8, text.data() + text.size(), seconds);
-    return seconds * one_second - std::min<Microseconds>(one_second, seconds * one_second / 2);
-}
+constexpr Microseconds forgotten_within = 10 * one_millisecond;  // a reset that fast follows no work
+constexpr Microseconds past_deadline = 200 * one_millisecond;    // an answer under way may still come whole
 
 auto chunk_of(std::string const& bytes, bool last) -> std::string {
     std::string text;
@@ -116,19 +106,24 @@
 }
 
 auto RelayTry::read_head() -> awaitable<bool> {
+    auto const began = clock_now();
     auto const end = co_await exchange->read_own_head(until);
     switch (end) {
         case ReplicaExchange::HeadEnd::own_answer: co_return true;
         case ReplicaExchange::HeadEnd::timed_out: reason = "deadline"; break;
         case ReplicaExchange::HeadEnd::broke: reason = "replica-broke-before-its-answer"; break;
     }
+    auto const now = clock_now();
+    auto const at_once = end == ReplicaExchange::HeadEnd::broke && now - began < forgotten_within;
+    if (at_once && facts.connection == ConnectionUse::reused && !client_left())
+        node.pool.forgotten(connection->rested, now);
     co_return false;
 }
 
 auto RelayTry::give_back() -> void {
     session.watch->on_gone = nullptr;  // from here on the connection may be another request's
     if (!exchange->reusable() || node.finished || client_left()) return;
-    connection->idle_limit = idle_limit_of(exchange->parser->get());
+    connection->idle_limit = told_idle_limit(exchange->parser->get());
     node.pool.give_back(course.placement.replica, std::move(connection), clock_now());
 }
 
--- a/source/connection/replica_pool.cpp
+++ b/source/connection/replica_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <netinet/tcp.h>
 
+#include <charconv>
+
 namespace dockrock {
 
 auto probe_silence(tcp::socket& socket) -> void {
@@ -18,13 +20,16 @@
 }
 
 auto ReplicaPool::take(std::string const& replica, Microseconds now) -> ReplicaConnectionPointer {
+    if (now >= rest_limit_ends) rest_limit = longest_rest;
     auto const found = idle.find(replica);
     if (found == idle.end()) return nullptr;
     auto& list = found->second;
     while (!list.empty()) {
         auto connection = std::move(list.back());
         list.pop_back();
-        if (now - connection->idle_since < connection->idle_limit && is_quiet(connection->stream.socket())) {
+        connection->rested = now - connection->idle_since;
+        if (connection->rested < std::min(connection->idle_limit, rest_limit) &&
+            is_quiet(connection->stream.socket())) {
             ++reused;
             return connection;
         }
@@ -33,6 +38,22 @@
     return nullptr;
 }
 
+auto told_idle_limit(http::response_header<> const& head) -> Microseconds {
+    auto const value = head[http::field::keep_alive];
+    auto const text = std::string_view(value.data(), value.size());
+    auto const place = text.find("timeout=");
+    if (place == std::string_view::npos) return 4 * one_second;
+    auto seconds = std::int64_t{0};
+    std::from_chars(text.data() + place + 8, text.data() + text.size(), seconds);
+    return seconds * one_second - std::min<Microseconds>(one_second, seconds * one_second / 2);
+}
+
+auto ReplicaPool::forgotten(Microseconds rested, Microseconds now) -> void {
+    if (now >= rest_limit_ends) rest_limit = longest_rest;
+    rest_limit = std::min(rest_limit, std::max(least_rest, rested / 2));
+    rest_limit_ends = now + rest_memory;
+}
+
 auto ReplicaPool::give_back(std::string const& replica, ReplicaConnectionPointer connection, Microseconds now) -> void {
     auto& list = idle[replica];
     if (list.size() >= most_idle || connection->buffer.size() > 0) return;
--- a/tests/request_wire_test.cpp
+++ b/tests/request_wire_test.cpp
@@ -130,6 +130,31 @@
     CHECK(wire.accepted == 2);
 }
 
+TEST_CASE("a connection that was forgotten without notice shortens the rest of all others for a while") {
+    auto wire = Wire([](Peer& peer) -> awaitable<void> {
+        co_await peer.until("bbbb");
+        co_await peer.say(answer_text("id-1", "text"));
+        co_await peer.until("id-2");
+        peer.reset();
+    });
+    REQUIRE(wire.ask("id-1").end == TryEnd::answered);
+    auto& pool = wire.node->pool;
+    pool.idle["life-1"].front()->idle_since -= one_second;
+    CHECK(wire.ask("id-2").end == TryEnd::unknown_before);  // it may have run
+    CHECK(pool.rest_limit > 400 * one_millisecond);
+    CHECK(pool.rest_limit < 600 * one_millisecond);
+    REQUIRE(wire.ask("id-1").end == TryEnd::answered);
+    pool.idle["life-1"].front()->idle_since -= one_second;
+    auto const now = clock_now();
+    CHECK(pool.take("life-1", now) == nullptr);
+    pool.forgotten(0, now);
+    CHECK(pool.rest_limit == ReplicaPool::least_rest);
+    pool.take("life-1", now + ReplicaPool::rest_memory);
+    CHECK(pool.rest_limit == ReplicaPool::longest_rest);
+    pool.forgotten(10 * one_second, now + ReplicaPool::rest_memory);
+    CHECK(pool.rest_limit == 5 * one_second);
+}
+
 TEST_CASE("an answer under way ends soon after the deadline, and a silence ends with it") {
     auto const begun = answer_text("id-1", "text").substr(0, 60);
     for (auto const& said : {std::string(), begun, begun + "te"}) {
