One list of system packages, complete for a clean build, and checked

A clean machine with the packages of deploy/system.toml and their hard dependencies alone could not build: nlohmann-json3-dev was missing (44 files that the product reads), and so was make, which cmake only recommends and the build line's generator needs. Ruled out: pkg-config (only a quiet hint of FindOpenSSL) and ninja (the build line names no generator).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,8 @@
 "$build/dockrock-tests"
 "$build/platform-node-check"
 python3 scripts/check_files.py
+python3 scripts/check_packages.py "$build"
+python3 tests/packages_test.py "$build"
 python3 tests/live/verdict_test.py
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
