--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 auto Partition::fly(Context& context) -> void {
-    // The leader's own copy is synced first: an leader that restarts can then
+    // The leader's own copy is synced first: a leader that restarts can then
     // never give one sequence to two changes (design 5.4).
     in_flight = true;
     flying = copy;
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -1,4 +1,4 @@
-// What a node reads of the back ends, and the orders an leader gives them.
+// What a node reads of the back ends, and the orders a leader gives them.
 // docs/design.md sections 8.4, 9.3 and 11.
 #include "process/clock.hpp"
 #include "process/log.hpp"
--- a/tests/claim_test.cpp
+++ b/tests/claim_test.cpp
@@ -96,7 +96,7 @@
     }
 }
 
-TEST_CASE("claims: without an leader the fate is not known, and a claim not saved by both is not granted") {
+TEST_CASE("claims: without a leader the fate is not known, and a claim not saved by both is not granted") {
     for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
         auto fleet = ClaimWorld(seed);
         for (auto index = std::size_t{0}; index < 4; ++index) fleet.world.kill(index, false);
--- a/tests/live/scenarios_disks.py
+++ b/tests/live/scenarios_disks.py
@@ -13,7 +13,7 @@
     facts["unplanned"] = True
     fleet.start_caller("load", options.rate, options.seconds, options.seed)
     for rank, fault in enumerate(("slow 150", "stall", "full")):
-        leader = wait_until(fleet.leader, 12, "an leader")
+        leader = wait_until(fleet.leader, 12, "a leader")
         sicken(fleet, leader, fault)
         status, headers, text = fleet.put_somewhere(change_tree(fleet, rank + 1))
         if status != 200:
--- a/tests/live/scenarios_links.py
+++ b/tests/live/scenarios_links.py
@@ -17,7 +17,7 @@
     rank = 0
     shapes = ["two-two", "three-one", "one-way", "edge", "core"]
     for shape in shapes:
-        leader = wait_until(fleet.leader, 12, "an leader")
+        leader = wait_until(fleet.leader, 12, "a leader")
         others = [name for name in fleet.cores if name != leader]
         edges = chance.sample(fleet.edges, 4)
         if shape == "two-two":
--- a/tests/live/scenarios_own.py
+++ b/tests/live/scenarios_own.py
@@ -11,7 +11,7 @@
     end = time.monotonic() + options.seconds - 3
     facts["leaders_killed"] = 0
     while time.monotonic() < end:
-        name = wait_until(fleet.leader, 10, "an leader")
+        name = wait_until(fleet.leader, 10, "a leader")
         fleet.kill(name)
         facts["leaders_killed"] += 1
         wait_until(fleet.leader, 10, "a new leader")
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -82,7 +82,7 @@
     CHECK(world->violations.empty());
 }
 
-TEST_CASE("an leader that lost its lease for a while tells its list to all, though it read it meanwhile") {
+TEST_CASE("a leader that lost its lease for a while tells its list to all, though it read it meanwhile") {
     // A list was known by a number alone, and two texts could bear the same.
     auto world = formed(5);
     auto const holder = *world->leader(configuration_partition);
--- a/tests/simulation/sweep.cpp
+++ b/tests/simulation/sweep.cpp
@@ -127,7 +127,7 @@
     for (auto& worker : workers) worker.join();
     std::cout << "world " << world.getValue() << ", seeds " << count.getValue() << ", with violations " << failed;
     for (auto const& [name, number] : totals) std::cout << ", " << name << " " << number;
-    if (longest_gap > 0) std::cout << ", longest time without an leader " << longest_gap / 1'000 << " ms";
+    if (longest_gap > 0) std::cout << ", longest time without a leader " << longest_gap / 1'000 << " ms";
     std::cout << "\n";
     return failed == 0 ? 0 : 1;
 }
--- a/tests/simulation/world_checks.cpp
+++ b/tests/simulation/world_checks.cpp
@@ -146,7 +146,7 @@
     check_copies();
 }
 
-// Whatever an leader holds for acknowledged is synced on more disks than may be
+// Whatever a leader holds for acknowledged is synced on more disks than may be
 // lost; a disk wiped since counts, as its loss came after (design 5.4).
 auto World::check_copies() -> void {
     std::erase_if(wiped, [&](auto const& item) { return now - item.at > wiped_kept; });
--- a/tests/storm_test.cpp
+++ b/tests/storm_test.cpp
@@ -60,7 +60,7 @@
     CHECK(caught == 10);
 }
 
-TEST_CASE("one lost core node, an leader too, is replaced within three seconds, acknowledged changes kept") {
+TEST_CASE("one lost core node, a leader too, is replaced within three seconds, acknowledged changes kept") {
     for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
         auto world = formed(seed);
         REQUIRE(put_and_wait(*world, 4, "first") == 200);
--- a/tests/weights_duty_test.cpp
+++ b/tests/weights_duty_test.cpp
@@ -133,7 +133,7 @@
     CHECK(world->violations.empty());
 }
 
-TEST_CASE("an leader's word of its replicas reaches every node at once, and a word of a gone replica is none") {
+TEST_CASE("a leader's word of its replicas reaches every node at once, and a word of a gone replica is none") {
     auto world = formed(12);
     auto const partition = partition_of_service(model);
     auto const holder = *world->leader(partition);
