--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,8 @@
 "$build/dockrock-tests"
 "$build/platform-node-check"
 python3 scripts/check_files.py
+python3 scripts/check_includes.py
+python3 tests/includes_test.py
 python3 scripts/check_packages.py "$build"
 python3 tests/packages_test.py "$build"
 python3 tests/live/verdict_test.py
