--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,7 @@
 "$build/platform-node-check"
 python3 scripts/check_files.py
 python3 tests/live/verdict_test.py
+python3 tests/days/days_test.py
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
 touch "$results/passed" "$results/failed"
--- /dev/null
+++ b/tests/days/days_test.py
@@ -0,0 +1,123 @@
+"""The writer of days under test: what it writes can be read, repeats itself, and leaves no kind or family out."""
+
+import pathlib
+import sys
+import tempfile
+import tomllib
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from day import day_text
+from families import FAMILIES, HUNDREDS_OF_CHANGES
+from moments import CLOSING_KINDS, MOMENTS
+from site_file import described_kinds, read_site
+from write_days import SETS, days_of
+
+SITE_TEXT = """
+name = "orchard"
+length_s = 30.0
+machines = [
+  { class = "front", count = 2 },
+  { class = "core", count = 4 },
+  { class = "core", count = 1 },
+]
+troubles = [
+  { kind = "core_cut", for_s = 4.0, how = "leader" },
+  { kind = "unheard_of", x = 2.0 },
+]
+timing = { catch_up_s = 3.0 }
+tolerate = { machines = 2 }
+[[day]]
+name = "calm"
+slot = "quiet"
+one = 0.9
+traffic = []
+[[day]]
+name = "rough"
+slot = "trouble"
+one = 0.8
+zero = 0.2
+goal = { floor = 0.3 }
+traffic = [{ zone = "hill", mix = { pick = 1.5 }, clients = 2 }]
+"""
+KINDS_TEXT = "Words that lead in: none.\nack_lost: a share is lost\nnode_kill: some\n\nthese may come too:\nhup: some\n"
+
+
+def orchard(folder):
+    site_path, kinds_path = folder / "orchard.toml", folder / "orchard.kinds"
+    site_path.write_text(SITE_TEXT)
+    kinds_path.write_text(KINDS_TEXT)
+    return read_site(site_path, kinds_path)
+
+
+def test_site_is_read(site):
+    assert (site.core_count, site.tolerate, site.catch_up_s) == (5, 2, 3.0)
+    assert site.load["one"] == 0.8, "the day of trouble gives the load"
+    assert site.kinds() == ["ack_lost", "core_cut", "hup", "node_kill", "unheard_of"]
+    assert described_kinds("Each entry has: x\n") == ()
+
+
+def test_days_can_be_read(site):
+    for day in days_of(site, 7, SETS):
+        document = tomllib.loads(day_text(day, site))["day"][0]
+        assert document["traffic"] == site.load["traffic"]
+        assert len(document["plan"]) + len(document["faults"]) == len(day.entries)
+        assert all("kind" in item and item["at"] >= 0 for item in document["plan"] + document["faults"])
+        length = document.get("length_s", site.length_s)
+        assert all(item["at"] < length for item in document["faults"]), "%s strikes after its end" % day.name
+
+
+def test_same_seed_same_days(site):
+    assert days_of(site, 7, SETS) == days_of(site, 7, SETS)
+    assert days_of(site, 7, SETS) != days_of(site, 8, SETS)
+    assert days_of(site, 7, ["losses"]) == [day for day in days_of(site, 7, SETS) if day.name.startswith("losses")]
+
+
+def test_names_are_unique(site):
+    names = [day.name for day in days_of(site, 7, SETS)]
+    assert len(names) == len(set(names))
+
+
+def test_nothing_is_left_out(site):
+    days = days_of(site, 7, SETS)
+    for kind in site.kinds():
+        alone = [day for day in days if day.name.startswith("alone-%s-" % kind)]
+        assert alone and all(kind in {item["kind"] for item in day.entries} for day in alone), kind
+    for moment in MOMENTS:
+        assert any(day.name.startswith("pair-%s-" % moment) for day in days), moment
+    for family in FAMILIES:
+        assert any(day.name.startswith(family) for day in days), family
+    for kind in CLOSING_KINDS:
+        assert sum(day.name.startswith("closing-%s" % kind) for day in days) >= 3, kind
+
+
+def test_losses_leave_room_to_catch_up(site):
+    days = [day for day in days_of(site, 7, ["losses"])]
+    losing = {"after_ack_wipe", "after_ack_kill", "replace_core", "roll_term"}
+    for day in days:
+        times = [item["at"] for item in day.faults() + day.plan() if item["kind"] in losing]
+        times.sort()
+        assert all(later - sooner > site.catch_up_s for sooner, later in zip(times, times[1:])), day.name
+        assert day.closing["kind"] == "wipe_after_ack"
+
+
+def test_many_changes(site):
+    storms = [
+        item["count"]
+        for day in days_of(site, 7, ["many_changes"])
+        for item in day.plan()
+        if item["kind"] == "config_storm"
+    ]
+    assert storms.count(HUNDREDS_OF_CHANGES) >= 6
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        site = orchard(pathlib.Path(folder))
+        tests = [value for name, value in sorted(globals().items()) if name.startswith("test_")]
+        for test in tests:
+            test(site)
+    print("days: %d checks hold" % len(tests))
+
+
+if __name__ == "__main__":
+    main()
