--- a/source/connection/replica_exchange.hpp
+++ b/source/connection/replica_exchange.hpp
@@ -1,9 +1,9 @@
 #pragma once
 // One request on one connection to a replica: its bytes go out while no answer
 // waits, and its own answer is told from answers to other requests. It reports
-// facts and decides nothing (request/retry_decision.hpp). docs/requests.md.
+// facts and decides nothing (ticket/retry_decision.hpp). docs/requests.md.
 #include "connection/replica_pool.hpp"
-#include "request/retry_decision.hpp"
+#include "ticket/retry_decision.hpp"
 
 namespace dockrock {
 
--- a/source/request/retry_decision.hpp
+++ b/source/ticket/retry_decision.hpp
@@ -4,7 +4,7 @@
 // report facts, the request's course asks here. docs/requests.md has the table.
 #include <limits>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -17,7 +17,7 @@
         auto node = std::make_unique<SimulatedNode>();
         node->core = index < given.cores;
         node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
-        node->area = "area-" + std::to_string(index % 4);
+        node->area = "area-" + std::to_string(index % given.areas);
         node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
         nodes.push_back(std::move(node));
     }
@@ -82,6 +82,7 @@
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
         }
+        if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
         if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
         auto delay = static_cast<Microseconds>(200 + random.below(2'500));
@@ -133,9 +134,9 @@
         auto const good = !later.disk.broken;
         for (auto const& save : batch) {
             if (!good) break;
-            auto const found = std::find_if(later.disk.synced.begin(), later.disk.synced.end(), [&](auto const& part) {
-                return part.part == save.saved.part;
-            });
+            auto const found = std::find_if(
+                later.disk.synced.begin(), later.disk.synced.end(),
+                [&](auto const& partition) { return partition.partition == save.saved.partition; });
             if (found == later.disk.synced.end()) later.disk.synced.push_back(save.saved);
             else merge_saved(*found, save.saved);
         }
@@ -171,13 +172,14 @@
     settings.area = node.area;
     settings.core = node.core;
     settings.core_count = options.cores;
+    settings.machines_lost = options.losses;
     for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     node.control = Control{};
     node.control.start(
-        settings, identity, incarnation, random.next(), node.core ? node.disk.synced : std::vector<PartSaved>{},
+        settings, identity, incarnation, random.next(), node.core ? node.disk.synced : std::vector<SavedPartition>{},
         had_state, local(node));
-    for (auto& part : node.control.parts) part.apply = apply_text;
+    for (auto& partition : node.control.partitions) partition.apply = apply_text;
     note("start " + node.address + " " + identity);
     if (when_started) when_started(index);
     tick(index, node.life);
@@ -200,7 +202,10 @@
     node.running = false;
     unchecked = true;
     node.unsynced.clear();  // what was not synced is lost
-    if (wipe) node.disk = {};
+    if (wipe) {
+        wiped.push_back({now, node.disk.synced});
+        node.disk = {};
+    }
     note(std::string(wipe ? "kill and wipe " : "kill ") + node.address);
     if (when_killed) when_killed(index);
 }
@@ -234,10 +239,10 @@
     note("heal");
 }
 
-auto World::owner(int part) -> std::optional<std::size_t> {
+auto World::leader(int partition) -> std::optional<std::size_t> {
     for (auto index = std::size_t{0}; index < nodes.size(); ++index)
         if (nodes[index]->running && nodes[index]->frozen_until <= now &&
-            nodes[index]->control.owns(part, local(*nodes[index])))
+            nodes[index]->control.leads(partition, local(*nodes[index])))
             return index;
     return std::nullopt;
 }
