--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from day import day_text
-from families import FAMILIES, HUNDREDS_OF_CHANGES
+from families import AWAY_S, FAMILIES, HUNDREDS_OF_CHANGES
 from moments import CLOSING_KINDS, MOMENTS
 from site_file import described_kinds, read_site
 from write_days import SETS, days_of
@@ -108,6 +108,8 @@
         if item["kind"] == "config_storm"
     ]
     assert storms.count(HUNDREDS_OF_CHANGES) >= 6
+    away = [item for day in days_of(site, 7, ["many_changes"]) for item in day.faults() if item.get("for_s") == AWAY_S]
+    assert away and all(item["how"] == "power" for item in away if item["kind"] == "node_kill"), "back at once"
 
 
 def main():
--- a/tests/days/families.py
+++ b/tests/days/families.py
@@ -143,9 +143,11 @@
 
 
 def away_entry(kind, at):
-    """One counted machine that takes no part for a while."""
+    """One counted machine that takes no part for a while; one that is only killed would be back at once."""
     fields = {"count": 1, "for_s": AWAY_S}
-    return entry(kind, at, **fields) if kind == "core_cut" else entry(kind, at, on="core", **fields)
+    if kind == "core_cut":
+        return entry(kind, at, **fields)
+    return entry(kind, at, on="core", **fields, **({"how": "power"} if kind == "node_kill" else {}))
 
 
 def big_documents(random):
