--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -97,6 +97,7 @@
             "a ticket in calm was not answered: " + askings.rbegin()->second.outcome + " " +
             askings.rbegin()->second.reason);
     judge_extra_tries();
+    world.judge_history();
     result.extra_tries = extra_try_times.size();
     result.events = world.events_run;
     result.violations = world.violations;
--- a/tests/simulation/storm.cpp
+++ b/tests/simulation/storm.cpp
@@ -230,6 +230,7 @@
     for (auto const& node : world.nodes)
         if (node->control.news[configuration_partition].copy.document != "the last document")
             world.violation(node->address + " does not hold the last document");
+    world.judge_history();
     for (auto const& change : world.changes) {
         if (change.status == 200) ++storm.result.acknowledged;
         else if (change.status == 504 || change.status == 0) ++storm.result.unknown;
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -6,6 +6,7 @@
 
 #include "timeline.hpp"
 #include "control/control.hpp"
+#include "history/history.hpp"
 
 namespace dockrock::simulation {
 
@@ -65,6 +66,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cuts;  // from, to
     Timeline timeline;
     std::vector<Change> changes;
+    history::History history;  // of the operators of the configuration
     std::map<std::uint64_t, std::function<void(CallDone)>> call_results;
     std::map<std::uint64_t, std::function<void(ClaimDone)>> claim_results;
     std::uint64_t next_call = 1;
@@ -119,6 +121,8 @@
     auto describe() -> void;  // into the trace
     auto violation(std::string text) -> void;
 
+    auto judge_history() -> void;  // a violation where it is not linearizable
+
     auto act(std::size_t index, ControlOutput output) -> void;
     auto on_node(std::size_t index, std::uint64_t life, std::function<void()> work) -> void;
 
@@ -129,6 +133,8 @@
     auto check() -> void;
     auto check_node(SimulatedNode& node) -> void;
     auto check_copies() -> void;
+    auto asked(history::CallRecord call) -> std::size_t;  // its place in the history
+    auto answered(std::size_t place, CallDone const& done) -> void;
     auto planted(std::size_t index, AddressedMessage& send) -> bool;
 };
 
--- a/tests/simulation/world_checks.cpp
+++ b/tests/simulation/world_checks.cpp
@@ -64,7 +64,10 @@
     if (identity.empty()) identity = "change-" + std::to_string(number);
     changes.push_back({identity, document, now, 0, {}, 0});
     auto const token = next_call++;
-    call_results[token] = [this, number, told = std::move(told)](CallDone done) {
+    using history::Operation;
+    auto const place = asked({Operation::write, {}, 0, 0, identity, document, history::read_version(if_match), {}});
+    call_results[token] = [this, number, place, told = std::move(told)](CallDone done) {
+        answered(place, done);
         auto& change = changes[number];
         change.status = done.status;
         change.answered_at = now;
@@ -93,7 +96,9 @@
 auto World::read(std::size_t index) -> void {
     auto const token = next_call++;
     auto const least = highest_acknowledged;
-    call_results[token] = [this, least](CallDone done) {
+    auto const place = asked({history::Operation::read, {}, 0, 0, "", "", std::nullopt, {}});
+    call_results[token] = [this, least, place](CallDone done) {
+        answered(place, done);
         if (done.status != 200) return;
         ++reads_checked;
         auto const dot = done.etag.find('.');
