--- a/tests/history/history.cpp
+++ b/tests/history/history.cpp
@@ -105,6 +105,36 @@
     return list;
 }
 
+// The least version that an answered call still to be placed needs: as versions
+// only rise, nothing beyond it can come next.
+auto least_version(History const& history, Place const& place) -> Sequence {
+    auto least = Sequence{std::numeric_limits<std::uint64_t>::max(), 0};
+    for (auto index = std::size_t{0}; index < history.size(); ++index) {
+        auto const& call = history[index];
+        if (place.placed[index] || call.answer != Answer::done) continue;
+        if (call.operation == Operation::write && place.held.made.contains(call.identity)) continue;
+        least = std::min(least, call.version);
+    }
+    return least;
+}
+
+// What may follow. A call that changes nothing is placed as soon as it can be:
+// later it could be placed no better, so there is nothing to choose.
+auto followers(History const& history, Place const& place, std::vector<std::size_t> const& next) -> std::vector<Place> {
+    auto const least = least_version(history, place);
+    std::vector<Place> list;
+    for (auto index : next) {
+        auto after = step(place.held, history[index]);
+        if (!after || after->version > least) continue;
+        auto const changes = after->version != place.held.version;
+        auto placed = place.placed;
+        placed.set(index);
+        if (!changes) return {Place{std::move(placed), std::move(*after)}};
+        list.push_back({std::move(placed), std::move(*after)});
+    }
+    return list;
+}
+
 auto all_answered_placed(History const& history, Place const& place) -> bool {
     for (auto index = std::size_t{0}; index < history.size(); ++index)
         if (!place.placed[index] && history[index].answer != Answer::unknown) return false;
@@ -133,13 +163,8 @@
             judgement.why = "at " + etag_of(place.held.version) + " none of these can come next:";
             for (auto index : next) judgement.why += "\n  " + describe(history[index]);
         }
-        for (auto index = next.rbegin(); index != next.rend(); ++index) {
-            auto after = step(place.held, history[*index]);
-            if (!after) continue;
-            auto placed = place.placed;
-            placed.set(*index);
-            open.push_back({std::move(placed), std::move(*after)});
-        }
+        auto list = followers(history, place, next);
+        std::move(list.rbegin(), list.rend(), std::back_inserter(open));
     }
     judgement.verdict = Verdict::broken;
     return judgement;
