--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from day import day_text
 from families import AWAY_S, FAMILIES, HUNDREDS_OF_CHANGES
-from moments import CLOSING_KINDS, MOMENTS
+from moments import CLOSING_KINDS, MIXES, MOMENTS
 from site_file import described_kinds, read_site
 from write_days import SETS, days_of
 
@@ -84,6 +84,7 @@
         assert alone and all(kind in {item["kind"] for item in day.entries} for day in alone), kind
     for moment in MOMENTS:
         assert any(day.name.startswith("pair-%s-" % moment) for day in days), moment
+    assert sum(day.name.startswith("mix-") for day in days) == MIXES
     for family in FAMILIES:
         assert any(day.name.startswith(family) for day in days), family
     for kind in CLOSING_KINDS:
--- a/tests/days/moments.py
+++ b/tests/days/moments.py
@@ -7,6 +7,7 @@
 LAST_CHANGE_BEFORE_END_S = 8.0  # closing faults strike after one more change; the rest of the day is recovery
 CLOSING_KINDS = ("power_off_all", "kill_all", "wipe_after_ack")
 CLOSING_WAYS = ("", "timed", "taken", "oldest")
+MIXES = 24
 # Entries that bring the moment about, and how long after their start the second kind strikes.
 MOMENTS = {
     "acknowledged": (lambda site: [("config_storm", 0.0, {"for_s": 3.0, "gap_s": 0.2})], 1.01),
@@ -80,5 +81,21 @@
     return days
 
 
+def mixes(site, random):
+    """Six troubles of the control state at drawn times, under changes, races and lost acknowledgements."""
+    known = [kind for kind in PAIRED if kind in site.kinds()]
+    days = []
+    for number in range(1, MIXES + 1):
+        entries = [
+            entry("config_storm", START_S, count=100, gap_s=0.2),
+            entry("config_race", START_S + 1.0, count=6, gap_s=3.0),
+        ]
+        for kind in random.choices(known, k=6):
+            at = random.uniform(START_S, site.length_s - LAST_CHANGE_BEFORE_END_S)
+            entries.append(entry(kind, at, **random.choice(variants(kind, site))))
+        days.append(new_day("mix-%d" % number, entries, any_closing(random), random))
+    return days
+
+
 def new_day(name, entries, closing, random, length_s=None):
     return Day(name, random.randrange(1, 2**28), tuple(entries), closing, length_s)
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -11,10 +11,10 @@
 
 from day import day_text
 from families import FAMILIES
-from moments import alone, closings, pairs
+from moments import alone, closings, mixes, pairs
 from site_file import read_site
 
-SETS = {"alone": alone, "pairs": pairs, "closings": closings, **FAMILIES}
+SETS = {"alone": alone, "pairs": pairs, "closings": closings, "mixes": mixes, **FAMILIES}
 
 
 def days_of(site, seed, names):
