--- a/tests/simulation/sweep.cpp
+++ b/tests/simulation/sweep.cpp
@@ -2,11 +2,13 @@
 // prints counts and every violation with its seed. docs/proofs.md.
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <iostream>
 #include <mutex>
 #include <thread>
 
 #include "fleet.hpp"
+#include "scenario.hpp"
 
 namespace {
 
@@ -18,6 +20,7 @@
     std::vector<std::string> trace;
     Totals counts;
     Microseconds longest_gap = 0;
+    std::map<std::string, std::vector<Microseconds>> times;
 };
 
 struct Shape {
@@ -45,7 +48,38 @@
         {"claims granted", result.claims_granted},
         {"claims seen", result.claims_seen},
         {"claims of unknown fate", result.claims_unknown}};
-    return {result.violations, result.trace, counts, result.longest_gap};
+    return {result.violations, result.trace, counts, result.longest_gap, {}};
+}
+
+constexpr auto scenario_names = std::to_array<std::string_view>({"cutoff", "race", "losses", "many"});
+
+auto scenario(std::uint64_t seed, std::size_t kind, Shape const& shape) -> SeedResult {
+    auto options = simulation::ScenarioOptions();
+    options.kind = static_cast<simulation::ScenarioKind>(kind);
+    options.seed = seed;
+    options.cores = shape.cores;
+    options.losses = shape.losses;
+    options.areas = shape.areas;
+    auto const result = simulation::run_scenario(options);
+    auto const counts = Totals{
+        {"faults", result.faults},
+        {"changes", result.changes},
+        {"acknowledged", result.acknowledged},
+        {"sends", result.sends},
+        {"reads checked", result.reads}};
+    auto const times = std::map<std::string, std::vector<Microseconds>>{
+        {"without a leader", result.without_leader},
+        {"wait of a change", result.waits},
+        {"until the next loss can be borne", result.bearing}};
+    return {result.violations, result.trace, counts, result.longest_without_leader, times};
+}
+
+auto print_times(std::string const& name, std::vector<Microseconds> times) -> void {
+    if (times.empty()) return;
+    std::sort(times.begin(), times.end());
+    auto const at = [&](std::size_t percent) { return times[(times.size() - 1) * percent / 100] / 1'000; };
+    std::cout << name << ": " << times.size() << " times, median " << at(50) << " ms, 99 of 100 within " << at(99)
+              << " ms, longest " << times.back() / 1'000 << " ms\n";
 }
 
 auto fleet(std::uint64_t seed, Microseconds length, bool planned, Shape const& shape) -> SeedResult {
@@ -78,7 +112,14 @@
         {"walls tightened", result.walls_tightened},
         {"polite stops", result.polite_stops},
         {"events", result.events}};
-    return {result.violations, result.trace, counts, 0};
+    return {result.violations, result.trace, counts, 0, {}};
+}
+
+auto run_seed(std::string const& world, std::uint64_t seed, Microseconds length, Shape const& shape) -> SeedResult {
+    auto const named = std::find(scenario_names.begin(), scenario_names.end(), world);
+    if (named != scenario_names.end())
+        return scenario(seed, static_cast<std::size_t>(named - scenario_names.begin()), shape);
+    return world == "control" ? storm(seed, length, shape) : fleet(seed, length, world == "planned", shape);
 }
 
 }  // namespace
@@ -86,9 +127,10 @@
 auto main(int argument_count, char** arguments) -> int {
     auto command = TCLAP::CmdLine("dockrock-sweep: storms of faults in the simulator, over many seeds", ' ', "0.1.0");
     auto worlds = std::vector<std::string>{"control", "fleet", "planned"};
+    worlds.insert(worlds.end(), scenario_names.begin(), scenario_names.end());
     auto allowed = TCLAP::ValuesConstraint<std::string>(worlds);
     auto world = TCLAP::ValueArg<std::string>(
-        "", "world", "control machines alone, the whole fleet under faults, or under planned work", false, "fleet",
+        "", "world", "control machines alone, the whole fleet under faults or planned work, or a named scenario", false, "fleet",
         &allowed, command);
     auto first = TCLAP::ValueArg<std::uint64_t>("", "first", "first seed", false, 1, "SEED", command);
     auto count = TCLAP::ValueArg<std::uint64_t>("", "count", "how many seeds", false, 100, "COUNT", command);
@@ -108,14 +150,14 @@
     auto failed = std::size_t{0};
     auto totals = Totals();
     auto longest_gap = Microseconds{0};
+    auto times = std::map<std::string, std::vector<Microseconds>>();
     auto work = [&] {
         for (auto seed = next++; seed < end; seed = next++) {
-            auto const result = world.getValue() == "control"
-                ? storm(seed, length, shape)
-                : fleet(seed, length, world.getValue() == "planned", shape);
+            auto const result = run_seed(world.getValue(), seed, length, shape);
             auto const guard = std::lock_guard(lock);
             for (auto const& [name, number] : result.counts) totals[name] += number;
             longest_gap = std::max(longest_gap, result.longest_gap);
+            for (auto const& [name, some] : result.times) times[name].insert(times[name].end(), some.begin(), some.end());
             failed += result.violations.empty() ? 0 : 1;
             for (auto const& item : result.violations) std::cout << "seed " << seed << ": " << item << "\n";
             if (trace.getValue() && (!result.violations.empty() || count.getValue() == 1))
@@ -129,5 +171,6 @@
     for (auto const& [name, number] : totals) std::cout << ", " << name << " " << number;
     if (longest_gap > 0) std::cout << ", longest time without an leader " << longest_gap / 1'000 << " ms";
     std::cout << "\n";
+    for (auto const& [name, some] : times) print_times(name, some);
     return failed == 0 ? 0 : 1;
 }
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -4,8 +4,12 @@
 
 namespace {
 
-auto apply_text(Copy const&, Call const& call) -> ChangeResult {
+constexpr Microseconds planted_lease = 30 * one_second;
+
+// A text that replaces the document, or (operation `patch`) is put behind it.
+auto apply_text(Copy const& current, Call const& call) -> ChangeResult {
     if (call.body.find("bad") != std::string::npos) return {400, "bad", ""};
+    if (call.operation == "patch") return {200, "", current.document + call.body};
     return {200, "", call.body};
 }
 
@@ -13,9 +17,9 @@
 
 World::World(WorldOptions const& given) : options(given) {
     random.state = given.seed * 7'919 + 13;
-    for (auto index = std::size_t{0}; index < given.cores + given.edges; ++index) {
+    for (auto index = std::size_t{0}; index < given.cores + given.edges + given.replacements; ++index) {
         auto node = std::make_unique<SimulatedNode>();
-        node->core = index < given.cores;
+        node->core = is_core(index);
         node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
         node->area = "area-" + std::to_string(index % given.areas);
         node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
@@ -82,11 +86,15 @@
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
         }
+        if (options.planted_outcomes_lost) {
+            if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->copy.outcomes.clear();
+        }
         if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
         if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
         auto delay = static_cast<Microseconds>(200 + random.below(2'500));
         if (random.below(100) == 0) delay += static_cast<Microseconds>(random.below(200'000));
+        if (auto const slow = slowed.find({index, target}); slow != slowed.end()) delay += slow->second;
         auto const life = nodes[target]->life;
         at(now + delay, [this, index, target, life, identity, message = std::move(send.message), from = node.address] {
             if (cuts.contains({index, target})) return;
@@ -171,15 +179,20 @@
     settings.control_address = node.address;
     settings.area = node.area;
     settings.core = node.core;
-    settings.core_count = options.cores;
+    settings.core_count = options.core_count_told ? options.cores : 0;
     settings.machines_lost = options.losses;
-    for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
+    settings.seeds = node.seeds;
+    for (auto seed = std::size_t{0}; node.seeds.empty() && seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     node.control = Control{};
     node.control.start(
         settings, identity, incarnation, random.next(), node.core ? node.disk.synced : std::vector<SavedPartition>{},
         had_state, local(node));
-    for (auto& partition : node.control.partitions) partition.apply = apply_text;
+    for (auto& partition : node.control.partitions) {
+        partition.apply = apply_text;
+        if (options.planted_long_lease) partition.times.lease_duration = planted_lease;
+    }
+    if (options.planted_losses_unseen) node.control.membership.times.probe_limit = 3'600 * one_second;
     note("start " + node.address + " " + identity);
     if (when_started) when_started(index);
     tick(index, node.life);
@@ -210,35 +223,6 @@
     if (when_killed) when_killed(index);
 }
 
-auto World::freeze(std::size_t index, Microseconds length) -> void {
-    auto& node = *nodes[index];
-    if (!node.running || node.frozen_until > now) return;
-    node.frozen_until = now + length;
-    note("freeze " + node.address + " for " + std::to_string(length / 1'000) + "ms");
-    at(node.frozen_until, [this, index, life = node.life] {
-        auto& later = *nodes[index];
-        if (!later.running || later.life != life) return;
-        auto held = std::move(later.held);
-        later.held.clear();
-        for (auto& work : held) work();
-    });
-}
-
-auto World::isolate(std::size_t index) -> void { split({index}); }
-
-auto World::split(std::vector<std::size_t> const& side) -> void {
-    auto const inside = [&](std::size_t index) { return std::find(side.begin(), side.end(), index) != side.end(); };
-    for (auto from = std::size_t{0}; from < nodes.size(); ++from)
-        for (auto to = std::size_t{0}; to < nodes.size(); ++to)
-            if (inside(from) != inside(to)) cuts.insert({from, to});
-    note("split of " + std::to_string(side.size()));
-}
-
-auto World::heal() -> void {
-    cuts.clear();
-    note("heal");
-}
-
 auto World::leader(int partition) -> std::optional<std::size_t> {
     for (auto index = std::size_t{0}; index < nodes.size(); ++index)
         if (nodes[index]->running && nodes[index]->frozen_until <= now &&
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -33,6 +33,7 @@
     bool disk_busy = false;
     std::vector<std::function<void()>> held;  // what came while frozen
     Sequence newest_seen;                     // this life's, for "never back to an older one"
+    std::vector<std::string> seeds;           // addresses; empty: the first nodes of the world
 };
 
 struct Change {
@@ -51,10 +52,15 @@
     std::size_t losses = 1;  // core nodes that may be lost at once, with their disks
     std::size_t areas = 4;
     double loss = 0.01;
+    bool core_count_told = true;
+    std::size_t replacements = 0;            // core nodes at addresses of their own that start blank and later
     bool planted_claims_not_copied = false;  // for showing that the checks bite
     bool planted_claims_not_saved = false;
     bool planted_copy_short = false;         // the last follower's copy is acknowledged and not kept
     bool planted_partner_not_given = false;  // the last partner's sealed copy is held for taken
+    bool planted_long_lease = false;         // a leader trusts its lease long after the grants ended
+    bool planted_outcomes_lost = false;      // outcomes of changes do not travel with the copies
+    bool planted_losses_unseen = false;      // a machine that is gone for good is held alive
 };
 
 struct World {
@@ -62,7 +68,8 @@
     Random random;
     Microseconds now = 0;
     std::vector<std::unique_ptr<SimulatedNode>> nodes;
-    std::set<std::pair<std::size_t, std::size_t>> cuts;  // from, to
+    std::set<std::pair<std::size_t, std::size_t>> cuts;                  // from, to
+    std::map<std::pair<std::size_t, std::size_t>, Microseconds> slowed;  // from, to: what the link takes longer
     Timeline timeline;
     std::vector<Change> changes;
     std::map<std::uint64_t, std::function<void(CallDone)>> call_results;
@@ -103,6 +110,12 @@
     auto wake_disk(std::size_t index) -> void { work_disk(index); }
     auto leader(int partition) -> std::optional<std::size_t>;
     auto settled() -> bool;
+    auto is_core(std::size_t index) const -> bool;
+    auto in_order(std::size_t index) const -> bool;  // runs, is not frozen, its disk answers
+    auto bearable() -> std::size_t;  // core nodes that may be lost now, by the disks and voters themselves
+    auto led() -> bool;              // the configuration has a leased leader
+    auto could_be_led() -> bool;     // voters enough for one are in touch with a member of the group
+    auto stop_politely(std::size_t index, Microseconds limit, std::function<void()> then) -> void;
     // As many core nodes as may be lost at once: of the configuration's group, its leader first, or any.
     auto some_cores(Random& by, bool of_the_group) -> std::vector<std::size_t>;
 
@@ -129,6 +142,9 @@
     auto check() -> void;
     auto check_node(SimulatedNode& node) -> void;
     auto check_copies() -> void;
+    auto bearable(int partition, std::size_t holder) -> std::size_t;
+    auto stop_step(std::size_t index, std::uint64_t life, Microseconds handing_end, std::function<void()> then) -> void;
+    auto node_of(std::string const& identity) const -> std::size_t;
     auto planted(std::size_t index, AddressedMessage& send) -> bool;
 };
 
