--- a/source/consensus/group.cpp
+++ b/source/consensus/group.cpp
@@ -32,6 +32,13 @@
     return lost;
 }
 
+auto Partition::silent_partners(Microseconds now) const -> std::set<std::string> {
+    std::set<std::string> silent;
+    for (auto const& [identity, since] : silent_since)
+        if (now - since < times.silent_memory) silent.insert(identity);
+    return silent;
+}
+
 // Those of `from` that are not lost stay; living core nodes take the places of
 // the others, first from areas where no member is. With too few living, lost
 // ones keep their places: the group is never smaller, a change waits for them.
--- a/source/consensus/leader_and_follower.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -124,7 +124,9 @@
     wanted.voters = renewed_voters(context);
     auto const lost = lost_followers(context);
     auto const too_few = leased && record.followers.size() + 1 < copies();
-    if (!lost.empty() || too_few) wanted.followers = followers_for(context, record, lost);
+    auto avoided = silent_partners(context.now);
+    avoided.insert(lost.begin(), lost.end());
+    if (!lost.empty() || too_few) wanted.followers = followers_for(context, record, avoided);
     auto const grows = wanted.followers.size() > record.followers.size();
     auto const without_lease = !leased_lately(context.now);
     auto const voters_changed = wanted.voters != record.voters && leased;
@@ -154,7 +156,8 @@
     wanted.leader = context.self;
     wanted.followers.erase(wanted.followers.begin() + (place - followers.begin()));
     wanted.followers.push_back(votes.decided.leader);
-    auto lost = std::set<std::string>{votes.decided.leader};
+    auto lost = silent_partners(context.now);
+    lost.insert(votes.decided.leader);
     for (auto const& other : followers)
         if (!context.alive(other)) lost.insert(other);
     wanted.followers = followers_for(context, wanted, lost);
--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -19,6 +19,7 @@
     Microseconds resend_interval = 400 * one_millisecond;
     Microseconds copy_patience = 200 * one_millisecond;     // a silent partner is passed over
     Microseconds rival_patience = 2'000 * one_millisecond;  // an earlier follower goes first
+    Microseconds silent_memory = 5 * one_second;            // a partner that was passed over is not asked first again
     Microseconds disk_limit = 600 * one_millisecond;
     Microseconds spare_interval = 2 * one_second;
     Microseconds frozen_gap = 400 * one_millisecond;
@@ -105,7 +106,6 @@
     Microseconds vote_from = 0;  // a restarted voter waits out one full grant
     Microseconds last_tick = 0;
     std::map<std::uint64_t, std::pair<Microseconds, Save>> saving;
-
     // voter
     Microseconds granted_until = 0;
     std::string granted_to;
@@ -166,6 +166,7 @@
         Microseconds sent = 0;
     };
     std::optional<Proposal> proposal;
+    std::map<std::string, Microseconds> silent_since;  // partners that did not take a copy in time
     std::uint64_t highest_round = 0;
 
     auto is_leader(std::string const& self) const -> bool {
@@ -201,7 +202,6 @@
     auto on(Context&, std::string const& from, ClaimFlight const&) -> void;
     auto on(Context&, std::string const& from, ClaimFlown const&) -> void;
     auto claim(Context& context, std::string const& origin, ClaimAsk const& ask) -> void;
-
     auto learn(Context& context, Record const& record) -> void;
 
    private:
@@ -235,6 +235,7 @@
     auto tick_claims(Context& context) -> void;
     auto claims_under_new_record(Context& context) -> void;
     auto lost_followers(Context& context) const -> std::set<std::string>;
+    auto silent_partners(Microseconds now) const -> std::set<std::string>;
     auto followers_for(Context& context, Record const& from, std::set<std::string> const& lost) const
         -> std::vector<std::string>;
     auto renewed_voters(Context& context) const -> std::vector<std::string>;
--- a/source/consensus/reconfiguration.cpp
+++ b/source/consensus/reconfiguration.cpp
@@ -101,6 +101,7 @@
 auto Partition::on(Context& context, std::string const& from, CopyTaken const& message) -> void {
     if (!proposal || proposal->stage != Proposal::Stage::copying || message.ballot != proposal->ballot) return;
     if (message.term != votes.decided.term) return;
+    silent_since.erase(from);
     proposal->taken.insert(from);
     copies_taken(context);
 }
@@ -123,6 +124,7 @@
     for (auto const& member : proposal->value.followers) proposal->passed_over.insert(member);
     std::erase_if(proposal->passed_over, [&](auto const& member) { return proposal->taken.contains(member); });
     if (proposal->passed_over.empty()) return;
+    for (auto const& member : proposal->passed_over) silent_since[member] = context.now;
     auto from = proposal->value;
     from.followers.assign(proposal->taken.begin(), proposal->taken.end());
     for (auto const& member : proposal->value.followers) from.followers.push_back(member);
