--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -212,6 +212,7 @@
     auto leased_lately(Microseconds now) const -> bool { return now - leader_since <= times.grant_duration; }
     auto ask_for_lease(Context& context) -> void;
     auto step_down(Context& context) -> void;
+    auto tell_outcomes_unknown(Context& context) -> void;
     auto leader_tick(Context& context) -> void;
     auto follower_tick(Context& context) -> void;
     auto proposal_tick(Context& context) -> void;
