--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -52,11 +52,11 @@
     auto problems = loss_problems(node.control, now);
     auto const safe = problems.empty();
     return fields(
-        "one_more_loss_safe", safe, "losses_borne", losses_borne(node.control, now), "why_not", std::move(problems),
-        "news_bytes", node.control.news_bytes, "news_bytes_whole", node.control.news_bytes_whole, "identity",
-        node.control.membership.self.identity, "ready", node.ready(now), "resting", node.resting_now.load(), "stopping",
-        node.stopping.load(), "configuration_in_force", etag_of(current->rules->sequence), "replicas_listed",
-        current->list.replicas.size(), "list_age_microseconds",
+        "one_more_loss_safe", safe, "losses_borne", node.losses_bearable.count.load(), "losses_borne_for_microseconds",
+        now - node.losses_bearable.since.load(), "why_not", std::move(problems), "news_bytes", node.control.news_bytes,
+        "news_bytes_whole", node.control.news_bytes_whole, "identity", node.control.membership.self.identity, "ready",
+        node.ready(now), "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
+        etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
         now - node.control.news[configuration_partition].live_at, "open_tickets", node.open_tickets.load(), "members",
         std::move(members), "partitions", std::move(partitions));
 }
@@ -214,6 +214,8 @@
     line("ready", ready(now) ? 1 : 0);
     line("disk_failed", disk_failed ? 1 : 0);
     line("proof_age_microseconds", proof_age(now));
+    line("losses_borne", losses_bearable.count.load());
+    line("losses_borne_for_microseconds", now - losses_bearable.since.load());
     measures.write(text);
     auto const guard = std::lock_guard(table.lock);
     line("waiting_tickets", table.granting.waiting_count());
--- a/source/connection/losses.cpp
+++ b/source/connection/losses.cpp
@@ -4,6 +4,10 @@
 
 namespace dockrock {
 
+namespace {
+constexpr Microseconds look_interval = 200 * one_millisecond;
+}  // namespace
+
 auto loss_problems(Control const& control, Microseconds now) -> json::array {
     json::array problems;
     for (auto index = std::size_t{0}; index < partition_count; ++index) {
@@ -39,7 +43,16 @@
         };
         auto const majority = majority_of(record.voters.size());
         auto const voters = std::max(living(record.voters), majority);
-        auto const members = living(record.followers) + (lives(record.leader) ? 1U : 0U);
+        auto const& partition = control.partitions[index];
+        auto const leads = partition.committed && partition.is_leader(control.membership.self.identity);
+        auto const synced = [&](std::string const& follower) {
+            auto const found = partition.progress.find(follower);
+            return found != partition.progress.end() && found->second.has >= partition.committed->sequence;
+        };
+        auto const copied = static_cast<std::size_t>(std::count_if(
+            record.followers.begin(), record.followers.end(),
+            [&](auto const& follower) { return lives(follower) && (!leads || synced(follower)); }));
+        auto const members = copied + (lives(record.leader) ? 1U : 0U);
         auto const proven =
             record.term > 0 && control.proof_age(static_cast<int>(index), now) <= control.times.proof_limit;
         borne = proven ? std::min({borne, voters - majority, std::max(members, std::size_t{1}) - 1}) : 0;
@@ -47,4 +60,13 @@
     return borne;
 }
 
+auto LossesBorne::look(Control const& control, Microseconds now) -> void {
+    if (since != 0 && now - looked_at < look_interval) return;
+    looked_at = now;
+    auto const borne = losses_borne(control, now);
+    if (since != 0 && borne == count) return;
+    count = borne;
+    since = now;
+}
+
 }  // namespace dockrock
--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -168,7 +168,6 @@
     std::optional<Proposal> proposal;
     std::map<std::string, Microseconds> silent_since;  // partners that did not take a copy in time
     std::uint64_t highest_round = 0;
-
     auto is_leader(std::string const& self) const -> bool {
         return votes.decided.term > 0 && votes.decided.leader == self;
     }
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -170,6 +170,7 @@
             table.granting.burden.take_digest(node, digest.number, digest.body, now);
     }
     proven_at = control.news[configuration_partition].proven_at;
+    losses_bearable.look(control, now);
     if (output.news) publish_snapshot();
 }
 
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <set>
 
+#include "connection/losses.hpp"
 #include "connection/http_client.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/form.hpp"
@@ -75,6 +76,7 @@
     Transport transport;
     Control control;  // touched only inside control_work
     std::atomic<Microseconds> proven_at{0};
+    LossesBorne losses_bearable;  // looked at inside control_work
     SnapshotHolder snapshot;
     Counters counters;
     Measures measures;
