--- a/source/base/messages.hpp
+++ b/source/base/messages.hpp
@@ -61,17 +61,20 @@
     int partition = 0;
     Record record;
     Microseconds asked_at = 0;
+    std::optional<bool> without_lease;  // too few answers come back in time to make one
 };
 struct LeaseGrant {
     int partition = 0;
     std::uint64_t term = 0;
     Microseconds asked_at = 0;
+    std::optional<bool> withheld;  // an answer that grants nothing
 };
 // groups (design 5)
 struct Heartbeat {
     int partition = 0;
     Record record;
     Sequence sequence;
+    std::optional<bool> without_lease;  // as above
 };
 struct Append {
     int partition = 0;
--- a/source/consensus/voting_and_lease.cpp
+++ b/source/consensus/voting_and_lease.cpp
@@ -65,6 +65,7 @@
     highest_round = 0;
     granted_until = 0;
     grants.clear();
+    heard.clear();
     in_flight = false;
     follow(context.now);
     leader_heard = context.now;
@@ -145,23 +146,37 @@
     }
     if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
     if (votes.accepted || !contains(votes.decided.voters, context.self)) return;
+    if (message.without_lease.value_or(false)) {  // a grant would only hold up a successor (design 5.3)
+        context.sends.push_back({from, LeaseGrant{index, message.record.term, message.asked_at, true}});
+        return;
+    }
     granted_until = context.now + times.grant_duration;
     granted_to = from;
-    context.sends.push_back({from, LeaseGrant{index, message.record.term, message.asked_at}});
+    context.sends.push_back({from, LeaseGrant{index, message.record.term, message.asked_at, std::nullopt}});
 }
 
 auto Partition::on(Context& context, std::string const& from, LeaseGrant const& message) -> void {
     if (message.term != votes.decided.term || !is_leader(context.self) || message.asked_at > context.now) return;
+    auto& answered = heard[from];
+    answered = std::max(answered, message.asked_at);
+    if (message.withheld.value_or(false)) {
+        if (message.asked_at == last_ask) last_ask = 0;  // heard in time: asked again at once
+        return;
+    }
     auto& newest = grants[from];
     newest = std::max(newest, message.asked_at);
     settle(context);
 }
 
 auto Partition::lease_until(std::string const& self) const -> Microseconds {
-    if (!is_leader(self)) return 0;
+    return is_leader(self) ? lease_by(grants) : 0;
+}
+
+// How long a lease lasts that rests on answers to questions asked at these times.
+auto Partition::lease_by(std::map<std::string, Microseconds> const& answers) const -> Microseconds {
     std::vector<Microseconds> asked;
     for (auto const& voter : votes.decided.voters)
-        if (auto const found = grants.find(voter); found != grants.end()) asked.push_back(found->second);
+        if (auto const found = answers.find(voter); found != answers.end()) asked.push_back(found->second);
     auto const needed = blocking_of(votes.decided.voters.size());
     if (asked.size() < needed) return 0;
     std::sort(asked.begin(), asked.end(), std::greater<>());
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -4,9 +4,9 @@
 
 World::World(WorldOptions const& given) : options(given) {
     random.state = given.seed * 7'919 + 13;
-    for (auto index = std::size_t{0}; index < given.cores + given.edges; ++index) {
+    for (auto index = std::size_t{0}; index < given.cores + given.edges + given.replacements; ++index) {
         auto node = std::make_unique<SimulatedNode>();
-        node->core = index < given.cores;
+        node->core = is_core(index);
         node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
         node->area = "area-" + std::to_string(index % given.areas);
         node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
@@ -73,11 +73,15 @@
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
         }
+        if (options.planted_outcomes_lost) {
+            if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->copy.outcomes.clear();
+        }
         if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
         if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
         auto delay = static_cast<Microseconds>(200 + random.below(2'500));
         if (random.below(100) == 0) delay += static_cast<Microseconds>(random.below(200'000));
+        if (auto const slow = slowed.find({index, target}); slow != slowed.end()) delay += slow->second;
         auto const life = nodes[target]->life;
         at(now + delay, [this, index, target, life, identity, message = std::move(send.message), from = node.address] {
             if (cuts.contains({index, target})) return;
@@ -133,35 +137,6 @@
     if (when_killed) when_killed(index);
 }
 
-auto World::freeze(std::size_t index, Microseconds length) -> void {
-    auto& node = *nodes[index];
-    if (!node.running || node.frozen_until > now) return;
-    node.frozen_until = now + length;
-    note("freeze " + node.address + " for " + std::to_string(length / 1'000) + "ms");
-    at(node.frozen_until, [this, index, life = node.life] {
-        auto& later = *nodes[index];
-        if (!later.running || later.life != life) return;
-        auto held = std::move(later.held);
-        later.held.clear();
-        for (auto& work : held) work();
-    });
-}
-
-auto World::isolate(std::size_t index) -> void { split({index}); }
-
-auto World::split(std::vector<std::size_t> const& side) -> void {
-    auto const inside = [&](std::size_t index) { return std::find(side.begin(), side.end(), index) != side.end(); };
-    for (auto from = std::size_t{0}; from < nodes.size(); ++from)
-        for (auto to = std::size_t{0}; to < nodes.size(); ++to)
-            if (inside(from) != inside(to)) cuts.insert({from, to});
-    note("split of " + std::to_string(side.size()));
-}
-
-auto World::heal() -> void {
-    cuts.clear();
-    note("heal");
-}
-
 auto World::leader(int partition) -> std::optional<std::size_t> {
     for (auto index = std::size_t{0}; index < nodes.size(); ++index)
         if (nodes[index]->running && nodes[index]->frozen_until <= now &&
--- a/tests/simulation/world_disk.cpp
+++ b/tests/simulation/world_disk.cpp
@@ -4,8 +4,12 @@
 namespace dockrock::simulation {
 
 namespace {
-auto apply_text(Copy const&, Call const& call) -> ChangeResult {
+constexpr Microseconds planted_lease = 30 * one_second;
+
+// A text that replaces the document, or (operation `patch`) is put behind it.
+auto apply_text(Copy const& current, Call const& call) -> ChangeResult {
     if (call.body.find("bad") != std::string::npos) return {400, "bad", ""};
+    if (call.operation == "patch") return {200, "", current.document + call.body};
     return {200, "", call.body};
 }
 
@@ -42,7 +46,7 @@
     });
 }
 
-// A write that failed may have reached the disk in partition. What it held is kept, and tried again.
+// A write that failed may have reached the disk in part. What it held is kept, and tried again.
 auto World::refuse_saves(std::size_t index) -> void {
     auto& node = *nodes[index];
     auto const batch = node.unsynced;
@@ -100,15 +104,20 @@
     settings.control_address = node.address;
     settings.area = node.area;
     settings.core = with_disk;
-    settings.core_count = options.cores;
+    settings.core_count = options.core_count_told ? options.cores : 0;
     settings.machines_lost = options.losses;
-    for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
+    settings.seeds = node.seeds;
+    for (auto seed = std::size_t{0}; node.seeds.empty() && seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     node.control = Control{};
     node.control.start(
         settings, identity, incarnation, random.next(), with_disk ? node.disk.synced : std::vector<SavedPartition>{},
         had_state, local(node));
-    for (auto& partition : node.control.partitions) partition.apply = apply_text;
+    for (auto& partition : node.control.partitions) {
+        partition.apply = apply_text;
+        if (options.planted_long_lease) partition.times.lease_duration = planted_lease;
+    }
+    if (options.planted_losses_unseen) node.control.membership.times.probe_limit = 3'600 * one_second;
     note("start " + node.address + " " + identity + (node.core && !with_disk ? " without its disk" : ""));
     if (when_started) when_started(index);
     tick(index, node.life);
