--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -8,16 +8,42 @@
     std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void {
     settings = given;
     random.state = seed;
-    membership.self = Member{
-        identity, given.control_address, given.http_address, given.area, given.core, false, false, incarnation, 0};
-    if (given.core && !given.may_form) membership.self.never_forms = true;
     membership.seeds = given.seeds;
+    appear_as(identity, incarnation);
+    load_partitions(saved_parts, had_state, now);
+}
+
+// The old identity is not told to be gone: whoever hears the new one at this address, under a
+// later life, knows it. A disk that held nothing goes on as a new identity, and votes as one.
+auto Control::take_disk(
+    std::string const& identity, std::uint64_t incarnation, std::vector<SavedPartition> const& saved_parts,
+    bool had_state, Microseconds now) -> void {
+    settings.core = true;
+    membership.known.erase(identity);
+    appear_as(identity, std::max(incarnation, membership.self.incarnation + 1));
+    load_partitions(saved_parts, had_state, now);
+}
+
+auto Control::appear_as(std::string const& identity, std::uint64_t incarnation) -> void {
+    auto& self = membership.self;
+    self = Member{};
+    self.identity = identity;
+    self.control_address = settings.control_address;
+    self.http_address = settings.http_address;
+    self.area = settings.area;
+    self.core = settings.core;
+    self.incarnation = incarnation;
+    if (settings.core && !settings.may_form) self.never_forms = true;
+}
+
+auto Control::load_partitions(std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now)
+    -> void {
     for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto& partition = partitions[index];
         partition.index = static_cast<int>(index);
-        partition.core_count = given.core_count;
-        partition.machines_lost = given.machines_lost;
-        partition.claims.life = incarnation;
+        partition.core_count = settings.core_count;
+        partition.machines_lost = settings.machines_lost;
+        partition.claims.life = membership.self.incarnation;
         partition.leader_heard = partition.leader_since = now;
         if (had_state) partition.vote_from = now + partition.times.grant_duration;
     }
@@ -74,16 +100,24 @@
     context.sends.clear();
 }
 
+// Core nodes held alive that don't stop now.
+auto Control::staying_cores() const -> std::vector<Member> {
+    auto cores = membership.alive_members(true);
+    std::erase_if(cores, [](auto const& member) { return member.leaving.value_or(false); });
+    return cores;
+}
+
 auto Control::with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void {
     auto context = Context{
         now,
         membership.self.identity,
         random,
-        [this] { return membership.alive_members(true); },
+        [this] { return staying_cores(); },
         [this](std::string const& identity) { return membership.alive(identity); },
         {},
         {},
         {}};
+    context.leaving = [this](std::string const& identity) { return membership.leaving(identity); };
     work(context);
     drain(context, output);
     while (!loopback.empty()) {  // a node is also a voter to itself, by the same messages
@@ -113,16 +147,7 @@
                 output.digests.emplace_back(from, body);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
                 if (body.call.partition < 0 || body.call.partition >= static_cast<int>(partition_count)) return;
-                auto const& record = best_record(body.call.partition);
-                auto& partition = partitions[static_cast<std::size_t>(body.call.partition)];
-                if (partition.is_leader(membership.self.identity) || body.hops >= 2 ||
-                    record.leader == membership.self.identity) {
-                    with_parts(now, output, [&](Context& context) {
-                        partition.call(context, body.origin, body.token, body.call);
-                    });
-                } else if (auto const leader = membership.address_of(record.leader); !leader.empty()) {
-                    output.sends.push_back({leader, CallForward{body.token, body.hops + 1, body.origin, body.call}});
-                }
+                on_call_forward(now, body, output);
             } else if constexpr (std::is_same_v<Body, ClaimAsk>) {
                 if (body.partition < 0 || body.partition >= static_cast<int>(partition_count) || !settings.core) return;
                 with_parts(now, output, [&](Context& context) {
