A leader tells outcomes of changes only under a lease

What it told was true; but a leader without a lease tells nothing. Change: a flight is settled only under a lease; the next grant settles it.

--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -36,6 +36,7 @@
                 context.sends.push_back({identity, Append{index, votes.decided, flying}});
     }
     if (!all_have(flying.sequence)) return;
+    if (!has_lease(context.self, context.now)) return;  // nothing is told without one; a grant that comes settles it
     committed = flying;
     in_flight = false;
     std::erase_if(waiters, [&](auto const& waiter) {
--- a/tests/partition_test.cpp
+++ b/tests/partition_test.cpp
@@ -34,11 +34,12 @@
     auto lease(Microseconds now) -> void {
         for (auto const& voter : partition.votes.decided.voters) partition.grants[voter] = now;
     }
+    Microseconds now = begun + one_millisecond;
     template <typename Work>
     auto with(Work work) -> void {
         auto const cores = [] { return std::vector<Member>(); };
         auto const alive = [](std::string const&) { return true; };
-        Context context{begun + one_millisecond, self, random, cores, alive, {}, {}, {}, {}};
+        Context context{now, self, random, cores, alive, {}, {}, {}, {}};
         work(partition, context);
         for (auto& item : context.done) done.push_back(std::move(item));
         for (auto& item : context.saves) saves.push_back(std::move(item));
@@ -100,3 +101,15 @@
     leader.ask(3, "outcome", "first");
     CHECK(leader.status_of(3) == 0);
 }
+
+TEST_CASE("a leader that thaws after its lease tells no outcome, until voters grant it one again") {
+    Leader leader({"b"});
+    leader.ask(1, "put", "first");
+    auto const sequence = leader.partition.copy.sequence;
+    leader.now += leader.partition.times.lease_duration;
+    leader.tell("b", Appended{0, 1, sequence});
+    CHECK(leader.status_of(1) == 0);
+    leader.lease(leader.now);
+    leader.tell("b", Appended{0, 1, sequence});
+    CHECK(leader.status_of(1) == 200);
+}
