Changes travel and are logged as differences; a refusal waits for what it rests on

Cause: each change sent the whole copy (document and 512 outcomes) as JSON to each follower and spare and wrote it whole to each disk, so a change's cost grew with the document times the members; documents with the version at their end made news of nearly their whole text. A refusal was told against the leader's uncommitted copy, so a valid change could be refused for one that came to nothing. A new leader took changes under the former term's next sequence until its next tick, which a former leader's disk may hold for another change.

Change: a change is a list of edits, outcomes as increments and a digest, on a named sequence (base/copy_change, shared by flights, spares, the log and the news). The log's limit follows the slot's size. Outcomes are kept for 1,024 changes. News that many ask for are made once. A refusal waits until what it rests on is committed; changes only in the own term's sequences.

--- a/source/base/messages.hpp
+++ b/source/base/messages.hpp
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <variant>
 
-#include "base/records.hpp"
+#include "base/copy_change.hpp"
 
 namespace dockrock {
 
@@ -73,15 +73,21 @@
     Record record;
     Sequence sequence;
 };
-struct Append {
+struct Append {  // a snapshot, for a follower that does not hold what a change builds on
     int partition = 0;
     Record record;
     Copy copy;
 };
+struct AppendChange {
+    int partition = 0;
+    Record record;
+    CopyChange change;
+};
 struct Appended {
     int partition = 0;
     std::uint64_t term = 0;
     Sequence sequence;
+    bool lacks_base = false;  // the change did not fit: a snapshot is wanted
 };
 struct CopyOffer {
     int partition = 0;
@@ -100,15 +106,19 @@
     Record record;
     Copy copy;
 };
+struct SpareChange {
+    int partition = 0;
+    Record record;
+    CopyChange change;
+};
 // news (design 8)
 // A document as news: whole, or what differs from one that the asker holds.
 struct NewsCopy {
     Sequence sequence;
     std::uint64_t digest = 0;  // of the document it makes
     bool whole = true;
-    std::uint64_t front = 0;  // bytes kept of the held document, front and back
-    std::uint64_t back = 0;
-    std::string text;
+    std::string text;  // if whole
+    TextEdits edits;   // if not
 };
 struct NewsAsk {
     int partition = 0;
@@ -208,14 +218,15 @@
 using Message = std::variant<
     Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LeaseRequest, LeaseGrant,
     Heartbeat, Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer,
-    BurdenDigest, ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew>;
+    BurdenDigest, ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew, AppendChange,
+    SpareChange>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
-    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",     "accept",
-     "accepted",     "refusal",      "decided",     "lease-request", "lease-grant", "heartbeat",
-     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer", "news-ask",
-     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",   "claim-answer",
-     "claim-flight", "claim-flown",  "anew-ask",    "anew-answer",   "form-anew"});
+    {"probe",         "probe-answer",  "probe-for",     "prepare",      "promise",     "accept",       "accepted",
+     "refusal",       "decided",       "lease-request", "lease-grant",  "heartbeat",   "append",       "appended",
+     "copy-offer",    "copy-taken",    "spare-offer",   "news-ask",     "news-answer", "call-forward", "call-answer",
+     "burden-digest", "claim-ask",     "claim-answer",  "claim-flight", "claim-flown", "anew-ask",     "anew-answer",
+     "form-anew",     "append-change", "spare-change"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
 auto write_message(Message const& message) -> std::string;
--- a/source/base/messages_adapted.hpp
+++ b/source/base/messages_adapted.hpp
@@ -14,11 +14,13 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::LeaseGrant, partition, term, asked_at);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Heartbeat, partition, record, sequence);
 BOOST_HANA_ADAPT_STRUCT(dockrock::Append, partition, record, copy);
-BOOST_HANA_ADAPT_STRUCT(dockrock::Appended, partition, term, sequence);
+BOOST_HANA_ADAPT_STRUCT(dockrock::AppendChange, partition, record, change);
+BOOST_HANA_ADAPT_STRUCT(dockrock::Appended, partition, term, sequence, lacks_base);
 BOOST_HANA_ADAPT_STRUCT(dockrock::CopyOffer, partition, record, ballot, copy, claims);
 BOOST_HANA_ADAPT_STRUCT(dockrock::CopyTaken, partition, term, ballot);
 BOOST_HANA_ADAPT_STRUCT(dockrock::SpareOffer, partition, record, copy);
-BOOST_HANA_ADAPT_STRUCT(dockrock::NewsCopy, sequence, digest, whole, front, back, text);
+BOOST_HANA_ADAPT_STRUCT(dockrock::SpareChange, partition, record, change);
+BOOST_HANA_ADAPT_STRUCT(dockrock::NewsCopy, sequence, digest, whole, text, edits);
 BOOST_HANA_ADAPT_STRUCT(dockrock::NewsAsk, partition, token, term, have, live_digest, live_age, whole);
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::NewsAnswer, partition, token, record, proven, age, sequence, copy, live_digest, live, live_age);
--- a/source/base/records.hpp
+++ b/source/base/records.hpp
@@ -31,6 +31,7 @@
     std::string identity;
     Sequence sequence;
     std::uint64_t digest = 0;
+    auto operator==(Outcome const&) const -> bool = default;
 };
 struct Copy {
     Sequence sequence;
--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -6,13 +6,18 @@
 namespace dockrock {
 
 namespace {
-constexpr auto outcomes_kept = std::size_t{512};
+constexpr auto outcomes_kept = std::size_t{1024};
 constexpr auto queue_limit = std::size_t{256};
 constexpr Microseconds queued_limit = 2'500 * one_millisecond;
 
 auto error_body(std::string_view what) -> std::string {
     return json::serialize(json::object{{"error", json::string_view(what.data(), what.size())}});
 }
+
+// Of a change that is wrong by itself no version is told.
+auto etag_told(int status, Sequence const& sequence) -> std::string {
+    return status == 200 || status == 412 ? etag_of(sequence) : std::string();
+}
 }  // namespace
 
 auto Partition::fly(Context& context) -> void {
@@ -20,27 +25,40 @@
     // never give one sequence to two changes (design 5.4).
     in_flight = true;
     flying = copy;
+    flying_change.reset();
+    if (last_change && committed && last_change->base == committed->sequence && last_change->sequence == copy.sequence)
+        flying_change = last_change;
+    else if (committed && committed->sequence < copy.sequence) flying_change = change_between(*committed, flying);
+    for (auto& [identity, follower] : progress) follower.lacks_base = false;
     flown_at = context.now;
     sent_flight = false;
     settle(context);
 }
 
+auto Partition::send_flight(Context& context) -> void {
+    for (auto const& [identity, follower] : progress) {
+        if (follower.has >= flying.sequence) continue;
+        if (flying_change && !follower.lacks_base)
+            context.sends.push_back({identity, AppendChange{index, votes.decided, *flying_change}});
+        else context.sends.push_back({identity, Append{index, votes.decided, flying}});
+    }
+}
+
 auto Partition::settle(Context& context) -> void {
     if (!in_flight || !is_leader(context.self) || votes.sealed >= votes.decided.term) return;
     if (synced < flying.sequence) return;
     if (!sent_flight) {
         sent_flight = true;
         flown_at = context.now;
-        for (auto const& [identity, follower] : progress)
-            if (follower.has < flying.sequence)
-                context.sends.push_back({identity, Append{index, votes.decided, flying}});
+        send_flight(context);
     }
     if (!all_have(flying.sequence)) return;
     committed = flying;
     in_flight = false;
     std::erase_if(waiters, [&](auto const& waiter) {
         if (waiter.sequence > committed->sequence) return false;
-        context.done.push_back({waiter.origin, waiter.token, 200, waiter.body, etag_of(waiter.sequence)});
+        context.done.push_back(
+            {waiter.origin, waiter.token, waiter.status, waiter.body, etag_told(waiter.status, waiter.sequence)});
         return true;
     });
     if (copy.sequence > committed->sequence) fly(context);
@@ -60,8 +78,12 @@
 }
 
 auto Partition::take_queued(Context& context) -> void {
-    auto const ready = committed && votes.sealed < votes.decided.term && has_lease(context.self, context.now);
-    auto const before = copy.sequence;
+    if (queued.empty()) return;
+    // Only in the term's own sequences: in those of the term before, a former leader may
+    // have given the next one to a change that was never acknowledged.
+    auto const ready = committed && copy.sequence.term == votes.decided.term && votes.sealed < votes.decided.term &&
+        has_lease(context.self, context.now);
+    auto before = std::optional<Copy>();
     auto pending = std::move(queued);
     queued.clear();
     for (auto& item : pending) {
@@ -71,18 +93,19 @@
         auto const own_term = committed && committed->sequence.term == votes.decided.term;
         auto const readable =
             committed && has_lease(context.self, context.now) && (own_term || item.call.operation == "get");
-        if (reads ? readable : ready) change(context, item);
+        if (reads ? readable : ready) change(context, item, before);
         else if (context.now - item.since > queued_limit)
             context.done.push_back(
                 {item.origin, item.token, 503, error_body("no leased leader now; nothing was changed"), ""});
         else queued.push_back(std::move(item));
     }
-    if (copy.sequence == before) return;
-    save(context, true, {});
+    if (!before) return;
+    last_change = change_between(*before, copy);
+    save_change(context, last_change, {});
     if (!in_flight) fly(context);
 }
 
-auto Partition::change(Context& context, Queued const& item) -> void {
+auto Partition::change(Context& context, Queued const& item, std::optional<Copy>& before) -> void {
     auto const& asked = item.call;
     auto const answer = [&](int status, std::string body, std::string etag) {
         context.done.push_back({item.origin, item.token, status, std::move(body), std::move(etag)});
@@ -117,19 +140,25 @@
             return answer(422, error_body("this change identity was used for another change"), "");
         if (done->sequence <= committed->sequence)
             return answer(200, accepted_body(done->sequence), etag_of(done->sequence));
-        waiters.push_back({item.origin, item.token, done->sequence, accepted_body(done->sequence), context.now});
+        waiters.push_back({item.origin, item.token, done->sequence, 200, accepted_body(done->sequence), context.now});
         return;
     }
+    // Refused only by what is committed: an earlier change may yet come to nothing.
+    auto const refuse = [&](int status, std::string body) {
+        if (copy.sequence <= committed->sequence)
+            return answer(status, std::move(body), etag_told(status, copy.sequence));
+        waiters.push_back({item.origin, item.token, copy.sequence, status, std::move(body), context.now});
+    };
     if (!asked.if_match.empty() && asked.if_match != "*" && asked.if_match != etag_of(copy.sequence))
-        return answer(
-            412, error_body("the configuration has moved on; nothing was changed"), etag_of(committed->sequence));
+        return refuse(412, error_body("the configuration has moved on; nothing was changed"));
     auto result = apply(copy, asked);
-    if (result.status != 200) return answer(result.status, std::move(result.body), "");
+    if (result.status != 200) return refuse(result.status, std::move(result.body));
+    if (!before) before = copy;
     copy.document = std::move(result.document);
     ++copy.sequence.number;
     copy.outcomes.push_back({asked.identity, copy.sequence, digest});
     if (copy.outcomes.size() > outcomes_kept) copy.outcomes.erase(copy.outcomes.begin());
-    waiters.push_back({item.origin, item.token, copy.sequence, accepted_body(copy.sequence), context.now});
+    waiters.push_back({item.origin, item.token, copy.sequence, 200, accepted_body(copy.sequence), context.now});
 }
 
 }  // namespace dockrock
--- a/source/consensus/leader_and_follower.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -16,6 +16,8 @@
 
 auto Partition::step_down(Context& context) -> void {
     committed.reset();
+    offered.reset();
+    offered_change.reset();
     in_flight = false;
     for (auto const& waiter : waiters)
         context.done.push_back(
@@ -76,20 +78,17 @@
             context.sends.push_back({voter, LeaseRequest{index, record, context.now}});
         for (auto const& follower : record.followers)
             context.sends.push_back({follower, Heartbeat{index, record, copy.sequence}});
-        if (committed && context.now - last_spare > times.spare_interval) {  // the sweep for old spare copies
-            last_spare = context.now;
-            for (auto const& member : context.cores())
-                if (!record.has_member(member.identity))
-                    context.sends.push_back({member.identity, Heartbeat{index, record, committed->sequence}});
-        }
+        if (committed && context.now - last_spare > times.spare_interval) sweep_spares(context);
     }
     auto const leased = has_lease(context.self, context.now);
     if (leased) leader_since = context.now;
     auto const sealed_now = votes.sealed >= record.term;
     if (!sealed_now && leased && !in_flight) {
         if (copy.sequence.term < record.term) {
-            copy.sequence = Sequence{record.term, copy.sequence.number + 1};
-            save(context, true, {});
+            auto const fresh = Sequence{record.term, copy.sequence.number + 1};
+            last_change = CopyChange{copy.sequence, fresh, text_digest(copy.document), {}, 0, {}};
+            copy.sequence = fresh;
+            save_change(context, last_change, {});
             fly(context);
         } else if (!committed) {
             fly(context);
@@ -186,10 +185,28 @@
     context.sends.push_back({from, Appended{index, votes.decided.term, synced}});
 }
 
+auto Partition::takes_appends(std::string const& from, std::string const& self, Record const& record) const -> bool {
+    auto const follows = votes.decided == record && from == record.leader && record.has_follower(self);
+    return follows && healthy && votes.sealed < record.term;
+}
+
+// A change that does not fit is not taken: the leader is told and sends the snapshot.
+auto Partition::on(Context& context, std::string const& from, AppendChange const& message) -> void {
+    learn(context, message.record);
+    if (!takes_appends(from, context.self, message.record)) return;
+    leader_heard = context.now;
+    auto const& change = message.change;
+    auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.term, change.sequence}};
+    if (change.sequence <= synced) return context.sends.push_back(reply);
+    if (change.sequence <= copy.sequence) return;  // being synced
+    if (!apply_change(copy, change))
+        return context.sends.push_back({from, Appended{index, votes.decided.term, synced, true}});
+    save_change(context, change, {reply});
+}
+
 auto Partition::on(Context& context, std::string const& from, Append const& message) -> void {
     learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
-    if (!votes.decided.has_follower(context.self) || votes.sealed >= votes.decided.term) return;
+    if (!takes_appends(from, context.self, message.record)) return;
     leader_heard = context.now;
     auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.term, message.copy.sequence}};
     if (message.copy.sequence > copy.sequence) {
@@ -203,23 +220,17 @@
 auto Partition::on(Context& context, std::string const& from, Appended const& message) -> void {
     if (!is_leader(context.self) || message.term != votes.decided.term) return;
     if (!votes.decided.has_follower(from)) {
-        if (committed && message.sequence != committed->sequence)
-            context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
+        offer_spare(context, from, message);
         return;
     }
     auto& follower = progress[from];
     follower.heard = context.now;
     follower.has = std::max(follower.has, message.sequence);
+    if (message.lacks_base && in_flight && sent_flight && follower.has < flying.sequence) {
+        follower.lacks_base = true;
+        context.sends.push_back({from, Append{index, votes.decided, flying}});
+    }
     settle(context);
 }
 
-auto Partition::on(Context& context, std::string const& from, SpareOffer const& message) -> void {
-    learn(context, message.record);
-    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
-    if (votes.decided.has_follower(context.self) || message.copy.sequence == copy.sequence) return;
-    if (votes.sealed >= votes.decided.term) return;  // the copy it took for the next term stays (design 5.8)
-    copy = message.copy;
-    save(context, true, {});
-}
-
 }  // namespace dockrock
--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "consensus/claims.hpp"
+#include "consensus/saved_partition.hpp"
 
 namespace dockrock {
 
@@ -24,43 +25,6 @@
     Microseconds frozen_gap = 400 * one_millisecond;
 };
 
-// What is on disk for a partition; nothing else survives (design 6).
-struct Votes {
-    Record decided;
-    Ballot promised;
-    Ballot accepted_ballot;
-    std::optional<Record> accepted;
-    std::uint64_t sealed = 0;  // this node takes no further partition as member of groups of terms up to here
-};
-struct SavedPartition {
-    int partition = 0;
-    Votes votes;
-    std::optional<Copy> copy;   // only where it changed
-    std::string claims;         // lines that came since (design 10.5)
-    bool claims_whole = false;  // or all there are
-};
-
-struct IdentifiedMessage {
-    std::string identity;
-    Message message;
-};
-
-// What the disk holds of a partition, and a later save on top of it.
-inline auto merge_saved(SavedPartition& into, SavedPartition const& from) -> void {
-    into.votes = from.votes;
-    if (from.copy) into.copy = from.copy;
-    if (from.claims_whole) into.claims = from.claims;
-    else into.claims += from.claims;
-}
-
-// Written through to the disk; `after` is sent only once it is synced.
-struct Save {
-    std::uint64_t token = 0;
-    SavedPartition saved;
-    std::vector<IdentifiedMessage> after;
-    std::optional<Sequence> copy_sequence;
-};
-
 struct CallDone {
     std::string origin;
     std::uint64_t token = 0;
@@ -96,9 +60,11 @@
     PartitionTimes times;
     ApplyChange apply;
     Votes votes;
-    Copy copy;                      // newest held, may be uncommitted
-    Sequence synced;                // of `copy`, what is on the disk
-    std::optional<Copy> committed;  // only on the leader, once proven
+    Copy copy;                       // newest held, may be uncommitted
+    Sequence synced;                 // of `copy`, what is on the disk
+    std::optional<Sequence> logged;  // of the copy last given to the disk: a change is logged on top of that alone
+    std::optional<CopyChange> last_change;  // that made `copy`
+    std::optional<Copy> committed;          // only on the leader, once proven
     ClaimTable claims;
     bool healthy = true;         // the disk answers
     Microseconds vote_from = 0;  // a restarted voter waits out one full grant
@@ -115,17 +81,22 @@
     bool in_flight = false;
     bool sent_flight = false;
     Copy flying;
+    std::optional<CopyChange> flying_change;  // on top of what was committed before; else the snapshot is sent
     Microseconds flown_at = 0;
     struct FollowerProgress {
         Microseconds heard = 0;
         Sequence has;
+        bool lacks_base = false;  // the change did not fit what it holds
     };
     std::map<std::string, FollowerProgress> progress;  // the followers of the decided record
     Microseconds last_spare = 0;
+    std::optional<Copy> offered;               // to spares: what was committed at the last sweep
+    std::optional<CopyChange> offered_change;  // on top of what was offered before
     struct Waiter {
         std::string origin;
         std::uint64_t token = 0;
-        Sequence sequence;
+        Sequence sequence;  // told once this is committed
+        int status = 200;
         std::string body;
         Microseconds since = 0;
     };
@@ -194,10 +165,12 @@
     auto on(Context&, std::string const& from, LeaseGrant const&) -> void;
     auto on(Context&, std::string const& from, Heartbeat const&) -> void;
     auto on(Context&, std::string const& from, Append const&) -> void;
+    auto on(Context&, std::string const& from, AppendChange const&) -> void;
     auto on(Context&, std::string const& from, Appended const&) -> void;
     auto on(Context&, std::string const& from, CopyOffer const&) -> void;
     auto on(Context&, std::string const& from, CopyTaken const&) -> void;
     auto on(Context&, std::string const& from, SpareOffer const&) -> void;
+    auto on(Context&, std::string const& from, SpareChange const&) -> void;
     auto on(Context&, std::string const& from, ClaimFlight const&) -> void;
     auto on(Context&, std::string const& from, ClaimFlown const&) -> void;
     auto claim(Context& context, std::string const& origin, ClaimAsk const& ask) -> void;
@@ -206,6 +179,9 @@
 
    private:
     auto save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t;
+    auto save_change(Context& context, std::optional<CopyChange> change, std::vector<IdentifiedMessage> after)
+        -> std::uint64_t;
+    auto give_to_disk(Context& context, SavedPartition saved, std::vector<IdentifiedMessage> after) -> std::uint64_t;
     auto may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool;
     auto disk_late(Microseconds now) const -> bool;
     auto step_down(Context& context) -> void;
@@ -218,9 +194,14 @@
     auto pass_over(Context& context) -> void;
     auto send_proposal(Context& context) -> void;
     auto fly(Context& context) -> void;
+    auto send_flight(Context& context) -> void;
+    auto sweep_spares(Context& context) -> void;
+    auto offer_spare(Context& context, std::string const& spare, Appended const& answer) -> void;
+    auto takes_offers(std::string const& from, std::string const& self, Record const& record) const -> bool;
+    auto takes_appends(std::string const& from, std::string const& self, Record const& record) const -> bool;
     auto settle(Context& context) -> void;
     auto take_queued(Context& context) -> void;
-    auto change(Context& context, Queued const& item) -> void;
+    auto change(Context& context, Queued const& item, std::optional<Copy>& before) -> void;  // `before` it was changed
     auto answer_claim(Context& context, std::string const& origin, std::uint64_t token, ClaimState state) -> void;
     auto push_claims(Context& context) -> void;
     auto save_claims(Context& context, std::string text, std::vector<IdentifiedMessage> after) -> std::uint64_t;
@@ -241,6 +222,3 @@
 inline auto blocking_of(std::size_t count) -> std::size_t { return count - majority_of(count) + 1; }
 
 }  // namespace dockrock
-
-BOOST_HANA_ADAPT_STRUCT(dockrock::Votes, decided, promised, accepted_ballot, accepted, sealed);
-BOOST_HANA_ADAPT_STRUCT(dockrock::SavedPartition, partition, votes, copy, claims, claims_whole);
--- a/source/consensus/voting_and_lease.cpp
+++ b/source/consensus/voting_and_lease.cpp
@@ -12,14 +12,28 @@
 }  // namespace
 
 auto Partition::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t {
+    SavedPartition state;
+    if (with_copy) state.copy = copy;
+    return give_to_disk(context, std::move(state), std::move(after));
+}
+
+// Where the disk was last given another copy than the change builds on, the whole one is written.
+auto Partition::save_change(Context& context, std::optional<CopyChange> change, std::vector<IdentifiedMessage> after)
+    -> std::uint64_t {
+    if (!change || change->base != logged) return save(context, true, std::move(after));
+    SavedPartition state;
+    state.change = std::move(change);
+    return give_to_disk(context, std::move(state), std::move(after));
+}
+
+auto Partition::give_to_disk(Context& context, SavedPartition state, std::vector<IdentifiedMessage> after)
+    -> std::uint64_t {
     Save request;
     request.token = context.random.next() | 1U;
+    if (state.copy || state.change) request.copy_sequence = logged = copy.sequence;
+    request.saved = std::move(state);
     request.saved.partition = index;
     request.saved.votes = votes;
-    if (with_copy) {
-        request.saved.copy = copy;
-        request.copy_sequence = copy.sequence;
-    }
     request.after = std::move(after);
     auto& [since, kept] = saving[request.token];
     since = context.now;
--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -30,6 +30,7 @@
         if (saved_part.copy) {
             partition.copy = *saved_part.copy;
             partition.synced = partition.copy.sequence;
+            partition.logged = partition.copy.sequence;
         }
     }
     membership.self.knows_fleet = knows_fleet();
--- a/source/control/control_anew.cpp
+++ b/source/control/control_anew.cpp
@@ -116,6 +116,7 @@
         for (auto index = std::size_t{0}; index < partition_count; ++index) {
             auto& partition = partitions[index];
             partition.copy = {order.partitions[index].sequence, order.partitions[index].document, {}};
+            partition.logged.reset();  // the disk holds another
             partition.learn(context, Record{order.term, "", {}, order.voters});
         }
     });
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -40,7 +40,7 @@
 
 auto Control::answer_news(
     Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
-    auto const& item = news[static_cast<std::size_t>(ask.partition)];
+    auto& item = news[static_cast<std::size_t>(ask.partition)];
     auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
     auto const newer = item.copy.sequence > ask.have || list_newer || item.record.term > ask.term;
     if (may_wait && !newer && leads(ask.partition, now)) {
@@ -55,8 +55,8 @@
     answer.age = now - item.proven_at;
     answer.sequence = item.copy.sequence;
     if (item.copy.sequence > ask.have) {
-        answer.copy = copy_for(item, ask);
-        news_bytes += answer.copy->text.size();
+        answer.copy = copy_told(item, ask);
+        news_bytes += answer.copy->text.size() + size_of(answer.copy->edits);
         news_bytes_whole += item.copy.document.size();
     }
     answer.live_digest = item.live_digest;
--- a/source/control/partition_news.hpp
+++ b/source/control/partition_news.hpp
@@ -12,6 +12,7 @@
     Record record;
     Copy copy;                                          // elsewhere than at the leader without outcomes
     std::deque<std::pair<Sequence, std::string>> past;  // documents held before, for differences
+    std::optional<std::pair<Sequence, NewsCopy>> told;  // the last difference, and what it builds on
     bool whole_wanted = false;                          // a difference did not fit
     Microseconds proven_at = -3'600 * one_second;
     std::string live;  // the replica list, or the word of the partition's leader; told apart by its digest
@@ -27,6 +28,8 @@
 auto digest_of(std::string_view text) -> std::uint64_t;
 // Whole, or as the difference from what the asker holds, whichever is smaller.
 auto copy_for(PartitionNews const& item, NewsAsk const& ask) -> NewsCopy;
+// The same; the difference that many ask for is made once.
+auto copy_told(PartitionNews& item, NewsAsk const& ask) -> NewsCopy;
 // The document it makes; nothing where it does not fit what is held.
 auto apply_news(PartitionNews const& item, NewsCopy const& news) -> std::optional<std::string>;
 auto remember(PartitionNews& item) -> void;
--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -123,14 +123,6 @@
 
 }  // namespace
 
-auto Storage::apply(SavedPartition const& saved) -> void {
-    for (auto& partition : state.partitions) {
-        if (partition.partition != saved.partition) continue;
-        return merge_saved(partition, saved);
-    }
-    state.partitions.push_back(saved);
-}
-
 auto Storage::open(std::filesystem::path const& where) -> LoadResult {
     folder = where;
     std::error_code failure;
@@ -149,6 +141,7 @@
     auto const loaded = read_as<StoredState>(newest->body);
     if (!loaded) return LoadResult::damaged;
     state = *loaded;
+    slot_size = newest->body.size();
     generation = newest->generation;
     auto const bytes = read_file(folder / "log");
     auto view = std::string_view(bytes);
@@ -165,7 +158,7 @@
         if (entry->generation < generation) continue;
         auto const saved = read_as<SavedPartition>(entry->body);
         if (!saved) return LoadResult::damaged;
-        apply(*saved);
+        if (!take_saved(state.partitions, *saved)) return LoadResult::damaged;
     }
     return LoadResult::loaded;
 }
@@ -196,6 +189,7 @@
     if (descriptor < 0) return false;
     tell(FileEvent::Kind::truncated, name);
     auto const bytes = seal(generation, json::serialize(write_json(state)));
+    slot_size = bytes.size();
     auto const good = write_all(descriptor, bytes);
     if (good) tell(FileEvent::Kind::written, name, bytes);
     auto const synced = good && ::fsync(descriptor) == 0;
@@ -220,7 +214,7 @@
     if (broken) return false;
     std::string bytes;
     for (auto const& saved : batch) {
-        apply(saved);
+        if (!take_saved(state.partitions, saved)) return broken = true, false;
         bytes += seal(generation, json::serialize(write_json(saved)));
     }
     // One write and one sync for all that waited; a failure is final.
@@ -229,7 +223,7 @@
     broken = broken || ::fdatasync(log_descriptor) != 0;
     if (!broken) tell(FileEvent::Kind::synced, "log");
     log_size += bytes.size();
-    if (!broken && log_size > log_most) broken = !write_slot();
+    if (!broken && log_size > std::max(log_most, 2 * slot_size)) broken = !write_slot();
     return !broken;
 }
 
--- a/source/process/storage.hpp
+++ b/source/process/storage.hpp
@@ -31,7 +31,8 @@
     std::uint64_t generation = 0;
     int log_descriptor = -1;
     std::size_t log_size = 0;
-    std::size_t log_most = std::size_t{1} << 20U;  // then the next slot is written
+    std::size_t log_most = std::size_t{1} << 20U;  // or twice the newest slot: then the next one is written
+    std::size_t slot_size = 0;
     std::function<void(FileEvent const&)> watch;
     bool broken = false;  // a write or sync failed: never written again
 
@@ -41,7 +42,6 @@
     auto close() -> void;
 
    private:
-    auto apply(SavedPartition const& saved) -> void;
     auto write_slot() -> bool;
     auto open_log(bool truncate) -> bool;
     auto tell(FileEvent::Kind kind, std::string const& file, std::string_view bytes = {}) const -> void;
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -29,10 +29,12 @@
           std::string(20'000, 'a'), std::string(), base + base}) {
         auto const news = copy_for(next_of(asker, fresh), ask);
         CHECK(apply_news(asker, news) == fresh);
-        CHECK(news.text.size() <= fresh.size());
+        CHECK(news.text.size() + size_of(news.edits) <= fresh.size());
     }
     CHECK_FALSE(copy_for(next_of(asker, base + "tail"), ask).whole);
-    CHECK(copy_for(next_of(asker, base + "tail"), ask).text == "tail");
+    auto const appended = copy_for(next_of(asker, base + "tail"), ask).edits;
+    REQUIRE(appended.size() == 1);
+    CHECK(appended.front().put == "tail");
     ask.whole = true;
     CHECK(copy_for(next_of(asker, base + "tail"), ask).whole);
     ask.whole = false;
@@ -50,7 +52,7 @@
     CHECK_FALSE(apply_news(held(std::string(1'000, 'x')), news).has_value());
     CHECK_FALSE(apply_news(held(std::string(10, 'a')), news).has_value());
     auto bad = news;
-    bad.front = ~std::uint64_t{0};
+    bad.edits.front().kept = ~std::uint64_t{0};
     CHECK_FALSE(apply_news(held(std::string(1'000, 'a')), bad).has_value());
 }
 
--- a/tests/simulation/planted.cpp
+++ b/tests/simulation/planted.cpp
@@ -12,6 +12,11 @@
         from = flight->record.followers.back();
         answer = Appended{flight->partition, flight->record.term, flight->copy.sequence};
     }
+    if (auto const* flight = std::get_if<AppendChange>(&send.message);
+        flight != nullptr && options.planted_copy_short) {
+        from = flight->record.followers.back();
+        answer = Appended{flight->partition, flight->record.term, flight->change.sequence};
+    }
     if (auto const* offer = std::get_if<CopyOffer>(&send.message);
         offer != nullptr && options.planted_partner_not_given) {
         auto const& machine = nodes[index]->control.partitions[static_cast<std::size_t>(offer->partition)];
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -71,12 +71,15 @@
 
 auto World::act(std::size_t index, ControlOutput output) -> void {
     unchecked = true;
+    if (when_acting) when_acting(index, output);
     auto& node = *nodes[index];
     auto const identity = node.control.membership.self.identity;
     for (auto& send : output.sends) {
         auto const target = index_of(send.address);
         if (auto const* spare = std::get_if<SpareOffer>(&send.message)) copy_bytes += spare->copy.document.size();
+        if (auto const* spare = std::get_if<SpareChange>(&send.message)) copy_bytes += size_of(spare->change.edits);
         if (auto const* flight = std::get_if<Append>(&send.message)) copy_bytes += flight->copy.document.size();
+        if (auto const* change = std::get_if<AppendChange>(&send.message)) copy_bytes += size_of(change->change.edits);
         if (auto const* offer = std::get_if<CopyOffer>(&send.message)) copy_bytes += offer->copy.document.size();
         if (options.planted_claims_not_copied) {
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
@@ -134,11 +137,8 @@
         auto const good = !later.disk.broken;
         for (auto const& save : batch) {
             if (!good) break;
-            auto const found = std::find_if(
-                later.disk.synced.begin(), later.disk.synced.end(),
-                [&](auto const& partition) { return partition.partition == save.saved.partition; });
-            if (found == later.disk.synced.end()) later.disk.synced.push_back(save.saved);
-            else merge_saved(*found, save.saved);
+            if (!take_saved(later.disk.synced, save.saved))
+                violation(later.address + " logged a change of a copy that its disk does not hold");
         }
         for (auto const& save : batch)
             on_node(index, life, [this, index, good, token = save.token] {
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -77,6 +77,7 @@
     std::function<void(std::size_t)> when_started;
     std::function<void(std::size_t)> when_ticked;
     std::function<void(std::size_t)> when_killed;
+    std::function<void(std::size_t, ControlOutput const&)> when_acting;  // before anything is sent or saved
     std::function<void(std::size_t, ControlOutput const&)> when_acted;
     std::uint64_t copy_bytes = 0;  // of whole copies sent: to followers, partners and spares
     std::uint64_t events_run = 0;
