Operators of a relaying fleet are answered within a second; races of operators proven

Cause: a call was held up to 2.5 s (4 s once it was sent on), then answered 503 or a 504 without Retry-After; operators turn to another node after a second of silence.

Change: 0.85 s and half a second for each MiB of the body, sent on again after 0.25 s; what is not known is told as 503 with Retry-After, and the same call, sent again, finds what became of it. Tests: eight orders at once, whole and patches, many with one number, answers lost, any order sent again at any node through kills, cuts, freezes and restarts of all: one winner for each version and none that was taken refused.

--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -65,6 +65,7 @@
     }
     auto const reads = call.operation == "get";
     auto done = co_await node_call(node, std::move(call));
+    if (done.status == 504) done.status = 503;  // not known: the same call, sent again, finds what became of it
     if (reads && done.status == 200 && done.body.empty())
         co_return response_of(request, 404, error_text("no configuration yet"));
     co_return response_of(request, done.status, std::move(done.body));
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -43,10 +43,17 @@
     Microseconds call_limit = 4 * one_second;
     Microseconds call_unsent_limit = 2'500 * one_millisecond;
     Microseconds call_resend = 700 * one_millisecond;
+    Microseconds call_each_mebibyte = 500 * one_millisecond;  // of a body, on top of each of the three
     Microseconds claim_limit = 4 * one_second;
     Microseconds claim_resend = 150 * one_millisecond;
 };
 
+// For operators that turn to another node after a second of silence.
+inline auto limit_calls(NewsTimes& times) -> void {
+    times.call_limit = times.call_unsent_limit = 850 * one_millisecond;
+    times.call_resend = 250 * one_millisecond;
+}
+
 struct ClaimDone {
     std::uint64_t local_token = 0;
     ClaimState state = ClaimState::not_here;  // not_here: its fate is not known
--- a/source/control/control_calls.cpp
+++ b/source/control/control_calls.cpp
@@ -3,6 +3,13 @@
 
 namespace dockrock {
 
+namespace {
+// Large bodies take their time on the way and to be read.
+auto allowance_for(Call const& call, NewsTimes const& times) -> Microseconds {
+    return static_cast<Microseconds>(call.body.size()) * times.call_each_mebibyte / (Microseconds{1} << 20U);
+}
+}  // namespace
+
 auto Control::call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput {
     ControlOutput output;
     auto const token = random.next() | 1U;
@@ -54,8 +61,9 @@
     for (auto const& [token, pending] : calls) {
         auto const reads = pending.call.operation == "get" || pending.call.operation == "outcome";
         auto const limit = pending.outstanding > 0 && !reads ? times.call_limit : times.call_unsent_limit;
-        if (now - pending.since > limit) over.push_back(token);
-        else if (now - pending.sent_at > times.call_resend) due.push_back(token);
+        auto const more = allowance_for(pending.call, times);
+        if (now - pending.since > limit + more) over.push_back(token);
+        else if (now - pending.sent_at > times.call_resend + more) due.push_back(token);
     }
     for (auto token : over) {
         auto const& pending = calls.at(token);
--- a/source/process/node_reload.cpp
+++ b/source/process/node_reload.cpp
@@ -26,6 +26,7 @@
         auto const limits = proof_limits_of(bounds);
         granting.proof_limit = control.times.proof_limit = limits.entry;
         granting.proof_shed_limit = control.times.shed_limit = limits.shed;
+        limit_calls(control.times);
     }
     if (!settings_file.empty()) settings_time = time_of(settings_file);
     settings_looked = clock_now();
