--- a/source/control/control_calls.cpp
+++ b/source/control/control_calls.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 constexpr auto most_hops = 2;
+// Large bodies take their time on the way and to be read.
+auto allowance_for(Call const& call, NewsTimes const& times) -> Microseconds {
+    return static_cast<Microseconds>(call.body.size()) * times.call_each_mebibyte / (Microseconds{1} << 20U);
+}
 }  // namespace
 
 auto Control::call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput {
@@ -112,9 +116,10 @@
         auto const sent = pending.outstanding > 0 && !reads;
         auto const unsent_limit =
             out_of_contact(now, pending.call.partition) ? times.call_refused_limit : times.call_unsent_limit;
-        auto const limit = sent ? times.call_limit : unsent_limit;
+        auto const more = allowance_for(pending.call, times);
+        auto const limit = (sent ? times.call_limit : unsent_limit) + more;
         if (now - pending.since > limit) over.push_back(token);
-        else if (now - pending.sent_at > times.call_resend) due.push_back(token);
+        else if (now - pending.sent_at > times.call_resend + more) due.push_back(token);
     }
     for (auto token : over) {
         auto const& pending = calls.at(token);
--- a/source/process/storage.cpp
+++ b/source/process/storage.cpp
@@ -47,14 +47,6 @@
 
 }  // namespace
 
-auto Storage::apply(SavedPartition const& saved) -> void {
-    for (auto& partition : state.partitions) {
-        if (partition.partition != saved.partition) continue;
-        return merge_saved(partition, saved);
-    }
-    state.partitions.push_back(saved);
-}
-
 // Entries of older generations are passed over, a torn tail is cut. Good entries behind a bad
 // one, or of a generation whose slot is lost, mean damage: false. A log opens with an empty
 // entry, written once its slot was synced.
@@ -74,7 +66,7 @@
         if (entry->body.empty()) continue;
         auto const saved = read_as<SavedPartition>(entry->body);
         if (!saved) return false;
-        apply(*saved);
+        if (!take_saved(state.partitions, *saved)) return false;
     }
     return true;
 }
@@ -106,6 +98,7 @@
     auto const loaded = read_as<StoredState>(newest->body);
     if (!loaded) return LoadResult::damaged;
     state = *loaded;
+    slot_size = newest->body.size();
     auto headed = false;
     for (auto const& log : logs)
         if (!apply_log(log, newest->generation, headed)) return LoadResult::damaged;
@@ -168,6 +161,7 @@
     auto const descriptor = open_empty(name);
     if (descriptor < 0) return false;
     auto const bytes = seal(next, json::serialize(write_json(state)));
+    slot_size = bytes.size();
     auto const synced = append(descriptor, name, bytes) && sync(descriptor, name);
     ::close(descriptor);
     if (!synced || !sync_folder()) return false;
@@ -187,6 +181,7 @@
 }
 
 auto Storage::repair() -> bool {
+    if (inconsistent) return false;
     if (broken) broken = !write_slot();
     return !broken;
 }
@@ -195,14 +190,17 @@
 auto Storage::write(std::vector<SavedPartition> const& batch) -> bool {
     std::string bytes;
     for (auto const& saved : batch) {
-        apply(saved);
+        if (!take_saved(state.partitions, saved)) {
+            inconsistent = true;  // what was to be synced is not known here: nothing may be told of it
+            return false;
+        }
         if (!broken) bytes += seal(generation, json::serialize(write_json(saved)));
     }
     if (broken) return false;
     auto const name = log_name(generation);
     broken = !append(log_descriptor, name, bytes) || !sync(log_descriptor, name);
     log_size += bytes.size();
-    if (!broken && log_size > log_most) broken = !write_slot();
+    if (!broken && log_size > std::max(log_most, 2 * slot_size)) broken = !write_slot();
     return !broken;
 }
 
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -17,7 +17,8 @@
     std::uint64_t incarnation = 0;
     std::vector<SavedPartition> synced;  // what survives a power loss
     DiskMode mode = DiskMode::good;
-    bool broken = false;  // a write failed; what waits is written anew once the disk takes it
+    bool broken = false;      // a write failed; what waits is written anew once the disk takes it
+    std::size_t reached = 0;  // of the saves that wait, how many a failed write left on the disk
 };
 
 struct SimulatedNode {
@@ -86,6 +87,7 @@
     std::function<void(std::size_t)> when_started;
     std::function<void(std::size_t)> when_ticked;
     std::function<void(std::size_t)> when_killed;
+    std::function<void(std::size_t, ControlOutput const&)> when_acting;  // before anything is sent or saved
     std::function<void(std::size_t, ControlOutput const&)> when_acted;
     std::uint64_t copy_bytes = 0;  // of whole copies sent: to followers, partners and spares
     std::uint64_t events_run = 0;
@@ -152,6 +154,7 @@
     auto take_disk_later(std::size_t index) -> void;
     auto index_of(std::string const& address) const -> std::size_t;
     auto check() -> void;
+    auto put_on_disk(SimulatedNode& node, SavedPartition const& saved) -> void;
     auto check_node(SimulatedNode& node) -> void;
     auto check_copies() -> void;
     auto asked(history::CallRecord call) -> std::size_t;  // its place in the history
--- a/tests/simulation/world_disk.cpp
+++ b/tests/simulation/world_disk.cpp
@@ -17,14 +17,12 @@
 constexpr Microseconds retry_spread = 400 * one_millisecond;
 
 auto answers(SimulatedDisk const& disk) -> bool { return disk.mode == DiskMode::good || disk.mode == DiskMode::slow; }
+}  // namespace
 
-auto merge(std::vector<SavedPartition>& synced, SavedPartition const& saved) -> void {
-    auto const found = std::find_if(
-        synced.begin(), synced.end(), [&](auto const& partition) { return partition.partition == saved.partition; });
-    if (found == synced.end()) synced.push_back(saved);
-    else merge_saved(*found, saved);
+auto World::put_on_disk(SimulatedNode& node, SavedPartition const& saved) -> void {
+    if (!take_saved(node.disk.synced, saved))
+        violation(node.address + " logged a change of a copy that its disk does not hold");
 }
-}  // namespace
 
 auto World::work_disk(std::size_t index) -> void {
     auto& node = *nodes[index];
@@ -40,7 +38,8 @@
         if (later.disk.mode == DiskMode::full) return refuse_saves(index);
         later.disk.broken = false;  // all that waited is written anew and synced
         auto const batch = std::exchange(later.unsynced, {});
-        for (auto const& save : batch) merge(later.disk.synced, save.saved);
+        for (auto place = std::exchange(later.disk.reached, 0); place < batch.size(); ++place)
+            put_on_disk(later, batch[place].saved);
         report_saves(index, batch, true);
         work_disk(index);
     });
@@ -51,8 +50,8 @@
     auto& node = *nodes[index];
     auto const batch = node.unsynced;
     if (!std::exchange(node.disk.broken, true)) {
-        auto const reached = random.below(batch.size() + 1);
-        for (auto place = std::size_t{0}; place < reached; ++place) merge(node.disk.synced, batch[place].saved);
+        node.disk.reached = random.below(batch.size() + 1);
+        for (auto place = std::size_t{0}; place < node.disk.reached; ++place) put_on_disk(node, batch[place].saved);
         report_saves(index, batch, false);
     }
     node.disk_busy = true;
@@ -95,6 +94,7 @@
     node.frozen_until = 0;
     node.newest_seen = {};
     node.disk.broken = false;
+    node.disk.reached = 0;
     auto const with_disk = node.core && answers(node.disk);
     auto const had_state = with_disk && read_disk(index);
     auto const identity = with_disk ? node.disk.identity : fresh_identity(index);
