--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -54,9 +54,10 @@
     auto const disk = name_of(node.disk_state(now));
     return fields(
         "disk", json::string_view(disk.data(), disk.size()), "one_more_loss_safe", safe, "losses_borne",
-        losses_borne(node.control, now), "why_not", std::move(problems), "news_bytes", node.control.news_bytes,
-        "news_bytes_whole", node.control.news_bytes_whole, "identity", node.control.membership.self.identity, "ready",
-        node.ready(now), "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
+        node.losses_bearable.count.load(), "losses_borne_for_microseconds", now - node.losses_bearable.since.load(),
+        "why_not", std::move(problems), "news_bytes", node.control.news_bytes, "news_bytes_whole",
+        node.control.news_bytes_whole, "identity", node.control.membership.self.identity, "ready", node.ready(now),
+        "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
         etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
         now - node.control.news[configuration_partition].live_at, "open_tickets", node.open_tickets.load(), "members",
         std::move(members), "partitions", std::move(partitions));
@@ -219,6 +220,8 @@
     line("disk_failures_total", counters.disk_failures.load());
     line("disk_repairs_total", counters.disk_repairs.load());
     line("proof_age_microseconds", proof_age(now));
+    line("losses_borne", losses_bearable.count.load());
+    line("losses_borne_for_microseconds", now - losses_bearable.since.load());
     measures.write(text);
     auto const guard = std::lock_guard(table.lock);
     line("waiting_tickets", table.granting.waiting_count());
