--- a/tests/request_wire_test.cpp
+++ b/tests/request_wire_test.cpp
@@ -101,21 +101,25 @@
 
 TEST_CASE("a long body goes out whole beside a late answer to another request, and beside an early success") {
     constexpr auto long_body = std::size_t{12U << 20U};
-    auto wire = Wire([](Peer& peer) -> awaitable<void> {
-        co_await peer.until("\r\n\r\n");
-        co_await peer.say(answer_text("id-0", "late"));
-        co_await peer.say("HTTP/1.1 200 OK\r\nRequest-Name: id-1\r\nStamp: s\r\nContent-Length: 4\r\n\r\nte");
-        while (peer.read.size() < long_body) {
-            auto bytes = std::string(1U << 20U, ' ');
-            auto const [failure, size] = co_await peer.socket.async_read_some(asio::buffer(bytes), use_tuple);
-            if (failure) co_return;
-            peer.read.append(bytes.data(), size);
-        }
-        co_await peer.say("xt");
-        co_await peer.until("never");
-    });
-    CHECK(wire.ask("id-1", false, long_body).end == TryEnd::answered);
-    CHECK(wire.pooled() == 1);
+    auto const begun = std::string("HTTP/1.1 200 OK\r\nRequest-Name: id-1\r\nStamp: s\r\nContent-Length: 4\r\n\r\nte");
+    for (auto early : {false, true}) {
+        auto wire = Wire([early, begun](Peer& peer) -> awaitable<void> {
+            co_await peer.until("\r\n\r\n");
+            co_await peer.say(answer_text("id-0", "late"));
+            if (early) co_await peer.say(begun);
+            while (peer.read.size() < long_body) {
+                auto bytes = std::string(1U << 20U, ' ');
+                auto const [failure, size] = co_await peer.socket.async_read_some(asio::buffer(bytes), use_tuple);
+                if (failure) co_return;
+                peer.read.append(bytes.data(), size);
+            }
+            if (!early) co_await peer.say(begun);
+            co_await peer.say("xt");
+            co_await peer.until("never");
+        });
+        CHECK(wire.ask("id-1", false, long_body).end == TryEnd::answered);
+        CHECK(wire.pooled() == 1);
+    }
 }
 
 TEST_CASE("an idle connection that its replica closed is not used again") {
