--- a/source/consensus/reconfiguration.cpp
+++ b/source/consensus/reconfiguration.cpp
@@ -92,6 +92,7 @@
     votes.sealed = std::max(votes.sealed, term);
     if (proposal && proposal->ballot.node != from) proposal.reset();
     copy = message.copy;
+    tell_outcomes_unknown(context);  // a leader's own changes may not be in it
     claims.drop_fresh();
     claims.take(read_claims(message.claims), context.now, true);
     save(context, true, {{from, CopyTaken{index, term, message.ballot}}});
@@ -101,6 +102,7 @@
 auto Partition::on(Context& context, std::string const& from, CopyTaken const& message) -> void {
     if (!proposal || proposal->stage != Proposal::Stage::copying || message.ballot != proposal->ballot) return;
     if (message.term != votes.decided.term) return;
+    silent_since.erase(from);
     proposal->taken.insert(from);
     copies_taken(context);
 }
@@ -123,6 +125,7 @@
     for (auto const& member : proposal->value.followers) proposal->passed_over.insert(member);
     std::erase_if(proposal->passed_over, [&](auto const& member) { return proposal->taken.contains(member); });
     if (proposal->passed_over.empty()) return;
+    for (auto const& member : proposal->passed_over) silent_since[member] = context.now;
     auto from = proposal->value;
     from.followers.assign(proposal->taken.begin(), proposal->taken.end());
     for (auto const& member : proposal->value.followers) from.followers.push_back(member);
@@ -146,6 +149,7 @@
     std::set<std::string> told(votes.decided.voters.begin(), votes.decided.voters.end());
     told.insert(record.voters.begin(), record.voters.end());
     for (auto const& member : members_of(record)) told.insert(member);
+    for (auto const& member : members_of(votes.decided)) told.insert(member);
     learn(context, record);
     if (all_hold_it) {  // committed as it stands: proofs need not wait for the new term's first flight
         committed = copy;
