--- a/source/consensus/group.cpp
+++ b/source/consensus/group.cpp
@@ -97,4 +97,28 @@
     return voters;
 }
 
+// A polite stop: an follower becomes leader by an ordinary decision. It holds
+// all that was acknowledged; all of the new group get the sealed copy (design 5.6).
+auto Partition::hand_over(Context& context) -> bool {
+    if (!is_leader(context.self) || !healthy) return false;
+    if (proposal || context.now - last_try < times.try_interval) return true;
+    last_try = context.now;
+    auto wanted = votes.decided;
+    auto lost = std::set<std::string>{context.self};
+    for (auto const& follower : votes.decided.followers)
+        if (!context.alive(follower) || context.leaving(follower)) lost.insert(follower);
+    auto& others = wanted.followers;
+    auto const next =
+        std::find_if(others.begin(), others.end(), [&](auto const& item) { return !lost.contains(item); });
+    if (next == others.end()) return false;
+    wanted.leader = *next;
+    others.erase(next);
+    others = followers_for(context, wanted, lost);
+    wanted.voters = renewed_voters(context);
+    auto const living = [&](auto const& item) { return context.alive(item); };
+    if (others.size() + 1 < copies() || !std::all_of(others.begin(), others.end(), living)) return false;
+    propose(context, wanted);
+    return true;
+}
+
 }  // namespace dockrock
--- a/source/process/storage.hpp
+++ b/source/process/storage.hpp
@@ -35,12 +35,15 @@
     std::uint64_t generation = 0;  // the newest slot known to be synced; the next one goes to the other pair
     int log_descriptor = -1;
     std::size_t log_size = 0;
-    std::size_t log_most = std::size_t{1} << 20U;  // then the next slot is written
+    std::size_t log_most = std::size_t{1} << 20U;  // or twice the newest slot: then the next one is written
+    std::size_t slot_size = 0;
     std::function<void(FileEvent const&)> watch;
     // Set by tests: whether this operation on this file (or folder, "") fails.
     std::function<bool(FileEvent::Kind, std::string const&)> refuses;
     bool broken = false;  // a write or sync failed: nothing is appended until all is written anew
 
+    bool inconsistent = false;  // a change was logged whose base is not held: no repair, only a restart
+
     auto open(std::filesystem::path const& where) -> LoadResult;
     // Also where a damaged or blank folder begins anew, under a new identity.
     auto begin(std::string const& identity, std::uint64_t incarnation) -> bool;
@@ -51,7 +54,6 @@
     auto close() -> void;
 
    private:
-    auto apply(SavedPartition const& saved) -> void;
     auto apply_log(std::string_view entries, std::uint64_t newest, bool& headed) -> bool;
     auto write_slot() -> bool;
     auto begin_log() -> bool;
