--- a/source/consensus/saved_partition.cpp
+++ b/source/consensus/saved_partition.cpp
@@ -28,8 +28,7 @@
 
 }  // namespace
 
-auto take_saved(std::vector<SavedPartition>& held, SavedPartition const& saved) -> bool {
-    auto& into = partition_of(held, saved.partition);
+auto merge_saved(SavedPartition& into, SavedPartition const& saved) -> bool {
     if (!take_copy(into, saved)) return false;
     into.votes = saved.votes;
     if (saved.claims_whole) into.claims = saved.claims;
@@ -37,4 +36,8 @@
     return true;
 }
 
+auto take_saved(std::vector<SavedPartition>& held, SavedPartition const& saved) -> bool {
+    return merge_saved(partition_of(held, saved.partition), saved);
+}
+
 }  // namespace dockrock
--- a/source/consensus/saved_partition.hpp
+++ b/source/consensus/saved_partition.hpp
@@ -35,6 +35,9 @@
     std::optional<Sequence> copy_sequence;
 };
 
+// Brings what the disk holds of one partition up to a later save of it; false as below.
+auto merge_saved(SavedPartition& into, SavedPartition const& saved) -> bool;
+
 // Brings what the disk holds up to a later save. False, and nothing is changed, where
 // that save holds a change of a copy that is not held.
 auto take_saved(std::vector<SavedPartition>& held, SavedPartition const& saved) -> bool;
--- a/tests/disks_test.cpp
+++ b/tests/disks_test.cpp
@@ -121,7 +121,7 @@
         world->run_until(world->now + one_second);
         for (auto index = std::size_t{0}; index < world->options.cores; ++index) {
             for (auto& save : world->nodes[index]->unsynced)
-                save.saved = SavedPartition{save.saved.partition, {}, {}, {}, false};
+                save.saved = SavedPartition{save.saved.partition, {}, std::nullopt, std::nullopt, "", false};
             well_again(*world, index);
         }
         world->run_until(world->now + 2 * one_second);
--- a/tests/model/world_steps.cpp
+++ b/tests/model/world_steps.cpp
@@ -1,8 +1,17 @@
 // The steps of a modelled world: messages, ticks, disks, crashes and restarts.
+#include <stdexcept>
+
 #include "world.hpp"
 
 namespace dockrock::model {
 
+namespace {
+auto put_on_disk(Node& node, SavedPartition const& saved) -> void {
+    if (!merge_saved(node.disk, saved))
+        throw std::logic_error("a change was logged of a copy that the disk does not hold");
+}
+}  // namespace
+
 auto World::deliver(std::size_t place, bool keep) -> void {
     auto const envelope = network[place];
     if (keep) network[place].held = true;
@@ -36,7 +45,7 @@
         auto const write = node.writes.front();
         node.writes.erase(node.writes.begin());
         if (!node.disk_failing) {
-            merge_saved(node.disk, write.saved);
+            put_on_disk(node, write.saved);
             node.disk_blank = false;
         }
         auto const ok = !node.disk_failing;
@@ -52,7 +61,7 @@
     change_node(index, [&](Node& node) {
         if (keep_unsynced && !node.disk_failing)
             for (auto const& write : node.writes) {
-                merge_saved(node.disk, write.saved);
+                put_on_disk(node, write.saved);
                 node.disk_blank = false;
             }
         node.writes.clear();
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -98,7 +98,9 @@
 // The leader's last change reaches one follower of two, then it ends; both followers propose, each
 // with a majority's promise before it hears of the other.
 TEST_CASE("model: with two proposers the highest ballot's copy stays; one that gives way is caught") {
-    auto options = SearchOptions{{9, 1, 12 * unit, {}}, 1, 2, 50'000'000, read_path("86:2,89:5,103:5,116:2")};
+    auto const limits = Limits{9, 1, 12 * unit, std::set<Step>()};
+    auto const path = read_path("86:2,89:5,103:5,116:2");
+    auto const options = SearchOptions{limits, 1, 2, 50'000'000, path};
     CHECK(search(Setup{5, 2}, options).violations.empty());
     auto const found = search(Setup{5, 2, 0, Planted::lower_offer_taken}, options);
     REQUIRE_FALSE(found.violations.empty());
