--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -32,6 +32,7 @@
     }
     membership.self.knows_fleet = knows_fleet();
     blank_since = cores_since = now;
+    load_relay.number = random.next() >> 12U;
 }
 
 auto Control::knows_fleet() const -> bool {
@@ -109,6 +110,14 @@
                 if (body.part >= 0 && body.part < static_cast<int>(part_count)) take_news(body, output);
             } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
                 output.digests.emplace_back(from, body);
+            } else if constexpr (std::is_same_v<Body, LoadTold>) {
+                if (!settings.core) return;
+                if (auto sum = load_relay.take(from, body, now)) output.sends.push_back({address, std::move(*sum)});
+            } else if constexpr (std::is_same_v<Body, LoadShare>) {
+                if (settings.core) load_relay.take(from, body, now);
+            } else if constexpr (std::is_same_v<Body, LoadSum>) {
+                load_choice.heard(from, now);
+                output.load_sums.emplace_back(from, body);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
                 if (body.call.part < 0 || body.call.part >= static_cast<int>(part_count)) return;
                 auto const& record = best_record(body.call.part);
@@ -189,6 +198,7 @@
             for (auto& part : parts) part.tick(context);
         });
     }
+    share_load(now, output);
     publish(now, output);
     ask_news(now, output);
     tick_calls(now, output);
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -3,6 +3,7 @@
 // docs/design.md sections 4 to 8.
 #include <array>
 
+#include "process/machine/load_relay.hpp"
 #include "process/machine/membership.hpp"
 #include "process/machine/part.hpp"
 #include "process/machine/part_news.hpp"
@@ -30,6 +31,7 @@
     std::size_t core_count = 4;  // 0: not told (design 5.7)
     std::size_t machines_lost = 1;
     bool may_form = true;
+    std::size_t load_relays_from = 0;  // nodes from which on load goes through relays; 0: never
 };
 
 struct NewsTimes {
@@ -58,6 +60,7 @@
     std::vector<Save> saves;
     std::vector<CallDone> results;                              // for calls made at this node
     std::vector<std::pair<std::string, BurdenDigest>> digests;  // from other admitting nodes
+    std::vector<std::pair<std::string, LoadSum>> load_sums;     // from the relay
     std::vector<ClaimDone> claims;
     bool news = false;  // something a snapshot is made of changed
 };
@@ -105,6 +108,8 @@
     Microseconds cores_since = 0;
     Microseconds last_list_read = -3'600 * one_second;
     Microseconds last_forming = 0;
+    LoadRelay load_relay;  // where this is a core node
+    LoadRelayChoice load_choice;
     std::vector<IdentifiedMessage> loopback;
     std::uint64_t news_bytes = 0;  // sent as news of documents, and what whole ones would have been
     std::uint64_t news_bytes_whole = 0;
@@ -129,6 +134,14 @@
     auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
         -> ControlOutput;
 
+    // Whether load goes through relays, by the number of nodes held alive (design 9.8).
+    auto judge_load_relays() -> bool;
+    auto nodes_placing() const -> std::int64_t;
+    // This node's word of its load to its relay; what it holds of which relay's sums.
+    auto tell_load(
+        Microseconds now, std::uint64_t number, std::string body, std::string const& held_of, std::uint64_t held)
+        -> ControlOutput;
+
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
     auto owns(int part, Microseconds now) const -> bool {
@@ -167,6 +180,7 @@
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
     auto old_voter_alive(std::vector<PartHeld> const& held) const -> std::string;
+    auto share_load(Microseconds now, ControlOutput& output) -> void;
     auto on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void;
 };
 
--- /dev/null
+++ b/source/process/machine/control_load.cpp
@@ -0,0 +1,48 @@
+// Load through relays: who is told, and what relays tell each other.
+// docs/design.md section 9.8.
+#include "process/machine/control.hpp"
+
+namespace dockrock {
+
+auto Control::nodes_placing() const -> std::int64_t {
+    auto count = std::int64_t{membership.self.core ? 0 : 1};
+    for (auto const& [identity, entry] : membership.known)
+        if (!entry.member.core && entry.member.state == static_cast<int>(MemberState::alive)) ++count;
+    return std::max<std::int64_t>(1, count);
+}
+
+// Not in and out again with every node that comes and goes.
+auto Control::judge_load_relays() -> bool {
+    auto const from = settings.load_relays_from;
+    if (from == 0) return load_choice.relayed = false;
+    auto const alive = membership.alive_count();
+    load_choice.relayed = load_choice.relayed ? 5 * alive >= 4 * from : alive >= from;
+    return load_choice.relayed;
+}
+
+auto Control::tell_load(
+    Microseconds now, std::uint64_t number, std::string body, std::string const& held_of, std::uint64_t held)
+    -> ControlOutput {
+    ControlOutput output;
+    auto const cores = membership.alive_members(true);
+    auto const* relay = load_choice.choose(membership.self, cores, now);
+    if (relay == nullptr) return output;
+    auto told = LoadTold{number, held_of == relay->identity ? held : 0, std::move(body)};
+    if (relay->identity != membership.self.identity) {
+        output.sends.push_back({relay->control_address, std::move(told)});
+    } else if (auto sum = load_relay.take(relay->identity, told, now)) {
+        load_choice.heard(relay->identity, now);
+        output.load_sums.emplace_back(relay->identity, std::move(*sum));
+    }
+    return output;
+}
+
+auto Control::share_load(Microseconds now, ControlOutput& output) -> void {
+    if (!settings.core) return;
+    auto const share = load_relay.tick(now);
+    if (!share) return;
+    for (auto const& member : membership.alive_members(true))
+        if (member.identity != membership.self.identity) output.sends.push_back({member.control_address, *share});
+}
+
+}  // namespace dockrock
--- a/source/process/machine/membership.cpp
+++ b/source/process/machine/membership.cpp
@@ -32,6 +32,13 @@
     return members;
 }
 
+auto Membership::alive_count() const -> std::size_t {
+    auto count = std::size_t{1};
+    for (auto const& [identity, entry] : known)
+        if (entry.member.state == state_alive) ++count;
+    return count;
+}
+
 auto Membership::heard_from(std::string const& identity, Microseconds now) -> void {
     auto const found = known.find(identity);
     if (found == known.end()) return;
--- a/source/process/machine/membership.hpp
+++ b/source/process/machine/membership.hpp
@@ -64,6 +64,7 @@
     auto address_of(std::string const& identity) const -> std::string;
     auto find(std::string const& identity) const -> Member const*;
     auto alive_members(bool core_only) const -> std::vector<Member>;
+    auto alive_count() const -> std::size_t;  // with this node
 
    private:
     auto learn(Member const& told, Microseconds now) -> void;
--- a/source/process/machine/messages.hpp
+++ b/source/process/machine/messages.hpp
@@ -204,18 +204,39 @@
     std::uint64_t number = 0;
     std::string body;
 };
+// load through relays (design 9.8); the bodies are texts of ticket/load
+struct LoadTold {  // a node to its relay
+    std::uint64_t number = 0;
+    std::uint64_t heard = 0;  // the sum that it holds of this relay; 0: none
+    std::string body;
+};
+struct LoadShare {  // a relay to the other relays: its own nodes together
+    std::uint64_t number = 0;
+    std::int64_t nodes = 0;
+    std::string body;
+    std::vector<std::string> names;   // of its nodes, now and then,
+    std::vector<std::int64_t> rates;  // and what each placed in the last second
+};
+struct LoadSum {  // a relay's answer to a node: all nodes together
+    std::uint64_t number = 0;
+    std::uint64_t base = 0;     // the sum that the body is a difference from; 0: whole
+    std::uint64_t echo = 0;     // the number of this node's own word that is in it; 0: none
+    std::int64_t echo_age = 0;  // how old that word was, in milliseconds
+    std::int64_t nodes = 0;
+    std::string body;
+};
 
 using Message = std::variant<
     Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LicenceAsk, LicenceGrant, Beat,
     Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer, BurdenDigest,
-    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew>;
+    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew, LoadTold, LoadShare, LoadSum>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
-    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",       "accept",
-     "accepted",     "refusal",      "decided",     "licence-ask",   "licence-grant", "beat",
-     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer",   "news-ask",
-     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",     "claim-answer",
-     "claim-flight", "claim-flown",  "anew-ask",    "anew-answer",   "form-anew"});
+    {"probe",         "probe-answer", "probe-for",    "prepare",       "promise",     "accept",       "accepted",
+     "refusal",       "decided",      "licence-ask",  "licence-grant", "beat",        "append",       "appended",
+     "copy-offer",    "copy-taken",   "spare-offer",  "news-ask",      "news-answer", "call-forward", "call-answer",
+     "burden-digest", "claim-ask",    "claim-answer", "claim-flight",  "claim-flown", "anew-ask",     "anew-answer",
+     "form-anew",     "load-told",    "load-share",   "load-sum"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
 auto write_message(Message const& message) -> std::string;
--- a/source/process/machine/messages_adapted.hpp
+++ b/source/process/machine/messages_adapted.hpp
@@ -34,3 +34,6 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::AnewAsk, token);
 BOOST_HANA_ADAPT_STRUCT(dockrock::AnewAnswer, token, parts);
 BOOST_HANA_ADAPT_STRUCT(dockrock::FormAnew, epoch, voters, parts);
+BOOST_HANA_ADAPT_STRUCT(dockrock::LoadTold, number, heard, body);
+BOOST_HANA_ADAPT_STRUCT(dockrock::LoadShare, number, nodes, body, names, rates);
+BOOST_HANA_ADAPT_STRUCT(dockrock::LoadSum, number, base, echo, echo_age, nodes, body);
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -49,7 +49,8 @@
         core,
         static_cast<std::size_t>(settings.core_count),
         static_cast<std::size_t>(settings.bounds.machines_lost),
-        settings.may_form};
+        settings.may_form,
+        static_cast<std::size_t>(settings.load_relays_from)};
     auto device = std::random_device();
     control.start(
         given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts,
@@ -164,10 +165,12 @@
         claim_waiters.erase(found);
         waiter(claim);
     }
-    if (!output.digests.empty()) {
+    if (!output.digests.empty() || !output.load_sums.empty()) {
         auto const guard = std::lock_guard(table.lock);
-        for (auto const& [node, digest] : output.digests)
-            table.granting.burden.take_digest(node, digest.number, digest.body, now);
+        auto& burden = table.granting.burden;
+        for (auto const& [node, digest] : output.digests) burden.take_digest(node, digest.number, digest.body, now);
+        for (auto const& [relay, sum] : output.load_sums)
+            burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
     proven_at = control.news[configuration_part].proven_at;
     if (output.news) publish_snapshot();
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -94,6 +94,7 @@
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;    // inside control_work
     std::array<std::uint64_t, part_count> logged_epochs{};                  // inside control_work
     std::array<bool, part_count> logged_owned{};
+    bool load_relayed = false;                 // inside control_work; the table holds the same
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
@@ -132,6 +133,8 @@
     auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
+    auto tell_load(Microseconds now) -> void;   // under table.lock
+    auto judge_load(Microseconds now) -> void;  // whether it goes through relays
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
     auto form_anew(std::function<void(CallDone)> done) -> void;
     auto make_claim(Ticket const& ticket, bool release, std::function<void(ClaimDone)> done) -> void;
--- a/source/process/node_rest.cpp
+++ b/source/process/node_rest.cpp
@@ -49,6 +49,7 @@
             auto const found = table.granting.burden.others.find(member.identity);
             if (found != table.granting.burden.others.end() && now - found->second.at < 1'500 * one_millisecond)
                 for (auto const& [name, item] : found->second.replicas) rate += static_cast<double>(item.recent);
+            rate += control.load_relay.rate_of(member.identity, now);
             edges.push_back({member.identity, member.area, rate});
         }
     }
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -10,6 +10,7 @@
     act_on(control.tick(now));
     log_parts(now);
     judge_resting(now);
+    judge_load(now);
     tick_waiting = false;
 }
 
@@ -59,11 +60,7 @@
             now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
         if (!due) continue;
         last_digest = now;
-        auto body = table.granting.burden.make_digest(now);
-        auto const number = static_cast<std::uint64_t>(now);
-        guard.unlock();
-        in_control(
-            [this, body = std::move(body), number] { act_on(control.digest(body, number, snapshot.load()->resting)); });
+        tell_load(now);
     }
 }
 
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -47,6 +47,8 @@
     if (settings.workers < 1 || settings.workers > 64) problems.push_back({"/workers", "must be 1 to 64"});
     if (settings.weights_at_once < 1 || settings.weights_at_once > 1'000)
         problems.push_back({"/weights_at_once", "must be 1 to 1000"});
+    if (settings.load_relays_from < 0 || settings.load_relays_from > 1'000'000)
+        problems.push_back({"/load_relays_from", "must be 0 to 1000000"});
     auto const& level = settings.log_level;
     if (level != "debug" && level != "information" && level != "warning" && level != "failure")
         problems.push_back({"/log_level", "must be debug, information, warning or failure"});
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -84,21 +84,28 @@
     forget_lost(now);
 }
 
-auto BurdenTable::make_digest(Microseconds now) -> std::string {
-    std::map<std::string, OtherBurden> told;
+// What this node tells of its own placements, replica by replica.
+auto BurdenTable::own_load(Microseconds now) -> std::vector<std::pair<std::string, OtherBurden>> {
+    std::vector<std::pair<std::string, OtherBurden>> told;
     for (auto& [name, state] : replicas) {
-        std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
+        if (!state.recent.empty()) std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
         state.untold = 0;
         if (state.placed.empty() && state.recent.empty()) continue;
-        auto& item = told[name];
-        item.count = static_cast<std::int64_t>(state.placed.size());
-        item.recent = static_cast<std::int64_t>(state.recent.size());
-        item.slots = state.placed_slots;
-        item.memory = state.placed_memory;
+        told.emplace_back(
+            name,
+            OtherBurden{
+                static_cast<std::int64_t>(state.placed.size()), state.placed_slots, state.placed_memory,
+                static_cast<std::int64_t>(state.recent.size())});
     }
     forget_lost(now);
     ++digest_number;
-    return json::serialize(write_json(told));
+    return told;
+}
+
+auto BurdenTable::make_digest(Microseconds now) -> std::string {
+    json::object told;
+    for (auto const& [name, item] : own_load(now)) told[name] = write_json(item);
+    return json::serialize(told);
 }
 
 auto BurdenTable::place(std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now) -> void {
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -1,10 +1,12 @@
 #pragma once
 // Burden of the replicas, derived: own placements, digests of other admitting
 // nodes, late memory reports. docs/design.md section 9.3.
+#include <deque>
 #include <set>
 #include <unordered_map>
 
 #include "process/machine/reading.hpp"
+#include "ticket/load.hpp"
 #include "ticket/ticket.hpp"
 
 namespace dockrock {
@@ -118,6 +120,7 @@
     std::int64_t told_unreported = 0;  // of those told since the report was asked for
     Microseconds told_oldest = 0;      // none of `told` is older; brought up now and then
     std::uint64_t seed = 0;            // hash of its name
+    Load summed;                       // what a relay says of all others together (design 9.8)
     // Active nodes whose order is below `orders_mine`; counted anew where the set of them changed.
     mutable std::int64_t orders_below = 0;
     mutable std::uint64_t orders_mine = 0;
@@ -128,6 +131,16 @@
     auto sum_told() -> void;
 };
 
+// A relay's word, read: a whole sum or what makes one of the sum held.
+struct SumTold {
+    std::uint64_t number = 0;
+    std::uint64_t base = 0;
+    std::uint64_t echo = 0;
+    std::int64_t echo_age = 0;  // milliseconds
+    std::int64_t nodes = 0;
+    std::string_view body;
+};
+
 struct BurdenTable {
     GrantingOptions options;
     std::string self;
@@ -147,6 +160,20 @@
     std::uint64_t digest_number = 0;
     std::uint64_t nodes_told = 0;  // numbers given to nodes that told
 
+    // Load through relays: the last sum heard, and what this node told lately.
+    struct Summed {
+        std::string relay;
+        std::uint64_t number = 0;
+        std::uint64_t echo = 0;  // of this node's own words, the newest that is in the sum
+        Microseconds at = 0;
+        std::int64_t nodes = 0;  // others in it
+        Loads loads;             // as the relay told them
+    };
+    bool relayed = false;
+    std::int64_t fleet_nodes = 1;  // held alive, for as long as no relay says more
+    Summed summed;
+    std::deque<std::pair<std::uint64_t, Loads>> own_told;
+
     BurdenTable() = default;
     BurdenTable(BurdenTable&&) = default;  // `pools` points into `replicas`: moved, never copied
     auto operator=(BurdenTable&&) -> BurdenTable& = default;
@@ -160,6 +187,8 @@
     auto report_failed(std::string const& name, Microseconds now) -> void;
     auto take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void;
     auto make_digest(Microseconds now) -> std::string;
+    auto make_told(std::uint64_t number, Microseconds now) -> std::string;
+    auto take_sum(std::string const& relay, SumTold const& told, Microseconds now) -> void;
     auto place(std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now) -> void;
     auto release(std::string const& name, std::uint64_t ticket) -> void;
 
@@ -179,6 +208,11 @@
         -> void;
     auto forget_lost(Microseconds now) -> void;
     auto make_pools() -> void;
+    auto own_load(Microseconds now) -> std::vector<std::pair<std::string, OtherBurden>>;
+    auto summed_lost(Microseconds now) const -> bool;
+    auto summed_reserve(ReplicaState const& state, std::int64_t slice, Microseconds now) const -> std::int64_t;
+    auto summed_rank(ReplicaState const& state, std::int64_t own, Microseconds now) const -> std::int64_t;
+    auto unseen(ReplicaState const& state) const -> std::int64_t;
     auto rank_for(ReplicaState const& state, std::int64_t own, Microseconds now) const -> std::int64_t;
 };
 
--- a/source/ticket/burden_room.cpp
+++ b/source/ticket/burden_room.cpp
@@ -114,16 +114,18 @@
 }
 
 auto BurdenTable::active_nodes(Microseconds now) const -> std::int64_t {
-    if (others_active == 0 || now - others_oldest < options.digest_lost) return 1 + others_active;
     auto count = std::int64_t{1};
+    // A relay's silence is not its nodes' end: without a sum they are taken to be there.
+    if (relayed) count += summed_lost(now) ? std::max(summed.nodes, fleet_nodes - 1) : summed.nodes;
+    if (others_active == 0 || now - others_oldest < options.digest_lost) return count + others_active;
     for (auto const& [node, digest] : others)
         if (now - digest.at < options.digest_lost && !digest.replicas.empty()) ++count;
     return count;
 }
 
 auto BurdenTable::running(ReplicaState const& state, Microseconds now) const -> std::int64_t {
-    if (now - state.told_oldest <= options.digest_lost) return state.placed_slots + state.told_slots;
-    auto sum = state.placed_slots;
+    auto sum = state.placed_slots + (relayed && !summed_lost(now) ? state.summed.slots : 0);
+    if (now - state.told_oldest <= options.digest_lost) return sum + state.told_slots;
     for (auto const& item : state.told)
         if (now - item.at <= options.digest_lost) sum += item.slots;
     return sum;
@@ -144,12 +146,20 @@
             sum += (item.recent * age + one_second / 2) / one_second;
         }
     }
-    return sum;
+    if (!relayed) return sum;
+    if (slice < 0) slice = options.multiplier * state.entry.capacity / active_nodes(now);
+    return sum + summed_reserve(state, slice, now);
 }
 
 auto BurdenTable::free_memory(ReplicaState const& state, Microseconds now) const -> std::int64_t {
     auto free = state.entry.memory - state.placed_memory;
     auto reported = (state.report ? state.report->free_memory : 0) - state.placed_since;
+    if (relayed && !summed_lost(now)) {
+        auto const& load = state.summed;
+        free -= load.memory;
+        if (summed.at > state.reported_at && load.count > 0)
+            reported -= load.memory / load.count * std::min(load.recent, load.count);
+    }
     if (now - state.told_oldest <= options.digest_lost)
         return std::min(free - state.told_memory, reported - state.told_unreported);
     for (auto const& item : state.told) {
@@ -203,8 +213,10 @@
     auto const nodes = active_nodes(now);
     if (own >= std::max<std::int64_t>(1, limit / nodes) && known + reserve(state, now) > limit) return false;
     if (left > nodes || nodes == 1) return true;
-    if (state.untold >= std::max<std::int64_t>(1, left / nodes)) return false;
-    return rank_for(state, own, now) < left;
+    // Through relays a word takes longer than the time between two words.
+    auto const untold = relayed ? unseen(state) : state.untold;
+    if (untold >= std::max<std::int64_t>(1, left / nodes)) return false;
+    return rank_for(state, own, now) + (relayed ? summed_rank(state, own, now) : 0) < left;
 }
 
 auto BurdenTable::check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter {
--- /dev/null
+++ b/source/ticket/burden_summed.cpp
@@ -0,0 +1,88 @@
+// Load through relays, at a node that places: its own words, the sums it hears
+// of all others, and what it does without one. docs/design.md section 9.8.
+#include <algorithm>
+
+#include "ticket/burden.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr auto words_kept = std::size_t{16};
+}
+
+auto BurdenTable::make_told(std::uint64_t number, Microseconds now) -> std::string {
+    Loads told;
+    for (auto& [name, item] : own_load(now))
+        told.push_back({std::move(name), {item.count, item.slots, item.memory, item.recent, 0, 1}});
+    auto text = write_loads(told);
+    own_told.emplace_back(number, std::move(told));
+    if (own_told.size() > words_kept) own_told.pop_front();
+    return text;
+}
+
+// The sum of all, less this node's own word that is in it.
+auto BurdenTable::take_sum(std::string const& relay, SumTold const& told, Microseconds now) -> void {
+    auto const same = relay == summed.relay;
+    if (same && told.number < summed.number && now - summed.at <= options.digest_old) return;  // a late one
+    if (told.base != 0 && (!same || told.base != summed.number)) return;                       // of no sum held
+    auto loads = told.base == 0 ? read_loads(told.body) : apply_loads_difference(summed.loads, told.body);
+    if (!loads) return;
+    summed.relay = relay;
+    summed.number = told.number;
+    summed.echo = told.echo;
+    summed.at = now;
+    summed.loads = std::move(*loads);
+    auto const own =
+        std::find_if(own_told.begin(), own_told.end(), [&](auto const& item) { return item.first == told.echo; });
+    auto const counted = own != own_told.end() && !own->second.empty();
+    summed.nodes = std::max<std::int64_t>(0, told.nodes - (counted ? 1 : 0));
+    auto item = summed.loads.begin();
+    for (auto& [name, state] : replicas) {  // both in the order of names
+        while (item != summed.loads.end() && item->name < name) ++item;
+        auto const found = item != summed.loads.end() && item->name == name;
+        state.summed = found ? item->load : Load();
+        if (!found || !counted) continue;
+        auto const* mine = find_load(own->second, name);
+        if (mine == nullptr) continue;
+        add_load(state.summed, *mine, -1);
+        state.summed.aged = std::max<std::int64_t>(0, state.summed.aged - mine->recent * told.echo_age);
+    }
+}
+
+auto BurdenTable::summed_lost(Microseconds now) const -> bool {
+    return summed.number == 0 || now - summed.at > options.digest_lost;
+}
+
+// As for single digests: their rate since they told, or the rest of their slices
+// where their word is old. Without a sum all but this node's slice is theirs.
+auto BurdenTable::summed_reserve(ReplicaState const& state, std::int64_t slice, Microseconds now) const
+    -> std::int64_t {
+    if (summed_lost(now)) return std::max<std::int64_t>(0, options.multiplier * state.entry.capacity + 1 - slice);
+    auto const& load = state.summed;
+    auto const age = now - summed.at;
+    if (age > options.digest_old) return std::max<std::int64_t>(0, load.nodes * slice - load.slots);
+    return std::max<std::int64_t>(0, load.old_nodes * slice - load.old_slots) +
+        (load.aged * one_millisecond + load.recent * age + one_second / 2) / one_second;
+}
+
+// Own placements that no sum held shows yet.
+auto BurdenTable::unseen(ReplicaState const& state) const -> std::int64_t {
+    auto const seen = static_cast<Microseconds>(summed.echo);
+    return std::count_if(state.recent.begin(), state.recent.end(), [&](auto at) { return at > seen; });
+}
+
+// How many of the nodes in the sum come before this one for a replica's last
+// places. Who has how many there is not told: taken as spread evenly.
+auto BurdenTable::summed_rank(ReplicaState const& state, std::int64_t own, Microseconds now) const -> std::int64_t {
+    auto const nodes = static_cast<double>(active_nodes(now) - 1 - others_active);
+    auto const order = static_cast<double>(hash_text(self, state.seed) >> 11U) / static_cast<double>(1ULL << 53U);
+    auto const known = !summed_lost(now);
+    auto const with = known ? std::min(nodes, static_cast<double>(state.summed.nodes)) : 0.0;
+    if (own <= 0) return static_cast<std::int64_t>(order * (nodes - with));
+    if (with <= 0.0) return static_cast<std::int64_t>(nodes);
+    auto const each = std::max(1.0, static_cast<double>(state.summed.slots) / with);
+    auto const before = std::min(1.0, (static_cast<double>(own) - 1.0 + order) / (2.0 * each - 1.0));
+    return static_cast<std::int64_t>(nodes - with + before * with);
+}
+
+}  // namespace dockrock
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -77,6 +77,30 @@
     CHECK(result.kept_tokens > 0);
 }
 
+TEST_CASE("with load through relays the fleet keeps every rule, and answers all in calm") {
+    FleetOptions options;
+    options.load_relays_from = 1;
+    auto answered = std::size_t{0};
+    auto tickets = std::size_t{0};
+    for (auto seed : {1, 2, 3, 4, 5, 6, 7, 8, 120, 147, 191, 388}) {
+        auto const result = run(options, static_cast<std::uint64_t>(seed));
+        INFO("seed " << seed << (result.violations.empty() ? "" : ": " + result.violations.front()));
+        CHECK(result.violations.empty());
+        answered += result.answered;
+        tickets += result.tickets;
+    }
+    CHECK(answered * 3 > tickets);
+    options.calm = true;
+    auto const calm = run(options, 1);
+    CHECK(calm.violations.empty());
+    CHECK(calm.answered + calm.unknown == calm.tickets);
+    CHECK(calm.shed == 0);
+    CHECK(calm.extra_tries == 0);
+    options.calm = false;
+    options.load_relays_from = 8;  // about as many as there are: in and out as nodes are lost
+    for (auto seed : {11, 12, 13, 14}) CHECK(run(options, static_cast<std::uint64_t>(seed)).violations.empty());
+}
+
 TEST_CASE("planted faults of the fleet are caught, each by its own check") {
     CHECK(caught([](auto& given) { given.planted_repeat_unknown = true; }, "ran twice") >= 1);
     CHECK(caught([](auto& given) { given.planted_skip_claims = true; }, "ran twice") >= 1);
--- a/tests/hollow/hollow.cpp
+++ b/tests/hollow/hollow.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "fleet.hpp"
 #include "slopes.hpp"
 
 namespace {
@@ -19,6 +20,13 @@
     return numbers;
 }
 
+auto texts_of(std::string const& text) -> std::vector<std::string> {
+    std::vector<std::string> texts;
+    auto stream = std::istringstream(text);
+    for (std::string item; std::getline(stream, item, ',');) texts.push_back(item);
+    return texts;
+}
+
 auto report(std::string const& file, double target, std::string const& drawing, std::string const& drawn) -> int {
     auto from = std::ifstream(file);
     if (!from) return std::cerr << "cannot read " << file << "\n", 1;
@@ -36,10 +44,11 @@
 auto main(int argument_count, char** arguments) -> int {
     auto command = TCLAP::CmdLine("dockrock-hollow: what the control machines cost as a fleet grows", ' ', "0.1.0");
     auto measure =
-        TCLAP::ValueArg<std::string>("", "measure", "placement or index", false, "placement", "WHAT", command);
+        TCLAP::ValueArg<std::string>("", "measure", "control, placement or index", false, "placement", "WHAT", command);
     auto sizes = TCLAP::ValueArg<std::string>(
         "", "sizes", "nodes (or blocks), by commas", false, "13,89,300,720", "LIST", command);
     auto seeds = TCLAP::ValueArg<std::uint64_t>("", "seeds", "how many seeds", false, 3, "COUNT", command);
+    auto first_seed = TCLAP::ValueArg<std::uint64_t>("", "first-seed", "counted from", false, 1, "SEED", command);
     auto placements =
         TCLAP::ValueArg<int>("", "placements", "placements measured of each run", false, 200, "COUNT", command);
     auto limit = TCLAP::ValueArg<std::int64_t>(
@@ -51,15 +60,33 @@
     auto drawing = TCLAP::ValueArg<std::string>("", "svg", "with --report: a drawing", false, "", "FILE", command);
     auto drawn =
         TCLAP::ValueArg<std::string>("", "draw", "what is drawn", false, "idle:bytes_out", "WHAT:FIGURE", command);
+    auto phases = TCLAP::ValueArg<std::string>(
+        "", "phases", "of control", false, "start,idle,list,change,owner,restart,load", "LIST", command);
+    auto seconds = TCLAP::ValueArg<double>("", "seconds", "simulated, of each phase", false, 10.0, "SECONDS", command);
+    auto load_seconds =
+        TCLAP::ValueArg<double>("", "load-seconds", "simulated, of the phase load", false, 3.0, "SECONDS", command);
+    auto relays = TCLAP::ValueArg<std::size_t>(
+        "", "load-relays-from", "load goes through relays from so many nodes on; 0: never", false, 0, "NODES", command);
     command.parse(argument_count, arguments);
     if (!reported.getValue().empty())
         return report(reported.getValue(), target.getValue(), drawing.getValue(), drawn.getValue());
     for (auto const size : numbers_of(sizes.getValue()))
-        for (auto seed = std::uint64_t{1}; seed <= seeds.getValue(); ++seed) {
+        for (auto seed = first_seed.getValue(); seed < first_seed.getValue() + seeds.getValue(); ++seed) {
             if (measure.getValue() == "index") {
                 write_run(std::cout, measure_index(size, replicas.getValue() == 0 ? 100 : replicas.getValue(), seed));
                 continue;
             }
+            if (measure.getValue() == "control") {
+                auto options = PhaseOptions();
+                options.phases = texts_of(phases.getValue());
+                options.length = static_cast<dockrock::Microseconds>(seconds.getValue() * 1e6);
+                options.load_length = static_cast<dockrock::Microseconds>(load_seconds.getValue() * 1e6);
+                options.told = [](Run const& run) { write_run(std::cout, run); };
+                auto shape = fleet_shape_of(size);
+                shape.load_relays_from = relays.getValue();
+                measure_control(shape, seed, options);
+                continue;
+            }
             auto shape = shape_of(size);
             if (replicas.getValue() != 0) shape.replicas = replicas.getValue();
             auto options = SlopeOptions();
--- /dev/null
+++ b/tests/load_relay_test.cpp
@@ -0,0 +1,155 @@
+// Load through relays under lost, late and reordered messages, and relays that
+// die, freeze and come back. docs/design.md 9.8.
+#include "load_net.hpp"
+
+using namespace dockrock;
+using namespace dockrock::testing;
+
+TEST_CASE("relays: in calm every node counts what all nodes have placed, whatever was lost on the way") {
+    for (auto seed = std::uint64_t{1}; seed <= 12; ++seed) {
+        auto net = Net(seed, 14, 1 + seed % 4, 6);
+        net.loss = 0.1;
+        net.run(4 * one_second, true);
+        net.loss = 0.0;
+        net.run(2 * one_second + one_second / 2, false);
+        INFO("seed " << seed);
+        CHECK(net.error() == 0);
+        for (auto const& node : net.nodes)
+            CHECK(net.nodes_placing() + (node.placed.empty() ? 1 : 0) == node.table.active_nodes(net.now));
+    }
+}
+
+TEST_CASE("relays: while requests come, a node's count lags by what comes in half a second") {
+    auto net = Net(5, 14, 3, 6);
+    net.run(3 * one_second, true);
+    auto most = std::int64_t{0};
+    for (auto round = 0; round < 100; ++round) {
+        net.run(50 * one_millisecond, true);
+        most = std::max(most, net.error());
+    }
+    CHECK(most <= 25);  // one move every ten milliseconds, over six replicas
+    CHECK(most > 0);
+}
+
+TEST_CASE("relays: the nodes of one that dies are counted elsewhere within two seconds, and not twice for long") {
+    for (auto seed = std::uint64_t{1}; seed <= 8; ++seed) {
+        auto net = Net(seed, 12, 3, 6);
+        net.run(3 * one_second, true);
+        net.relay_of(0).running = false;
+        net.run(2 * one_second, false);
+        INFO("seed " << seed);
+        CHECK(net.relay_of(0).running);
+        CHECK(net.error() == 0);
+    }
+}
+
+TEST_CASE("relays: one that freezes and thaws is taken for fresh by nobody") {
+    for (auto seed = std::uint64_t{1}; seed <= 8; ++seed) {
+        auto net = Net(seed, 12, 3, 6);
+        net.run(3 * one_second, true);
+        auto& frozen = net.relay_of(0);
+        frozen.frozen_until = net.now + 4 * one_second;
+        net.run(4 * one_second, true);
+        net.run(one_second, false);  // it wakes, with all that came meanwhile
+        INFO("seed " << seed);
+        CHECK(net.error() == 0);
+        net.run(6 * one_second, false);  // its nodes come back to it
+        CHECK(net.error() == 0);
+        CHECK(&net.relay_of(0) == &frozen);
+    }
+}
+
+TEST_CASE("relays: one that begins anew under its name sends no difference from what its nodes hold") {
+    auto net = Net(3, 8, 1, 6);
+    net.run(2 * one_second, true);
+    net.relays[0].relay = LoadRelay();
+    net.relays[0].relay.number = net.random.next() >> 12U;
+    net.run(one_second + one_second / 2, false);
+    CHECK(net.error() == 0);
+}
+
+TEST_CASE("relays: with all of them gone each node keeps to its slice, and is not frozen") {
+    auto net = Net(4, 10, 2, 20);  // 32 places and one on each replica
+    net.run(3 * one_second, true);
+    for (auto& relay : net.relays) relay.running = false;
+    net.run(one_second / 2, true);
+    for (auto& node : net.nodes) {  // all finish what they have
+        for (auto const& [name, number] : node.placed) node.table.release(name, number);
+        node.placed.clear();
+    }
+    net.run(12 * one_second, false);
+    for (auto& node : net.nodes) {
+        CHECK(node.table.active_nodes(net.now) == 10);
+        auto placed = 0;
+        for (auto round = 0; round < 400; ++round) {
+            net.now += 3 * one_second;  // each round as if it had told in between
+            auto const name = "r" + std::to_string(net.random.below(20));
+            if (!node.table.has_room(node.table.replicas.at(name), net.now)) continue;
+            node.table.place(name, make_ticket(net.next_request++), 1, net.now);
+            ++placed;
+        }
+        CHECK(placed >= 20);
+        for (auto const& [name, state] : node.table.replicas) CHECK(state.placed_slots <= 3);  // 32 places, ten nodes
+    }
+    for (auto const& [name, state] : net.nodes[0].table.replicas) CHECK(net.truth(name) <= 33);
+}
+
+TEST_CASE("relays: a late sum, one of another relay's numbers, and a damaged one change nothing") {
+    auto granting = make_granting(2);
+    auto& table = granting.burden;
+    table.relayed = true;
+    auto const first = write_loads({{"r0", {3, 3, 10, 0, 0, 2}}});
+    auto const second = write_loads({{"r0", {5, 5, 10, 0, 0, 2}}});
+    auto const running = [&] { return table.running(table.replicas.at("r0"), 2'000); };
+    table.take_sum("one", {7, 0, 0, 0, 2, first}, 1'000);
+    CHECK(running() == 3);
+    CHECK(table.active_nodes(2'000) == 3);
+    table.take_sum("one", {6, 0, 0, 0, 2, second}, 1'100);
+    CHECK(running() == 3);
+    auto const difference = write_loads_difference(*read_loads(first), *read_loads(second));
+    table.take_sum("other", {8, 7, 0, 0, 2, difference}, 1'200);  // the base is another relay's
+    CHECK(running() == 3);
+    table.take_sum("one", {8, 5, 0, 0, 2, difference}, 1'300);  // a base that is not held
+    CHECK(running() == 3);
+    table.take_sum("one", {8, 7, 0, 0, 2, difference.substr(1)}, 1'400);
+    CHECK(running() == 3);
+    table.take_sum("one", {8, 7, 0, 0, 2, difference}, 1'500);
+    CHECK(running() == 5);
+}
+
+TEST_CASE("relays: what a node has placed and no sum shows yet limits its last places") {
+    auto granting = make_granting(1, 2);
+    auto& table = granting.burden;
+    table.relayed = true;
+    table.fleet_nodes = 30;
+    auto const& state = table.replicas.at("r0");
+    auto rooms = 0;
+    for (auto number = 0; number < 30; ++number) {  // somebody has the order for the last places
+        table.self = "node-" + std::to_string(number);
+        rooms += table.has_room(state, 20 * one_second);
+    }
+    CHECK(rooms > 0);
+    CHECK(rooms < 30);
+    for (auto number = 0; number < 30; ++number) {
+        table.self = "node-" + std::to_string(number);
+        if (table.has_room(state, 20 * one_second)) break;
+    }
+    table.place("r0", make_ticket(1), 1, 20 * one_second);
+    auto const word = table.make_told(static_cast<std::uint64_t>(20 * one_second + 10), 20 * one_second + 10);
+    CHECK_FALSE(table.has_room(state, 20 * one_second + 20));  // told, but not heard back
+    CHECK(read_loads(word)->size() == 1);
+}
+
+TEST_CASE("relays: the rate of every node is known at each of them, for those who judge who may rest") {
+    auto net = Net(9, 6, 3, 6);
+    net.run(3 * one_second, true);
+    for (auto index = std::size_t{0}; index < net.nodes.size(); ++index) {
+        auto rate = 0.0;
+        for (auto const& [name, state] : net.nodes[index].table.replicas)
+            rate += static_cast<double>(state.recent.size());
+        for (auto const& relay : net.relays)
+            CHECK(std::abs(relay.relay.rate_of("node-" + std::to_string(index), net.now) - rate) <= 12.0);
+    }
+    CHECK(net.relays[0].relay.rate_of("node-5", net.now) > 0.0);
+    CHECK(net.relays[0].relay.rate_of("nobody", net.now) == 0.0);
+}
--- a/tests/simulation/fleet.cpp
+++ b/tests/simulation/fleet.cpp
@@ -49,6 +49,7 @@
     auto& control = world.nodes[index]->control;
     plane.granting.options = plane.granting.burden.options = options.granting;
     plane.granting.burden.self = control.membership.self.identity;
+    control.settings.load_relays_from = options.load_relays_from;
     if (options.planted_free_tries) plane.granting.budget = {1e9, 1e9, 0.2};
     for (auto part = std::size_t{0}; part < part_count; ++part)
         control.parts[part].apply =
@@ -58,6 +59,9 @@
 auto Fleet::output(std::size_t index, ControlOutput const& given) -> void {
     for (auto const& [node, digest] : given.digests)
         planes[index].granting.burden.take_digest(node, digest.number, digest.body, local(index));
+    for (auto const& [relay, sum] : given.load_sums)
+        planes[index].granting.burden.take_sum(
+            relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, local(index));
     if (given.news) publish(index);
 }
 
@@ -91,9 +95,22 @@
 }
 
 auto Fleet::tell_digest(std::size_t index) -> void {
-    auto body = planes[index].granting.burden.make_digest(local(index));
-    auto const number = static_cast<std::uint64_t>(local(index));
-    world.act(index, world.nodes[index]->control.digest(body, number, {}));
+    auto& plane = planes[index];
+    auto& control = world.nodes[index]->control;
+    auto& burden = plane.granting.burden;
+    auto const now = local(index);
+    auto const number = static_cast<std::uint64_t>(now);
+    burden.relayed = control.judge_load_relays();
+    burden.fleet_nodes = control.nodes_placing();
+    if (burden.relayed != plane.load_relayed) {  // an empty last word goes the old way
+        plane.load_relayed = burden.relayed;
+        world.act(
+            index,
+            burden.relayed ? control.digest("{}", number, {}) : control.tell_load(now, number, write_loads({}), "", 0));
+    }
+    if (!burden.relayed) return world.act(index, control.digest(burden.make_digest(now), number, {}));
+    auto body = burden.make_told(number, now);
+    world.act(index, control.tell_load(now, number, std::move(body), burden.summed.relay, burden.summed.number));
 }
 
 // The platform's list is half a second old when it is read.
--- a/tests/simulation/fleet.hpp
+++ b/tests/simulation/fleet.hpp
@@ -20,8 +20,9 @@
     bool twice = true;          // some run-once tickets are sent through two nodes at once
     std::int64_t capacity = 3;  // of each replica; where `uneven`, every other has twice as much
     bool uneven = false;
-    double greedy = 0.0;        // this share of the tickets is one tenant's
-    bool planned_only = false;  // polite restarts, changes, drains, weights: nothing may be cut
+    double greedy = 0.0;               // this share of the tickets is one tenant's
+    std::size_t load_relays_from = 0;  // load goes through relays
+    bool planned_only = false;         // polite restarts, changes, drains, weights: nothing may be cut
     // planted, for showing that the checks bite
     bool planted_repeat_unknown = false;  // an unknown try is repeated
     bool planted_skip_claims = false;     // run-once tickets are sent unclaimed
@@ -84,6 +85,7 @@
     bool stopping = false;
     Microseconds last_digest = 0, last_orders = 0, last_reports = 0;
     bool reading_list = false;
+    bool load_relayed = false;
 };
 
 struct FleetTenant {
--- a/tests/simulation/placement.cpp
+++ b/tests/simulation/placement.cpp
@@ -24,7 +24,9 @@
     return values[std::min(values.size() - 1, place)] / 1'000;
 }
 
-auto run_all(Variant const& variant, std::uint64_t seeds, double rate, int seconds) -> std::vector<FleetResult> {
+auto run_all(
+    Variant const& variant, std::uint64_t seeds, double rate, int seconds, std::size_t edges, std::size_t replicas)
+    -> std::vector<FleetResult> {
     auto results = std::vector<FleetResult>(seeds);
     auto workers = std::vector<std::thread>();
     for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed)
@@ -33,7 +35,8 @@
             options.seed = seed;
             options.calm = true;
             options.twice = false;
-            options.edges = 9;
+            options.edges = edges;
+            options.replicas = replicas;
             options.tickets_each_second = rate;
             options.length = seconds * one_second;
             variant.set(options);
@@ -88,6 +91,9 @@
     auto seconds = TCLAP::ValueArg<int>("", "seconds", "simulated seconds of traffic", false, 20, "SECONDS", command);
     auto greedy = TCLAP::ValueArg<double>(
         "", "greedy", "this share of the tickets is one tenant's", false, 0.0, "SHARE", command);
+    auto edges = TCLAP::ValueArg<std::size_t>("", "edges", "edge nodes", false, 9, "COUNT", command);
+    auto replicas = TCLAP::ValueArg<std::size_t>("", "replicas", "replicas of two models", false, 8, "COUNT", command);
+    auto only = TCLAP::MultiArg<std::string>("", "only", "just this variant (may be repeated)", false, "NAME", command);
     auto uneven = TCLAP::SwitchArg("", "uneven", "every other replica has twice the capacity", command);
     command.parse(argument_count, arguments);
     auto const variants = std::vector<Variant>{
@@ -102,14 +108,21 @@
         {"share 4", [](auto& options) { options.granting.share_bound = 4.0; }},
         {"digest 50 ms", [](auto& options) { options.granting.digest_interval = 50 * one_millisecond; }},
         {"digest 1 s", [](auto& options) { options.granting.digest_interval = one_second; }},
+        {"load relays", [](auto& options) { options.load_relays_from = 1; }},
     };
+    auto const& names = only.getValue();
     for (auto const& variant : variants) {
+        if (!names.empty() && std::find(names.begin(), names.end(), variant.name) == names.end()) continue;
         auto const set = [&](FleetOptions& options) {
             options.greedy = greedy.getValue();
             options.uneven = uneven.getValue();
             variant.set(options);
         };
-        print(variant, run_all({variant.name, set}, seeds.getValue(), rate.getValue(), seconds.getValue()));
+        print(
+            variant,
+            run_all(
+                {variant.name, set}, seeds.getValue(), rate.getValue(), seconds.getValue(), edges.getValue(),
+                replicas.getValue()));
     }
     return 0;
 }
