--- a/source/process/machine/control.cpp
+++ b/source/process/machine/control.cpp
@@ -33,6 +33,7 @@
     membership.self.knows_fleet = knows_fleet();
     blank_since = cores_since = now;
     load_relay.number = random.next() >> 12U;
+    kept_feed.id = random.next() | 1U;
 }
 
 auto Control::knows_fleet() const -> bool {
@@ -107,7 +108,10 @@
                 if (body.part >= 0 && body.part < static_cast<int>(part_count))
                     answer_news(now, address, body, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
-                if (body.part >= 0 && body.part < static_cast<int>(part_count)) take_news(body, output);
+                if (body.part >= 0 && body.part < static_cast<int>(part_count)) {
+                    load_choice.heard(from, now);
+                    take_news(now, body, output);
+                }
             } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
                 output.digests.emplace_back(from, body);
             } else if constexpr (std::is_same_v<Body, LoadTold>) {
@@ -118,6 +122,10 @@
             } else if constexpr (std::is_same_v<Body, LoadSum>) {
                 load_choice.heard(from, now);
                 output.load_sums.emplace_back(from, body);
+            } else if constexpr (std::is_same_v<Body, FeedAsk>) {
+                if (settings.core) output.sends.push_back({address, kept_feed.answer(body)});
+            } else if constexpr (std::is_same_v<Body, FeedAnswer>) {
+                take_feed(now, from, body, output);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
                 if (body.call.part < 0 || body.call.part >= static_cast<int>(part_count)) return;
                 auto const& record = best_record(body.call.part);
@@ -174,7 +182,7 @@
     auto const* answer = std::get_if<NewsAnswer>(&message);
     if (answer != nullptr && answer->part >= 0 && answer->part < static_cast<int>(part_count) && !resting) {
         auto const& item = news[static_cast<std::size_t>(answer->part)];
-        if (output.news || now - item.asked_at > times.hold_limit / 3) ask_news(now, output);
+        if (output.news || now - item.asked_at > hold_limit(answer->part) / 3) ask_news(now, output);
     }
     return output;
 }
@@ -191,6 +199,7 @@
 auto Control::tick(Microseconds now) -> ControlOutput {
     ControlOutput output;
     membership.self.knows_fleet = knows_fleet();
+    judge_load_relays();
     membership.tick(now, random, output.sends);
     if (settings.core) {
         with_parts(now, output, [&](Context& context) {
@@ -199,6 +208,7 @@
         });
     }
     share_load(now, output);
+    ask_feed(now, output);
     publish(now, output);
     ask_news(now, output);
     tick_calls(now, output);
@@ -207,7 +217,7 @@
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& item : waiting) {
-        if (now - item.since >= times.hold_limit) answer_news(now, item.address, item.ask, output, false);
+        if (now - item.since >= hold_limit(item.ask.part)) answer_news(now, item.address, item.ask, output, false);
         else waiting_asks.push_back(item);
     }
     return output;
--- a/source/process/machine/control.hpp
+++ b/source/process/machine/control.hpp
@@ -3,6 +3,7 @@
 // docs/design.md sections 4 to 8.
 #include <array>
 
+#include "process/machine/kept_feed.hpp"
 #include "process/machine/load_relay.hpp"
 #include "process/machine/membership.hpp"
 #include "process/machine/part.hpp"
@@ -32,11 +33,16 @@
     std::size_t machines_lost = 1;
     bool may_form = true;
     std::size_t load_relays_from = 0;  // nodes from which on load goes through relays; 0: never
+    bool rests = true;                 // this node may be told to rest
 };
 
 struct NewsTimes {
     Microseconds hold_limit = 300 * one_millisecond;
     Microseconds ask_limit = 500 * one_millisecond;
+    // The other parts decide nothing by their age: a change is told at once either way.
+    Microseconds service_hold_limit = 700 * one_millisecond;
+    Microseconds service_ask_limit = 900 * one_millisecond;
+    Microseconds direct = 2 * one_second;  // how long a relay is passed by that was silent or behind
     Microseconds resting_interval = one_second;
     Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
     Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
@@ -61,6 +67,7 @@
     std::vector<CallDone> results;                              // for calls made at this node
     std::vector<std::pair<std::string, BurdenDigest>> digests;  // from other admitting nodes
     std::vector<std::pair<std::string, LoadSum>> load_sums;     // from the relay
+    std::vector<KeptFeed::Taken> kept;                          // changes of kept prompts, in order
     std::vector<ClaimDone> claims;
     bool news = false;  // something a snapshot is made of changed
 };
@@ -110,6 +117,10 @@
     Microseconds last_forming = 0;
     LoadRelay load_relay;  // where this is a core node
     LoadRelayChoice load_choice;
+    Microseconds load_told_at = -3'600 * one_second;
+    KeptFeedTimes kept_times;
+    KeptFeed kept_feed;
+    Microseconds feed_asked_at = 0;
     std::vector<IdentifiedMessage> loopback;
     std::uint64_t news_bytes = 0;  // sent as news of documents, and what whole ones would have been
     std::uint64_t news_bytes_whole = 0;
@@ -142,6 +153,11 @@
         Microseconds now, std::uint64_t number, std::string body, std::string const& held_of, std::uint64_t held)
         -> ControlOutput;
 
+    // Whether this core node reads the events of a source, and what it read there (design 9.9).
+    auto reads_source(std::string_view source, std::string_view area) const -> bool;
+    auto kept_read(KeptBatch batch) -> void;
+    auto kept_caught_up(KeptBatch const& batch) -> bool;
+
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
     auto owns(int part, Microseconds now) const -> bool {
@@ -164,7 +180,15 @@
     auto answer_news(
         Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
     auto answer_waiting(Microseconds now, int part, ControlOutput& output) -> void;
-    auto take_news(NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_copy(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_live(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto relays_news(int part, Microseconds now) const -> bool;
+    auto hold_limit(int part) const -> Microseconds {
+        return part == configuration_part ? times.hold_limit : times.service_hold_limit;
+    }
+    auto ask_overdue(PartNews& item, int part, Microseconds now) -> bool;
+    auto news_target(PartNews& item, int part, Microseconds now) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
         -> void;
@@ -180,6 +204,8 @@
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
     auto old_voter_alive(std::vector<PartHeld> const& held) const -> std::string;
+    auto ask_feed(Microseconds now, ControlOutput& output) -> void;
+    auto take_feed(Microseconds now, std::string const& from, FeedAnswer const& answer, ControlOutput& output) -> void;
     auto share_load(Microseconds now, ControlOutput& output) -> void;
     auto on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void;
 };
--- a/source/process/machine/control_news.cpp
+++ b/source/process/machine/control_news.cpp
@@ -43,7 +43,7 @@
     auto const& item = news[static_cast<std::size_t>(ask.part)];
     auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
     auto const newer = item.copy.sequence > ask.have || list_newer || item.record.epoch > ask.epoch;
-    if (may_wait && !newer && owns(ask.part, now)) {
+    if (may_wait && !newer && (owns(ask.part, now) || relays_news(ask.part, now))) {
         if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
         return;
     }
@@ -65,25 +65,41 @@
     output.sends.push_back({address, std::move(answer)});
 }
 
-auto Control::take_news(NewsAnswer const& answer, ControlOutput& output) -> void {
+// A core node whose own proof is fresh holds questions as the owner does, and
+// answers them with what it hears from the owner next (design 8.1).
+auto Control::relays_news(int part, Microseconds now) const -> bool {
+    if (!settings.core || !load_choice.relayed) return false;
+    return now - news[static_cast<std::size_t>(part)].proven_at < 2 * hold_limit(part);
+}
+
+auto Control::take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
     auto& item = news[static_cast<std::size_t>(answer.part)];
     if (answer.token != item.ask_token || item.ask_token == 0) return;
     item.ask_token = 0;
     item.unanswered = 0;
+    if (item.asked_relay && (!answer.proven || answer.age > 2 * hold_limit(answer.part)))
+        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the owner
     if (answer.record.epoch > item.record.epoch) item.record = answer.record;
-    if (answer.copy && answer.copy->sequence > item.copy.sequence) {  // never back to an older one
-        auto made = apply_news(item, *answer.copy);
-        item.whole_wanted = !made.has_value();
-        if (made) {
-            remember(item);
-            item.copy.sequence = answer.copy->sequence;
-            item.copy.document = std::move(*made);
-            item.copy.outcomes.clear();
-            output.news = true;
-        }
-    }
+    take_copy(item, answer, output);
     if (answer.proven && answer.sequence == item.copy.sequence)
         item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
+    take_live(item, answer, output);
+    if (settings.core && load_choice.relayed) answer_waiting(now, answer.part, output);
+}
+
+auto Control::take_copy(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+    if (!answer.copy || !(answer.copy->sequence > item.copy.sequence)) return;  // never back to an older one
+    auto made = apply_news(item, *answer.copy);
+    item.whole_wanted = !made.has_value();
+    if (!made) return;
+    remember(item);
+    item.copy.sequence = answer.copy->sequence;
+    item.copy.document = std::move(*made);
+    item.copy.outcomes.clear();
+    output.news = true;
+}
+
+auto Control::take_live(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
     // A list is told apart by its digest: the same text is as fresh as its
     // freshest reading, another one is taken where it was read later (design 8.4).
     auto const live_at = item.asked_at - answer.live_age;
@@ -98,25 +114,44 @@
     }
 }
 
+// Whether the part may be asked about now: nothing is under way, or too long.
+auto Control::ask_overdue(PartNews& item, int part, Microseconds now) -> bool {
+    if (item.ask_token == 0) return true;
+    if (now - item.asked_at < (part == configuration_part ? times.ask_limit : times.service_ask_limit)) return false;
+    if (item.asked_relay) item.direct_until = now + times.direct;
+    else ++item.unanswered;
+    return true;
+}
+
+// A relay where there are many nodes; else the owner first, and where that does
+// not answer, anyone may relay its proof.
+auto Control::news_target(PartNews& item, int part, Microseconds now) -> std::string {
+    item.asked_relay = false;
+    if (load_choice.relayed && !settings.core && now >= item.direct_until) {
+        auto const cores = membership.alive_members(true);
+        auto const* relay = load_choice.choose(membership.self, cores, now);
+        item.asked_relay = relay != nullptr;
+        if (relay != nullptr) return relay->control_address;
+    }
+    auto const& record = best_record(part);
+    auto target = membership.address_of(record.primary);
+    if (!target.empty() && record.primary != membership.self.identity && item.unanswered % 2 == 0) return target;
+    auto members = membership.alive_members(item.unanswered < 6);
+    std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
+    if (members.empty()) return {};
+    return members[random.below(members.size())].control_address;
+}
+
 auto Control::ask_news(Microseconds now, ControlOutput& output) -> void {
     for (auto index = std::size_t{0}; index < part_count; ++index) {
         auto& item = news[index];
         if (owns(static_cast<int>(index), now)) continue;
         if (resting && index != configuration_part && index != resting_part) continue;
         if (resting && now - item.asked_at < times.resting_interval) continue;
-        if (item.ask_token != 0) {
-            if (now - item.asked_at < times.ask_limit) continue;
-            ++item.unanswered;
-        }
-        auto const& record = best_record(static_cast<int>(index));
-        auto target = membership.address_of(record.primary);
-        // The owner first; where it does not answer, anyone may relay its proof.
-        if (target.empty() || record.primary == membership.self.identity || item.unanswered % 2 == 1) {
-            auto members = membership.alive_members(item.unanswered < 6);
-            std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
-            if (members.empty()) continue;
-            target = members[random.below(members.size())].control_address;
-        }
+        if (index == resting_part && !settings.rests && !settings.core) continue;
+        if (!ask_overdue(item, static_cast<int>(index), now)) continue;
+        auto const target = news_target(item, static_cast<int>(index), now);
+        if (target.empty()) continue;
         item.ask_token = random.next() | 1U;
         item.asked_at = now;
         item.asked_whom = target;
--- a/source/process/machine/messages.hpp
+++ b/source/process/machine/messages.hpp
@@ -225,18 +225,41 @@
     std::int64_t nodes = 0;
     std::string body;
 };
+// changes of kept prompts (design 9.9)
+struct KeptBatch {  // what a replica or store told when it was read once
+    std::string source;
+    bool store = false;
+    std::string life;  // changes when the source restarts
+    std::uint64_t from = 0;
+    std::uint64_t next = 0;    // number of the first event after these
+    bool anew = false;         // what it told before no longer holds
+    std::vector<std::string> weights;
+    std::string changes;  // text of kept_feed
+};
+struct FeedAsk {
+    std::uint64_t feed = 0;  // the log read before, and how far
+    std::uint64_t position = 0;
+    bool own = false;  // only what the asked node read itself
+};
+struct FeedAnswer {
+    std::uint64_t feed = 0;
+    std::uint64_t position = 0;  // where the next question goes on
+    std::vector<KeptBatch> batches;
+};
 
 using Message = std::variant<
     Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LicenceAsk, LicenceGrant, Beat,
     Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer, BurdenDigest,
-    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew, LoadTold, LoadShare, LoadSum>;
+    ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew, LoadTold, LoadShare, LoadSum, FeedAsk,
+    FeedAnswer>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
     {"probe",         "probe-answer", "probe-for",    "prepare",       "promise",     "accept",       "accepted",
      "refusal",       "decided",      "licence-ask",  "licence-grant", "beat",        "append",       "appended",
      "copy-offer",    "copy-taken",   "spare-offer",  "news-ask",      "news-answer", "call-forward", "call-answer",
      "burden-digest", "claim-ask",    "claim-answer", "claim-flight",  "claim-flown", "anew-ask",     "anew-answer",
-     "form-anew",     "load-told",    "load-share",   "load-sum"});
+     "form-anew",     "load-told",    "load-share",   "load-sum",
+     "feed-ask",      "feed-answer"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
 auto write_message(Message const& message) -> std::string;
--- a/source/process/machine/part_news.hpp
+++ b/source/process/machine/part_news.hpp
@@ -18,6 +18,8 @@
     std::uint64_t live_digest = 0;
     Microseconds live_at = -3'600 * one_second;
     std::uint64_t ask_token = 0;
+    bool asked_relay = false;       // by the question under way
+    Microseconds direct_until = 0;  // the owner is asked, not the relay
     Microseconds asked_at = 0;
     std::string asked_whom;
     std::uint64_t told_epoch = 0;  // as owner: the epoch that all members were told of
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -50,7 +50,8 @@
         static_cast<std::size_t>(settings.core_count),
         static_cast<std::size_t>(settings.bounds.machines_lost),
         settings.may_form,
-        static_cast<std::size_t>(settings.load_relays_from)};
+        static_cast<std::size_t>(settings.load_relays_from),
+        settings.resting};
     auto device = std::random_device();
     control.start(
         given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), storage.state.parts,
@@ -172,6 +173,7 @@
         for (auto const& [relay, sum] : output.load_sums)
             burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
+    if (!output.kept.empty()) take_feed(output.kept);
     proven_at = control.news[configuration_part].proven_at;
     if (output.news) publish_snapshot();
 }
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -65,6 +65,13 @@
     std::size_t pages = 0;
 };
 
+// A replica or store whose events are read.
+struct KeptSource {
+    std::string address;
+    std::string area;
+    bool store = false;
+};
+
 struct Node {
     NodeSettings settings;                          // as started; what a reload changes is told to its own machine
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
@@ -133,7 +140,7 @@
     auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
-    auto tell_load(Microseconds now) -> void;   // under table.lock
+    auto tell_load(Microseconds now, std::unique_lock<std::mutex> guard) -> void;   // under table.lock
     auto judge_load(Microseconds now) -> void;  // whether it goes through relays
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
     auto form_anew(std::function<void(CallDone)> done) -> void;
@@ -173,10 +180,15 @@
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto parts_manager() -> awaitable<void>;
-    auto parts_loop(std::string name, bool store) -> awaitable<void>;
-    auto parts_address(std::string const& name, bool store) const -> std::string;
-    auto take_parts(std::string const& name, bool store, KeptEvents const& told, bool anew) -> void;
-    auto parts_silent(std::string const& name, bool store) -> void;
+    auto sources_to_read(Snapshot const& current) const -> std::map<std::string, KeptSource>;
+    auto step_parts() -> void;
+    auto parts_loop(std::string name, bool store, std::uint64_t since, std::string life) -> awaitable<void>;
+    auto parts_address(std::string const& name) -> std::string;
+    auto parts_told(KeptBatch batch, bool restarted) -> void;
+    auto take_kept(KeptBatch const& batch, bool forget) -> void;
+    auto take_feed(std::vector<KeptFeed::Taken> const& told) -> void;
+    auto catch_up_loop() -> awaitable<void>;
+    auto next_to_catch_up() -> std::string;
     auto stop_politely() -> awaitable<void>;
     auto take_limits() -> void;
     auto reload() -> void;
@@ -187,6 +199,8 @@
     std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
     Microseconds settings_looked = 0;
     std::set<std::string> report_loops;  // on the context's strand of report_manager
+    std::map<std::string, KeptSource> parts_read;  // under loops_lock: the sources that this node reads
+    std::set<std::string> parts_missed;            // under loops_lock: sources with a gap in what came
     std::mutex loops_lock;
 };
 
--- a/source/process/node_load.cpp
+++ b/source/process/node_load.cpp
@@ -5,23 +5,25 @@
 
 namespace dockrock {
 
-auto Node::tell_load(Microseconds now) -> void {
+// Holds the table's lock on entry; it is let go before the control side is entered.
+auto Node::tell_load(Microseconds now, std::unique_lock<std::mutex> guard) -> void {
     auto& burden = table.granting.burden;
     auto const number = static_cast<std::uint64_t>(now);
-    if (!burden.relayed) {
-        in_control([this, body = burden.make_digest(now), number] {
-            act_on(control.digest(body, number, snapshot.load()->resting));
-        });
-        return;
-    }
-    in_control([this, now, number, body = burden.make_told(number, now), of = burden.summed.relay,
-                held = burden.summed.number] { act_on(control.tell_load(now, number, body, of, held)); });
+    auto const relayed = burden.relayed;
+    auto body = relayed ? burden.make_told(number, now) : burden.make_digest(now);
+    auto relay = burden.summed.relay;
+    auto const held = burden.summed.number;
+    guard.unlock();
+    in_control([this, now, number, relayed, body = std::move(body), relay = std::move(relay), held] {
+        if (relayed) act_on(control.tell_load(now, number, body, relay, held));
+        else act_on(control.digest(body, number, snapshot.load()->resting));
+    });
 }
 
 // Where the way changes, an empty last word goes the old one: nothing counts twice.
 auto Node::judge_load(Microseconds now) -> void {
     if (control.settings.load_relays_from == 0) return;
-    auto const relayed = control.judge_load_relays();
+    auto const relayed = control.load_choice.relayed;
     auto const nodes = control.nodes_placing();
     {
         auto const guard = std::lock_guard(table.lock);
--- a/source/process/node_parts.cpp
+++ b/source/process/node_parts.cpp
@@ -1,5 +1,6 @@
 // Which parts of prompts the replicas and stores keep, as they tell it: late,
-// with gaps. docs/platform.md section 8.
+// with gaps. Small fleets: each node reads every source. Larger ones: core nodes
+// share the sources and pass on what they read. docs/design.md section 9.9.
 #include "process/clock.hpp"
 #include "process/node.hpp"
 #include "request/relayed.hpp"
@@ -13,90 +14,174 @@
     co_await timer.async_wait(use_tuple);
 }
 
-constexpr Microseconds parts_interval = 300 * one_millisecond;  // events gather meanwhile
-constexpr Microseconds parts_wait = 900 * one_millisecond;      // a call is held until there are some
+constexpr Microseconds parts_interval = 300 * one_millisecond;   // events gather meanwhile
+constexpr Microseconds shared_interval = 250 * one_millisecond;  // on their way to others they wait again
+constexpr Microseconds parts_wait = 900 * one_millisecond;       // a call is held until there are some
+constexpr Microseconds members_met = 3 * one_second / 2;         // a node that just started knows few others
+constexpr Microseconds catch_up_pause = 20 * one_millisecond;    // between sources
+
+auto batch_of(std::string const& name, bool store, std::uint64_t since, KeptEvents const& told) -> KeptBatch {
+    auto batch = KeptBatch{name, store, told.life, since, told.next, told.gap, {}, {}};
+    std::vector<KeptChange> changes;
+    for (auto const& event : told.events) {
+        auto const salt = read_salt(event.salt);
+        if (!salt) continue;
+        auto place = std::find(batch.weights.begin(), batch.weights.end(), salt->second);
+        if (place == batch.weights.end()) {
+            if (batch.weights.size() == weights_in_batch) continue;
+            place = batch.weights.insert(place, salt->second);
+        }
+        auto const weights = static_cast<std::size_t>(place - batch.weights.begin());
+        changes.push_back({part_hash(salt->first, event.part), weights, event.kept});
+    }
+    batch.changes = write_changes(changes);
+    return batch;
+}
 
 }  // namespace
 
+// Who is read here: everyone by each node that takes requests, or by core nodes in shares.
+auto Node::sources_to_read(Snapshot const& current) const -> std::map<std::string, KeptSource> {
+    std::map<std::string, KeptSource> all;
+    for (auto const& entry : current.list.replicas) all[entry.name] = {entry.address, entry.area, false};
+    if (current.rules->services)
+        for (auto const& service : current.rules->services->document.services)
+            if (!service.store_address.empty()) all[service.name] = {service.store_address, service.zone, true};
+    return all;
+}
+
+auto Node::step_parts() -> void {
+    auto all = sources_to_read(*snapshot.load());
+    std::set<std::string> names;
+    for (auto const& [name, source] : all) names.insert(name);
+    control.kept_feed.forget_except(names);
+    auto const met = clock_now() - started_at > members_met;
+    auto const direct = met && !load_relayed && !settings.front_address.empty();
+    std::erase_if(
+        all, [&](auto const& item) { return !direct && !control.reads_source(item.first, item.second.area); });
+    auto const guard = std::lock_guard(loops_lock);
+    parts_read = std::move(all);
+    for (auto const& [name, source] : parts_read) {
+        if (!report_loops.insert(name).second) continue;
+        auto const& cursor = control.kept_feed.cursors[name];
+        asio::co_spawn(context, parts_loop(name, source.store, cursor.next, cursor.life), asio::detached);
+    }
+}
+
 auto Node::parts_manager() -> awaitable<void> {
-    if (settings.front_address.empty() || !form->events_call) co_return;
+    if (!form->events_call) co_return;
+    if (settings.front_address.empty() && settings.load_relays_from == 0) co_return;
+    asio::co_spawn(context, catch_up_loop(), asio::detached);
     while (!finished) {
-        auto const current = snapshot.load();
-        auto const follow = [&](std::string const& name, bool store) {
-            if (report_loops.insert(name).second) asio::co_spawn(context, parts_loop(name, store), asio::detached);
-        };
-        for (auto const& entry : current->list.replicas) follow(entry.name, false);
-        if (current->rules->services)
-            for (auto const& service : current->rules->services->document.services)
-                if (!service.store_address.empty()) follow(service.name, true);
+        in_control([this] { step_parts(); });
         co_await pause(500 * one_millisecond);
     }
 }
 
-// Where a replica or a store is now; empty: it is gone.
-auto Node::parts_address(std::string const& name, bool store) const -> std::string {
-    auto const current = snapshot.load();
-    if (store) {
-        auto const* service = current->rules->services ? current->rules->services->service(name) : nullptr;
-        return service == nullptr ? std::string() : service->store_address;
-    }
-    for (auto const& entry : current->list.replicas)
-        if (entry.name == name) return entry.address;
-    return {};
+// Where a source that is read here is now; empty: it is gone, or another node's.
+auto Node::parts_address(std::string const& name) -> std::string {
+    auto const guard = std::lock_guard(loops_lock);
+    auto const found = parts_read.find(name);
+    return found == parts_read.end() ? std::string() : found->second.address;
 }
 
-auto Node::take_parts(std::string const& name, bool store, KeptEvents const& told, bool anew) -> void {
+auto Node::take_kept(KeptBatch const& batch, bool forget) -> void {
+    auto const changes = read_changes(batch.changes);
     auto const guard = std::lock_guard(table.lock);
     auto& burden = table.granting.burden;
-    auto const found = store ? table.granting.stores.find(name) : table.granting.stores.end();
-    if (store && found == table.granting.stores.end()) return;
-    if (store) found->second.up = true;
-    if (anew && store) found->second.parts.clear();
-    else if (anew) burden.forget_parts(name);
-    if (anew) ++counters.part_gaps;
-    for (auto const& event : told.events) {
+    auto const found = batch.store ? table.granting.stores.find(batch.source) : table.granting.stores.end();
+    if (!changes || (batch.store && found == table.granting.stores.end())) return;
+    if (batch.store) found->second.up = !batch.life.empty();
+    if (forget && batch.store) found->second.parts.clear();
+    else if (forget) burden.forget_parts(batch.source);
+    if (forget) ++counters.part_gaps;
+    std::vector<std::uint64_t> marks;
+    for (auto const& weights : batch.weights) marks.push_back(hash_text(weights));
+    for (auto const& change : *changes) {
         ++counters.part_events;
-        auto const salt = read_salt(event.salt);
-        if (!salt) continue;
-        auto const part = part_hash(salt->first, event.part);
-        if (!store) burden.take_part(name, part, salt->second, event.kept);
-        else if (event.kept) found->second.parts.insert(part ^ hash_text(salt->second));
-        else found->second.parts.erase(part ^ hash_text(salt->second));
+        if (change.weights >= marks.size()) continue;
+        auto const mark = marks[change.weights];
+        if (!batch.store) burden.take_part(batch.source, change.part, mark, change.kept);
+        else if (change.kept) found->second.parts.insert(change.part ^ mark);
+        else found->second.parts.erase(change.part ^ mark);
     }
 }
 
-auto Node::parts_silent(std::string const& name, bool store) -> void {
-    if (!store) return;
-    auto const guard = std::lock_guard(table.lock);
-    auto const found = table.granting.stores.find(name);
-    if (found == table.granting.stores.end()) return;
-    found->second.up = false;
-    found->second.parts.clear();
+// What was read of a source: for this node, or for all where it is a core node.
+auto Node::parts_told(KeptBatch batch, bool restarted) -> void {
+    if (!settings.front_address.empty()) take_kept(batch, batch.anew || restarted);
+    in_control([this, batch = std::move(batch)]() mutable { control.kept_read(std::move(batch)); });
 }
 
-auto Node::parts_loop(std::string name, bool store) -> awaitable<void> {
+auto Node::parts_loop(std::string name, bool store, std::uint64_t since, std::string life) -> awaitable<void> {
     auto connection = HttpConnection(co_await asio::this_coro::executor);
-    auto since = std::uint64_t{0};
-    auto life = std::string();
     while (!finished) {
-        auto const address = parts_address(name, store);
+        auto const address = parts_address(name);
         if (address.empty()) break;
         ++counters.part_calls;
         auto const ask = form->events_call(since, parts_wait);
         auto const answer = co_await connection.call(address, ask, parts_wait + one_second / 2);
         auto const told = answer.status == 200 ? form->read_events(answer.body) : std::nullopt;
+        if (!told && store) {  // a batch without a life: the store does not answer
+            since = 0;
+            life.clear();
+            parts_told(KeptBatch{name, store, {}, 0, 0, true, {}, {}}, true);
+        }
         if (!told) {
-            parts_silent(name, store);
             co_await pause(store ? one_second / 2 : one_second);
             continue;
         }
         auto const restarted = told->life != life && !life.empty();
-        take_parts(name, store, *told, told->gap || restarted);
-        since = restarted ? 0 : told->next;
+        if (restarted && since != 0) {  // its events begin anew
+            since = 0;
+            life = told->life;
+            parts_told(batch_of(name, store, 0, KeptEvents{told->life, 0, true, {}}), true);
+            continue;
+        }
+        if (told->next != since || told->gap || life.empty())
+            parts_told(batch_of(name, store, since, *told), restarted);
+        since = told->next;
         life = told->life;
-        co_await pause(parts_interval);
+        co_await pause(settings.front_address.empty() ? shared_interval : parts_interval);
     }
+    auto const guard = std::lock_guard(loops_lock);
     report_loops.erase(name);
 }
 
+// After a gap in what came through relays: the source itself is asked once.
+auto Node::catch_up_loop() -> awaitable<void> {
+    while (!finished) {
+        auto const name = next_to_catch_up();
+        co_await pause(name.empty() ? one_second / 2 : catch_up_pause);
+        if (name.empty()) continue;
+        auto const all = sources_to_read(*snapshot.load());
+        auto const source = all.find(name);
+        if (source == all.end()) continue;
+        ++counters.part_calls;
+        auto const ask = form->events_call(0, parts_wait);
+        auto const answer = co_await http_call(source->second.address, ask, parts_wait + one_second / 2);
+        auto const told = answer.status == 200 ? form->read_events(answer.body) : std::nullopt;
+        if (!told) continue;
+        in_control([this, batch = batch_of(name, source->second.store, 0, *told)] {
+            if (control.kept_caught_up(batch)) take_kept(batch, true);
+        });
+    }
+}
+
+auto Node::next_to_catch_up() -> std::string {
+    auto const guard = std::lock_guard(loops_lock);
+    if (parts_missed.empty()) return {};
+    return parts_missed.extract(parts_missed.begin()).value();
+}
+
+// What came through the relay.
+auto Node::take_feed(std::vector<KeptFeed::Taken> const& told) -> void {
+    for (auto const& [batch, gap] : told) {
+        take_kept(batch, gap || batch.anew);
+        if (!gap || batch.anew) continue;
+        auto const guard = std::lock_guard(loops_lock);
+        parts_missed.insert(batch.source);
+    }
+}
+
 }  // namespace dockrock
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -60,7 +60,7 @@
             now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
         if (!due) continue;
         last_digest = now;
-        tell_load(now);
+        tell_load(now, std::move(guard));
     }
 }
 
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -124,13 +124,12 @@
     if (auto const found = replicas.find(name); found != replicas.end()) found->second.take_away(ticket);
 }
 
-auto BurdenTable::take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept)
+auto BurdenTable::take_part(std::string const& name, std::uint64_t part, std::uint64_t weights_mark, bool kept)
     -> void {
     auto const found = replicas.find(name);
     if (found == replicas.end()) return;
-    auto const mark = hash_text(weights);
-    if (kept) found->second.parts[part ^ mark] = mark;
-    else found->second.parts.erase(part ^ mark);
+    if (kept) found->second.parts[part ^ weights_mark] = weights_mark;
+    else found->second.parts.erase(part ^ weights_mark);
 }
 
 auto BurdenTable::forget_parts(std::string const& name) -> void {
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -182,7 +182,10 @@
     auto take_report(std::string const& name, ReplicaReport const& report, Microseconds asked_at) -> void;
     auto take_weights(std::string const& name, std::string const& weights, bool loading) -> void;
     // A replica's late word of one kept part; a gap or a new life forgets all that was told.
-    auto take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept) -> void;
+    auto take_part(std::string const& name, std::uint64_t part, std::string const& weights, bool kept) -> void {
+        take_part(name, part, hash_text(weights), kept);
+    }
+    auto take_part(std::string const& name, std::uint64_t part, std::uint64_t weights_mark, bool kept) -> void;
     auto forget_parts(std::string const& name) -> void;
     auto report_failed(std::string const& name, Microseconds now) -> void;
     auto take_digest(std::string const& node, std::uint64_t number, std::string const& body, Microseconds now) -> void;
--- /dev/null
+++ b/tests/kept_feed_test.cpp
@@ -0,0 +1,160 @@
+// Changes of kept prompts on their way to all nodes. docs/design.md section 9.9.
+#include <catch2/catch.hpp>
+
+#include "process/machine/kept_feed.hpp"
+#include "process/machine/words.hpp"
+
+using namespace dockrock;
+
+namespace {
+
+auto batch(std::uint64_t from, std::uint64_t next, std::string life = "life-1", std::string source = "replica-1")
+    -> KeptBatch {
+    return {std::move(source), false, std::move(life), from, next, false, {"1"}, write_changes({{from, 0, true}})};
+}
+auto core(std::string identity, std::string area) -> Member {
+    Member member;
+    member.identity = std::move(identity);
+    member.area = std::move(area);
+    member.core = true;
+    return member;
+}
+// One question and its answer; what came of it.
+auto pull(KeptFeed& reader, KeptFeed const& relay, std::string const& name, bool own = false)
+    -> std::vector<KeptFeed::Taken> {
+    return reader.take(name, relay.answer(reader.ask(name, own, one_second)));
+}
+
+}  // namespace
+
+TEST_CASE("changes are written and read back; what is no such text is refused") {
+    auto const changes =
+        std::vector<KeptChange>{{0, 0, true}, {~std::uint64_t{0}, 25, false}, {0x0123456789abcdefULL, 3, true}};
+    CHECK(read_changes(write_changes(changes)) == changes);
+    CHECK(read_changes("")->empty());
+    for (auto const* text : {"A", "A012345678901234", "!0123456789abcdef", "A0123456789abcdeg", "A-123456789abcdef"})
+        CHECK_FALSE(read_changes(text).has_value());
+}
+
+TEST_CASE("each source is read by one core node, of its zone where there is one, and by another once that is gone") {
+    auto cores = std::vector<Member>{core("a", "north"), core("b", "north"), core("c", "south")};
+    std::map<std::string, int> shares;
+    for (auto number = 0; number < 200; ++number) {
+        auto const source = "replica-" + std::to_string(number);
+        CHECK(reader_of(source, "south", cores)->identity == "c");
+        auto const* reader = reader_of(source, "north", cores);
+        CHECK(reader->area == "north");
+        ++shares[reader->identity];
+        auto reversed = std::vector<Member>(cores.rbegin(), cores.rend());
+        CHECK(reader_of(source, "north", reversed)->identity == reader->identity);
+    }
+    CHECK(shares["a"] > 60);
+    CHECK(shares["b"] > 60);
+    cores.pop_back();
+    CHECK(reader_of("replica-1", "south", cores) != nullptr);
+    CHECK(reader_of("replica-1", "south", {}) == nullptr);
+}
+
+TEST_CASE("a batch is taken once, an overlapping one whole, and a gap, a restart or another's start is told") {
+    KeptFeed feed;
+    CHECK(feed.judge(batch(0, 5)) == KeptFeed::Verdict::follows);
+    CHECK(feed.judge(batch(0, 5)) == KeptFeed::Verdict::known);
+    CHECK(feed.judge(batch(3, 8)) == KeptFeed::Verdict::follows);  // two readers that disagree
+    CHECK(feed.judge(batch(5, 7)) == KeptFeed::Verdict::known);
+    CHECK(feed.judge(batch(9, 10)) == KeptFeed::Verdict::gap);
+    CHECK(feed.judge(batch(10, 12)) == KeptFeed::Verdict::follows);
+    CHECK(feed.judge(batch(0, 2, "life-2")) == KeptFeed::Verdict::gap);  // it restarted
+    CHECK(feed.judge(batch(2, 3, "life-2")) == KeptFeed::Verdict::follows);
+    CHECK(feed.judge(batch(7, 9, "life-1", "replica-2")) == KeptFeed::Verdict::gap);  // never heard of before
+    CHECK(feed.judge(batch(0, 9, "life-1", "replica-3")) == KeptFeed::Verdict::follows);
+}
+
+TEST_CASE("questions and answers that are lost, late or repeated lose no batch and repeat none") {
+    for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+        auto random = Random{seed};
+        KeptFeed relay;
+        KeptFeed node;
+        relay.id = 7;
+        auto next = std::uint64_t{0};
+        auto taken = std::uint64_t{0};
+        std::vector<FeedAnswer> late;
+        auto const take = [&](FeedAnswer answer) {
+            for (auto const& item : node.take("relay", std::move(answer))) {
+                CHECK_FALSE(item.gap);
+                CHECK(item.batch.from == taken);
+                taken = item.batch.next;
+            }
+        };
+        for (auto round = 0; round < 300; ++round) {
+            if (random.below(2) == 0) {
+                auto made = batch(next, next + 1 + random.below(3));
+                next = made.next;
+                relay.add(std::move(made), true);
+            }
+            auto const ask = node.ask("relay", false, one_second);
+            if (random.below(4) == 0) continue;  // the question is lost
+            auto answer = relay.answer(ask);
+            if (random.below(4) == 0) late.push_back(answer);
+            if (random.below(4) != 0) take(std::move(answer));
+            if (!late.empty() && random.below(3) == 0) {
+                take(late.back());
+                late.pop_back();
+            }
+        }
+        take(relay.answer(node.ask("relay", false, one_second)));
+        CHECK(taken == next);
+    }
+}
+
+TEST_CASE("a node that changes its relay, and one whose relay restarts, goes on without a gap") {
+    KeptFeed reader;  // the core node that reads the source
+    KeptFeed other;   // another core node
+    KeptFeed node;
+    reader.id = 1;
+    other.id = 2;
+    auto const read = [&](std::uint64_t from, std::uint64_t next) {
+        reader.judge(batch(from, next));
+        reader.add(batch(from, next), true);
+    };
+    auto const pass_on = [&] {
+        for (auto& item : pull(other, reader, "reader", true)) other.add(std::move(item.batch), false);
+    };
+    read(0, 4);
+    pass_on();
+    CHECK(pull(node, reader, "reader").size() == 1);
+    read(4, 6);
+    pass_on();
+    auto const through_other = pull(node, other, "other");
+    REQUIRE(through_other.size() == 1);
+    CHECK_FALSE(through_other.front().gap);
+    CHECK(through_other.front().batch.next == 6);
+    CHECK(pull(reader, other, "other", true).empty());  // nothing goes round in circles
+    other = KeptFeed();                                 // it restarts with an empty log
+    other.id = 3;
+    read(6, 9);
+    pass_on();
+    auto const after = pull(node, other, "other");
+    REQUIRE(after.size() == 1);
+    CHECK_FALSE(after.front().gap);
+    // The reader is lost, and the other one goes on from where it knows the source.
+    CHECK(other.cursors["replica-1"].next == 9);
+    other.judge(batch(9, 11));
+    other.add(batch(9, 11), true);
+    auto const taken_over = pull(node, other, "other");
+    REQUIRE(taken_over.size() == 1);
+    CHECK_FALSE(taken_over.front().gap);
+}
+
+TEST_CASE("a log holds bounded bytes; whoever was away longer is told of a gap") {
+    KeptFeed relay;
+    KeptFeed node;
+    relay.id = 1;
+    relay.add(batch(0, 1), true);
+    CHECK(pull(node, relay, "relay").size() == 1);
+    for (auto number = std::uint64_t{1}; number < 4'000; ++number) relay.add(batch(number, number + 1), true);
+    CHECK(relay.log_bytes < 300'000);
+    auto const taken = pull(node, relay, "relay");
+    REQUIRE_FALSE(taken.empty());
+    CHECK(taken.front().gap);
+    CHECK(std::none_of(taken.begin() + 1, taken.end(), [](auto const& item) { return item.gap; }));
+}
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -171,6 +171,7 @@
     settings.area = node.area;
     settings.core = node.core;
     settings.core_count = options.cores;
+    settings.load_relays_from = options.load_relays_from;
     for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
         settings.seeds.push_back(nodes[seed]->address);
     node.control = Control{};
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -49,6 +49,7 @@
     std::size_t cores = 4;
     std::size_t edges = 3;
     double loss = 0.01;
+    std::size_t load_relays_from = 0;  // news go through relays
     bool planted_claims_not_copied = false;  // for showing that the checks bite
     bool planted_claims_not_saved = false;
 };
--- a/tests/world_helpers.hpp
+++ b/tests/world_helpers.hpp
@@ -5,10 +5,11 @@
 
 namespace dockrock::simulation {
 
-inline auto formed(std::uint64_t seed, std::size_t edges = 3) -> std::unique_ptr<World> {
+inline auto formed(std::uint64_t seed, std::size_t edges = 3, std::size_t relays_from = 0) -> std::unique_ptr<World> {
     WorldOptions options;
     options.seed = seed;
     options.edges = edges;
+    options.load_relays_from = relays_from;
     auto world = std::make_unique<World>(options);
     for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) world->start(index);
     REQUIRE(world->run_until_true([&] { return world->settled(); }, 12 * one_second));
