--- /dev/null
+++ b/source/consensus/leader_and_follower.cpp
@@ -0,0 +1,225 @@
+// The group: leader and followers, changes and their outcomes. docs/design.md 5.4 to 5.6.
+#include <algorithm>
+
+#include "consensus/partition.hpp"
+
+namespace dockrock {
+
+namespace {
+constexpr Microseconds queued_limit = 2'500 * one_millisecond;
+constexpr Microseconds waiter_limit = 3 * one_second;
+
+auto error_body(std::string_view what) -> std::string {
+    return json::serialize(json::object{{"error", json::string_view(what.data(), what.size())}});
+}
+}  // namespace
+
+auto Partition::step_down(Context& context) -> void {
+    committed.reset();
+    in_flight = false;
+    for (auto const& waiter : waiters)
+        context.done.push_back(
+            {waiter.origin, waiter.token, 504,
+             error_body("outcome not known; ask again under the same change identity"), ""});
+    waiters.clear();
+    for (auto const& item : queued)
+        context.done.push_back(
+            {item.origin, item.token, 503, error_body("the leader of this partition changed; nothing was changed"),
+             ""});
+    queued.clear();
+}
+
+auto Partition::tick(Context& context) -> void {
+    if (last_tick != 0 && context.now - last_tick > times.frozen_gap) {
+        leader_heard = context.now;  // a frozen node distrusts its own timers
+        for (auto& [identity, follower] : progress) follower.heard = context.now;
+    }
+    last_tick = context.now;
+    if (!healthy || disk_late(context.now)) {
+        if (is_leader(context.self) && !has_lease(context.self, context.now)) {
+            std::erase_if(queued, [&](auto const& item) {
+                if (context.now - item.since <= queued_limit) return false;
+                context.done.push_back(
+                    {item.origin, item.token, 503, error_body("the leader's disk does not answer"), ""});
+                return true;
+            });
+        }
+        std::erase_if(waiters, [&](auto const& waiter) {
+            if (context.now - waiter.since <= waiter_limit) return false;
+            context.done.push_back({waiter.origin, waiter.token, 504, error_body("outcome not known"), ""});
+            return true;
+        });
+        return;
+    }
+    proposal_tick(context);
+    tick_claims(context);
+    if (is_leader(context.self)) leader_tick(context);
+    else if (votes.decided.has_follower(context.self) && votes.decided.term > 0) follower_tick(context);
+}
+
+auto Partition::proposal_tick(Context& context) -> void {
+    if (!proposal) return;
+    if (context.now - proposal->started > times.proposal_limit) {
+        proposal.reset();
+        return;
+    }
+    if (proposal->stage == Proposal::Stage::copying && context.now - proposal->copying_since > times.copy_patience)
+        pass_over(context);
+    if (context.now - proposal->sent > times.resend_interval) send_proposal(context);
+}
+
+auto Partition::leader_tick(Context& context) -> void {
+    auto const& record = votes.decided;
+    if (context.now - last_ask >= times.heartbeat_interval || last_ask == 0) {
+        last_ask = context.now;
+        for (auto const& voter : record.voters)
+            context.sends.push_back({voter, LeaseRequest{index, record, context.now}});
+        for (auto const& follower : record.followers)
+            context.sends.push_back({follower, Heartbeat{index, record, copy.sequence}});
+        if (committed && context.now - last_spare > times.spare_interval) {  // the sweep for old spare copies
+            last_spare = context.now;
+            for (auto const& member : context.cores())
+                if (!record.has_member(member.identity))
+                    context.sends.push_back({member.identity, Heartbeat{index, record, committed->sequence}});
+        }
+    }
+    auto const leased = has_lease(context.self, context.now);
+    if (leased) leader_since = context.now;
+    auto const sealed_now = votes.sealed >= record.term;
+    if (!sealed_now && leased && !in_flight) {
+        if (copy.sequence.term < record.term) {
+            copy.sequence = Sequence{record.term, copy.sequence.number + 1};
+            save(context, true, {});
+            fly(context);
+        } else if (!committed) {
+            fly(context);
+        }
+    }
+    if (in_flight && !sealed_now && context.now - flown_at > times.resend_interval) {
+        flown_at = context.now;
+        sent_flight = false;
+        settle(context);
+    }
+    take_queued(context);
+    std::erase_if(waiters, [&](auto const& waiter) {
+        if (context.now - waiter.since <= waiter_limit) return false;
+        context.done.push_back(
+            {waiter.origin, waiter.token, 504,
+             error_body("outcome not known; ask again under the same change identity"), ""});
+        return true;
+    });
+    if (proposal ||
+        context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000)))
+        return;
+    auto wanted = record;
+    wanted.voters = renewed_voters(context);
+    auto const lost = lost_followers(context);
+    auto const too_few = leased && record.followers.size() + 1 < copies();
+    if (!lost.empty() || too_few) wanted.followers = followers_for(context, record, lost);
+    auto const grows = wanted.followers.size() > record.followers.size();
+    auto const without_lease = context.now - leader_since > times.grant_duration;
+    auto const voters_changed = wanted.voters != record.voters && leased;
+    if (lost.empty() && !grows && !sealed_now && !without_lease && !voters_changed) return;
+    last_try = context.now;
+    propose(context, wanted);
+}
+
+// Any follower may take over. Those named earlier go first, so that ballots
+// do not race; one that does not get there holds the others up for a time only.
+auto Partition::follower_tick(Context& context) -> void {
+    if (proposal) return;
+    auto const& followers = votes.decided.followers;
+    auto const place = std::find(followers.begin(), followers.end(), context.self);
+    auto const before =
+        std::count_if(followers.begin(), place, [&](auto const& other) { return context.alive(other); });
+    auto const silent = context.now - leader_heard - before * times.try_interval;
+    if (silent <= times.leader_timeout &&
+        (silent <= 2 * times.heartbeat_interval || context.alive(votes.decided.leader)))
+        return;
+    if (rival_tried != 0 && context.now - rival_tried < 2 * times.try_interval &&
+        silent < times.leader_timeout + times.rival_patience)
+        return;
+    if (context.now - last_try < times.try_interval + static_cast<Microseconds>(context.random.below(60'000))) return;
+    last_try = context.now;
+    auto wanted = votes.decided;
+    wanted.leader = context.self;
+    wanted.followers.erase(wanted.followers.begin() + (place - followers.begin()));
+    wanted.followers.push_back(votes.decided.leader);
+    auto lost = std::set<std::string>{votes.decided.leader};
+    for (auto const& other : followers)
+        if (!context.alive(other)) lost.insert(other);
+    wanted.followers = followers_for(context, wanted, lost);
+    wanted.voters = renewed_voters(context);
+    propose(context, wanted);
+}
+
+// A polite stop: an follower becomes leader by an ordinary decision. It holds
+// all that was acknowledged; all of the new group get the sealed copy (design 5.6).
+auto Partition::hand_over(Context& context) -> bool {
+    if (!is_leader(context.self) || !healthy) return false;
+    if (proposal || context.now - last_try < times.try_interval) return true;
+    last_try = context.now;
+    auto wanted = votes.decided;
+    auto lost = std::set<std::string>{context.self};
+    for (auto const& follower : votes.decided.followers)
+        if (!context.alive(follower)) lost.insert(follower);
+    auto& others = wanted.followers;
+    auto const next =
+        std::find_if(others.begin(), others.end(), [&](auto const& item) { return !lost.contains(item); });
+    if (next == others.end()) return false;
+    wanted.leader = *next;
+    others.erase(next);
+    others = followers_for(context, wanted, lost);
+    auto const living = [&](auto const& item) { return context.alive(item); };
+    if (others.size() + 1 < copies() || !std::all_of(others.begin(), others.end(), living)) return false;
+    propose(context, wanted);
+    return true;
+}
+
+auto Partition::on(Context& context, std::string const& from, Heartbeat const& message) -> void {
+    learn(context, message.record);
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy || disk_late(context.now)) return;
+    leader_heard = context.now;
+    // A sealed follower can acknowledge nothing more: silent, so that the
+    // leader decides on a new group.
+    if (votes.decided.has_follower(context.self) && votes.sealed >= votes.decided.term) return;
+    context.sends.push_back({from, Appended{index, votes.decided.term, synced}});
+}
+
+auto Partition::on(Context& context, std::string const& from, Append const& message) -> void {
+    learn(context, message.record);
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (!votes.decided.has_follower(context.self) || votes.sealed >= votes.decided.term) return;
+    leader_heard = context.now;
+    auto const reply = IdentifiedMessage{from, Appended{index, votes.decided.term, message.copy.sequence}};
+    if (message.copy.sequence > copy.sequence) {
+        copy = message.copy;
+        save(context, true, {reply});
+    } else if (message.copy.sequence <= synced) {
+        context.sends.push_back(reply);
+    }
+}
+
+auto Partition::on(Context& context, std::string const& from, Appended const& message) -> void {
+    if (!is_leader(context.self) || message.term != votes.decided.term) return;
+    if (!votes.decided.has_follower(from)) {
+        if (committed && message.sequence != committed->sequence)
+            context.sends.push_back({from, SpareOffer{index, votes.decided, *committed}});
+        return;
+    }
+    auto& follower = progress[from];
+    follower.heard = context.now;
+    follower.has = std::max(follower.has, message.sequence);
+    settle(context);
+}
+
+auto Partition::on(Context& context, std::string const& from, SpareOffer const& message) -> void {
+    learn(context, message.record);
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (votes.decided.has_follower(context.self) || message.copy.sequence == copy.sequence) return;
+    if (votes.sealed >= votes.decided.term) return;  // the copy it took for the next term stays (design 5.8)
+    copy = message.copy;
+    save(context, true, {});
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/consensus/voting_and_lease.cpp
@@ -0,0 +1,178 @@
+// Voting on who holds a partition, and granting its lease. docs/design.md 5.1 to 5.3.
+#include <algorithm>
+
+#include "consensus/partition.hpp"
+
+namespace dockrock {
+
+namespace {
+auto contains(std::vector<std::string> const& list, std::string const& item) -> bool {
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+}  // namespace
+
+auto Partition::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t {
+    Save request;
+    request.token = context.random.next() | 1U;
+    request.saved.partition = index;
+    request.saved.votes = votes;
+    if (with_copy) {
+        request.saved.copy = copy;
+        request.copy_sequence = copy.sequence;
+    }
+    request.after = std::move(after);
+    auto& [since, kept] = saving[request.token];
+    since = context.now;
+    kept.after = request.after;
+    kept.copy_sequence = request.copy_sequence;
+    auto const token = request.token;
+    context.saves.push_back(std::move(request));
+    return token;
+}
+
+auto Partition::saved(Context& context, std::uint64_t token, bool ok) -> void {
+    auto const found = saving.find(token);
+    if (found == saving.end()) return;
+    auto kept = std::move(found->second.second);
+    saving.erase(found);
+    if (!ok) {  // a failed sync is final for this copy (design 6)
+        healthy = false;
+        return;
+    }
+    if (!healthy) return;
+    if (kept.copy_sequence) synced = *kept.copy_sequence;  // the disk answers in order
+    for (auto& item : kept.after) context.sends.push_back(std::move(item));
+    settle(context);
+    claims_saved(context, token);
+    if (!proposal || proposal->stage != Proposal::Stage::copying || token != proposal->seal_token) return;
+    proposal->seal_synced = true;
+    copies_taken(context);
+}
+
+auto Partition::disk_late(Microseconds now) const -> bool {
+    for (auto const& [token, entry] : saving)
+        if (now - entry.first > times.disk_limit) return true;
+    return false;
+}
+
+auto Partition::learn(Context& context, Record const& record) -> void {
+    auto const blank = votes.decided.term == 0 && votes.decided.voters.empty();
+    if (record.term < votes.decided.term || record.voters.empty()) return;
+    if (record.term == votes.decided.term && !blank) return;
+    auto const was_leader = is_leader(context.self);
+    votes.decided = record;
+    votes.promised = {};
+    votes.accepted_ballot = {};
+    votes.accepted.reset();
+    proposal.reset();
+    highest_round = 0;
+    granted_until = 0;
+    grants.clear();
+    in_flight = false;
+    follow(context.now);
+    leader_heard = context.now;
+    rival_tried = 0;
+    last_ask = 0;
+    if (is_leader(context.self)) {
+        if (!was_leader) leader_since = context.now;
+    } else {
+        step_down(context);
+    }
+    claims_under_new_record(context);
+    save(context, false, {});
+}
+
+auto Partition::may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool {
+    if (proof.term + 1 != term || !healthy) return false;
+    learn(context, proof);
+    auto const refuse = [&] {
+        context.sends.push_back({from, Refusal{index, term, votes.promised, votes.decided}});
+        return false;
+    };
+    if (votes.decided.term >= term) return refuse();
+    if (votes.decided.voters != proof.voters || !contains(votes.decided.voters, context.self)) return false;
+    if (context.now < vote_from && votes.decided.term > 0) return refuse();
+    if (granted_until > context.now && granted_to != from) return refuse();
+    return true;
+}
+
+auto Partition::on(Context& context, std::string const& from, Prepare const& message) -> void {
+    auto const may = may_vote(context, from, message.term, message.proof);
+    auto const& followers = votes.decided.followers;
+    auto const place = std::find(followers.begin(), followers.end(), context.self);
+    if (message.term == votes.decided.term + 1 && std::find(followers.begin(), place, from) != place)
+        rival_tried = context.now;
+    if (!may) return;
+    if (message.ballot < votes.promised) {
+        context.sends.push_back({from, Refusal{index, message.term, votes.promised, votes.decided}});
+        return;
+    }
+    votes.promised = message.ballot;
+    save(context, false, {{from, Promise{index, message.term, message.ballot, votes.accepted_ballot, votes.accepted}}});
+}
+
+auto Partition::on(Context& context, std::string const& from, Accept const& message) -> void {
+    if (!may_vote(context, from, message.term, message.proof)) return;
+    if (message.ballot < votes.promised || message.record.term != message.term) {
+        context.sends.push_back({from, Refusal{index, message.term, votes.promised, votes.decided}});
+        return;
+    }
+    votes.promised = message.ballot;
+    votes.accepted_ballot = message.ballot;
+    votes.accepted = message.record;
+    save(context, false, {{from, Accepted{index, message.term, message.ballot}}});
+}
+
+auto Partition::on(Context& context, std::string const& from, Refusal const& message) -> void {
+    learn(context, message.decided);
+    if (message.term == votes.decided.term + 1) highest_round = std::max(highest_round, message.promised.round);
+    if (!proposal) return;
+    proposal->refusals.insert(from);
+    auto const count = votes.decided.voters.size();
+    auto const hopeless = proposal->refusals.size() > count - majority_of(count);
+    if (message.promised > proposal->ballot || (hopeless && proposal->stage == Proposal::Stage::preparing))
+        proposal.reset();
+}
+
+auto Partition::on(Context& context, std::string const&, Decided const& message) -> void {
+    learn(context, message.record);
+}
+
+// A voter that accepted another record for the next term grants no more: so a
+// decided successor and a live lease exclude each other (design 5.3).
+auto Partition::on(Context& context, std::string const& from, LeaseRequest const& message) -> void {
+    learn(context, message.record);
+    if (votes.decided.term > message.record.term) {
+        context.sends.push_back({from, Decided{index, votes.decided}});
+        return;
+    }
+    if (votes.decided != message.record || from != votes.decided.leader || !healthy) return;
+    if (votes.accepted || !contains(votes.decided.voters, context.self)) return;
+    granted_until = context.now + times.grant_duration;
+    granted_to = from;
+    context.sends.push_back({from, LeaseGrant{index, message.record.term, message.asked_at}});
+}
+
+auto Partition::on(Context& context, std::string const& from, LeaseGrant const& message) -> void {
+    if (message.term != votes.decided.term || !is_leader(context.self) || message.asked_at > context.now) return;
+    auto& newest = grants[from];
+    newest = std::max(newest, message.asked_at);
+    settle(context);
+}
+
+auto Partition::lease_until(std::string const& self) const -> Microseconds {
+    if (!is_leader(self)) return 0;
+    std::vector<Microseconds> asked;
+    for (auto const& voter : votes.decided.voters)
+        if (auto const found = grants.find(voter); found != grants.end()) asked.push_back(found->second);
+    auto const needed = blocking_of(votes.decided.voters.size());
+    if (asked.size() < needed) return 0;
+    std::sort(asked.begin(), asked.end(), std::greater<>());
+    return asked[needed - 1] + times.lease_duration;
+}
+
+auto Partition::has_lease(std::string const& self, Microseconds now) const -> bool {
+    return healthy && lease_until(self) > now && !disk_late(now);
+}
+
+}  // namespace dockrock
--- a/source/process/machine/control.hpp
+++ b/source/control/control.hpp
@@ -1,26 +1,26 @@
 #pragma once
-// One node's control side whole: membership, parts, news and operator calls.
+// One node's control side whole: membership, partitions, news and operator calls.
 // docs/design.md sections 4 to 8.
 #include <array>
 
-#include "process/machine/kept_feed.hpp"
-#include "process/machine/load_relay.hpp"
-#include "process/machine/membership.hpp"
-#include "process/machine/part.hpp"
-#include "process/machine/part_news.hpp"
+#include "consensus/partition.hpp"
+#include "control/kept_feed.hpp"
+#include "control/load_relay.hpp"
+#include "membership/membership.hpp"
+#include "control/partition_news.hpp"
 
 namespace dockrock {
 
-inline constexpr auto part_names =
+inline constexpr auto partition_names =
     std::to_array<std::string_view>({"configuration", "service-0", "service-1", "service-2", "resting"});
-inline constexpr auto part_count = part_names.size();
-inline constexpr auto configuration_part = 0;
-inline constexpr auto resting_part = 4;
-inline constexpr auto service_parts = 3;
+inline constexpr auto partition_count = partition_names.size();
+inline constexpr auto configuration_partition = 0;
+inline constexpr auto resting_partition = 4;
+inline constexpr auto service_partitions = 3;
 
-// The part that holds a service, by hash of its name (design 5).
-inline auto part_of_service(std::string_view service) -> int {
-    return 1 + static_cast<int>(hash_text(service) % service_parts);
+// The partition that holds a service, by hash of its name (design 5).
+inline auto partition_of_service(std::string_view service) -> int {
+    return 1 + static_cast<int>(hash_text(service) % service_partitions);
 }
 
 struct ControlSettings {
@@ -29,8 +29,8 @@
     std::string area;
     std::vector<std::string> seeds;
     bool core = false;
-    std::size_t core_count = 4;  // 0: not told (design 5.7)
-    std::size_t machines_lost = 1;
+    std::size_t core_count = 4;     // 0: not told (design 5.7)
+    std::size_t machines_lost = 1;  // core nodes, at once, with their disks
     bool may_form = true;
     std::size_t load_relays_from = 0;  // nodes from which on load goes through relays; 0: never
     bool rests = true;                 // this node may be told to rest
@@ -58,7 +58,7 @@
 struct ClaimDone {
     std::uint64_t local_token = 0;
     ClaimState state = ClaimState::not_here;  // not_here: its fate is not known
-    std::uint64_t epoch = 0;
+    std::uint64_t term = 0;
 };
 
 struct ControlOutput {
@@ -77,8 +77,8 @@
     NewsTimes times;
     Random random;
     Membership membership;
-    std::array<Part, part_count> parts;
-    std::array<PartNews, part_count> news;
+    std::array<Partition, partition_count> partitions;
+    std::array<PartitionNews, partition_count> news;
     struct WaitingAsk {
         std::string address;
         NewsAsk ask;
@@ -105,8 +105,8 @@
         std::uint64_t local_token = 0;
         Microseconds since = 0;
         std::set<std::string> silent;  // addresses that have not answered yet
-        std::vector<PartHeld> best;
-        std::uint64_t epoch = 0;  // once it is sent
+        std::vector<HeldPartition> best;
+        std::uint64_t term = 0;  // once it is sent
     };
     std::optional<PendingAnew> anew;
     bool forms_anew = false;  // this core node holds the copies to form from
@@ -128,7 +128,7 @@
 
     auto start(
         ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
-        std::vector<PartSaved> const& saved_parts, bool had_state, Microseconds now) -> void;
+        std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void;
     auto tick(Microseconds now) -> ControlOutput;
     auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message)
         -> ControlOutput;
@@ -136,10 +136,10 @@
     auto call(Microseconds now, std::uint64_t local_token, Call const& asked) -> ControlOutput;
     auto form_anew(Microseconds now, std::uint64_t local_token) -> ControlOutput;
     auto claim(Microseconds now, std::uint64_t local_token, ClaimAsk ask) -> ControlOutput;
-    // A part's live text, as its reader or owner knows it now (design 8.4 and 11).
-    auto live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
+    // A partition's live text, as its reader or leader knows it now (design 8.4 and 11).
+    auto live_read(int partition, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput;
     auto list_read(Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
-        return live_read(configuration_part, now, asked_at, text);
+        return live_read(configuration_partition, now, asked_at, text);
     }
     auto wants_list(Microseconds now) const -> bool;
     auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
@@ -160,14 +160,14 @@
 
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
-    auto owns(int part, Microseconds now) const -> bool {
-        return parts[static_cast<std::size_t>(part)].licensed(membership.self.identity, now);
+    auto leads(int partition, Microseconds now) const -> bool {
+        return partitions[static_cast<std::size_t>(partition)].has_lease(membership.self.identity, now);
     }
-    auto proof_age(int part, Microseconds now) const -> Microseconds {
-        return now - news[static_cast<std::size_t>(part)].proven_at;
+    auto proof_age(int partition, Microseconds now) const -> Microseconds {
+        return now - news[static_cast<std::size_t>(partition)].proven_at;
     }
     auto knows_fleet() const -> bool;
-    auto best_record(int part) const -> Record const&;
+    auto best_record(int partition) const -> Record const&;
 
    private:
     auto with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void;
@@ -179,16 +179,16 @@
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
     auto answer_news(
         Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
-    auto answer_waiting(Microseconds now, int part, ControlOutput& output) -> void;
+    auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
-    auto take_copy(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
-    auto take_live(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
-    auto relays_news(int part, Microseconds now) const -> bool;
-    auto hold_limit(int part) const -> Microseconds {
-        return part == configuration_part ? times.hold_limit : times.service_hold_limit;
+    auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto relays_news(int partition, Microseconds now) const -> bool;
+    auto hold_limit(int partition) const -> Microseconds {
+        return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
     }
-    auto ask_overdue(PartNews& item, int part, Microseconds now) -> bool;
-    auto news_target(PartNews& item, int part, Microseconds now) -> std::string;
+    auto ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool;
+    auto news_target(PartitionNews& item, int partition, Microseconds now) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
         -> void;
@@ -199,11 +199,11 @@
     auto form(Microseconds now, Context& context) -> void;
     auto may_form_now(Microseconds now, std::vector<Member> const& cores) -> bool;
     auto cores_needed() const -> std::size_t;
-    auto held_parts() const -> std::vector<PartHeld>;
-    auto take_anew(std::vector<PartHeld> const& told) -> void;
+    auto held_parts() const -> std::vector<HeldPartition>;
+    auto take_anew(std::vector<HeldPartition> const& told) -> void;
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
-    auto old_voter_alive(std::vector<PartHeld> const& held) const -> std::string;
+    auto old_voter_alive(std::vector<HeldPartition> const& held) const -> std::string;
     auto ask_feed(Microseconds now, ControlOutput& output) -> void;
     auto take_feed(Microseconds now, std::string const& from, FeedAnswer const& answer, ControlOutput& output) -> void;
     auto share_load(Microseconds now, ControlOutput& output) -> void;
--- a/source/process/machine/control_kept.cpp
+++ b/source/control/control_kept.cpp
@@ -1,6 +1,6 @@
 // Changes of kept prompts through relays: who is asked, who answers.
 // docs/design.md section 9.9.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/control_load.cpp
+++ b/source/control/control_load.cpp
@@ -1,6 +1,6 @@
 // Load through relays: who is told, and what relays tell each other.
 // docs/design.md section 9.8.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -1,24 +1,24 @@
 // News to every node, with proofs of freshness, and operator calls passed on.
 // docs/design.md sections 7 and 8.
-#include "process/machine/control.hpp"
+#include "control/control.hpp"
 
 namespace dockrock {
 
-// The licensed owner's committed copy is the news; nothing else ever is.
+// The leased leader's committed copy is the news; nothing else ever is.
 auto Control::publish(Microseconds now, ControlOutput& output) -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
-        auto& part = parts[index];
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
+        auto& partition = partitions[index];
         auto& item = news[index];
-        if (part.votes.decided.epoch > item.record.epoch) item.record = part.votes.decided;
-        if (!part.committed || !part.licensed(membership.self.identity, now)) continue;
-        auto const changed = part.committed->sequence > item.copy.sequence;
+        if (partition.votes.decided.term > item.record.term) item.record = partition.votes.decided;
+        if (!partition.committed || !partition.has_lease(membership.self.identity, now)) continue;
+        auto const changed = partition.committed->sequence > item.copy.sequence;
         if (changed) {
             remember(item);
-            item.copy = *part.committed;
+            item.copy = *partition.committed;
         }
         item.proven_at = now;
-        if (item.told_epoch < item.record.epoch) {  // a new owner tells everyone where to ask (design 8.1)
-            item.told_epoch = item.record.epoch;
+        if (item.told_term < item.record.term) {  // a new leader tells everyone where to ask (design 8.1)
+            item.told_term = item.record.term;
             for (auto const& member : membership.alive_members(false))
                 if (member.identity != membership.self.identity)
                     output.sends.push_back({member.control_address, Decided{static_cast<int>(index), item.record}});
@@ -29,26 +29,26 @@
     }
 }
 
-auto Control::answer_waiting(Microseconds now, int part, ControlOutput& output) -> void {
+auto Control::answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void {
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& entry : waiting) {
-        if (entry.ask.part == part) answer_news(now, entry.address, entry.ask, output, false);
+        if (entry.ask.partition == partition) answer_news(now, entry.address, entry.ask, output, false);
         else waiting_asks.push_back(entry);
     }
 }
 
 auto Control::answer_news(
     Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
-    auto const& item = news[static_cast<std::size_t>(ask.part)];
+    auto const& item = news[static_cast<std::size_t>(ask.partition)];
     auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
-    auto const newer = item.copy.sequence > ask.have || list_newer || item.record.epoch > ask.epoch;
-    if (may_wait && !newer && (owns(ask.part, now) || relays_news(ask.part, now))) {
+    auto const newer = item.copy.sequence > ask.have || list_newer || item.record.term > ask.term;
+    if (may_wait && !newer && (leads(ask.partition, now) || relays_news(ask.partition, now))) {
         if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
         return;
     }
     NewsAnswer answer;
-    answer.part = ask.part;
+    answer.partition = ask.partition;
     answer.token = ask.token;
     answer.record = item.record;
     answer.proven = now - item.proven_at < 10 * one_second;
@@ -65,29 +65,29 @@
     output.sends.push_back({address, std::move(answer)});
 }
 
-// A core node whose own proof is fresh holds questions as the owner does, and
-// answers them with what it hears from the owner next (design 8.1).
-auto Control::relays_news(int part, Microseconds now) const -> bool {
+// A core node whose own proof is fresh holds questions as the leader does, and
+// answers them with what it hears from the leader next (design 8.1).
+auto Control::relays_news(int partition, Microseconds now) const -> bool {
     if (!settings.core || !load_choice.relayed) return false;
-    return now - news[static_cast<std::size_t>(part)].proven_at < 2 * hold_limit(part);
+    return now - news[static_cast<std::size_t>(partition)].proven_at < 2 * hold_limit(partition);
 }
 
 auto Control::take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
-    auto& item = news[static_cast<std::size_t>(answer.part)];
+    auto& item = news[static_cast<std::size_t>(answer.partition)];
     if (answer.token != item.ask_token || item.ask_token == 0) return;
     item.ask_token = 0;
     item.unanswered = 0;
-    if (item.asked_relay && (!answer.proven || answer.age > 2 * hold_limit(answer.part)))
-        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the owner
-    if (answer.record.epoch > item.record.epoch) item.record = answer.record;
+    if (item.asked_relay && (!answer.proven || answer.age > 2 * hold_limit(answer.partition)))
+        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the leader
+    if (answer.record.term > item.record.term) item.record = answer.record;
     take_copy(item, answer, output);
     if (answer.proven && answer.sequence == item.copy.sequence)
         item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
     take_live(item, answer, output);
-    if (settings.core && load_choice.relayed) answer_waiting(now, answer.part, output);
+    if (settings.core && load_choice.relayed) answer_waiting(now, answer.partition, output);
 }
 
-auto Control::take_copy(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+auto Control::take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
     if (!answer.copy || !(answer.copy->sequence > item.copy.sequence)) return;  // never back to an older one
     auto made = apply_news(item, *answer.copy);
     item.whole_wanted = !made.has_value();
@@ -99,7 +99,7 @@
     output.news = true;
 }
 
-auto Control::take_live(PartNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+auto Control::take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
     // A list is told apart by its digest: the same text is as fresh as its
     // freshest reading, another one is taken where it was read later (design 8.4).
     auto const live_at = item.asked_at - answer.live_age;
@@ -114,18 +114,19 @@
     }
 }
 
-// Whether the part may be asked about now: nothing is under way, or too long.
-auto Control::ask_overdue(PartNews& item, int part, Microseconds now) -> bool {
+// Whether the partition may be asked about now: nothing is under way, or too long.
+auto Control::ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool {
     if (item.ask_token == 0) return true;
-    if (now - item.asked_at < (part == configuration_part ? times.ask_limit : times.service_ask_limit)) return false;
+    if (now - item.asked_at < (partition == configuration_partition ? times.ask_limit : times.service_ask_limit))
+        return false;
     if (item.asked_relay) item.direct_until = now + times.direct;
     else ++item.unanswered;
     return true;
 }
 
-// A relay where there are many nodes; else the owner first, and where that does
+// A relay where there are many nodes; else the leader first, and where that does
 // not answer, anyone may relay its proof.
-auto Control::news_target(PartNews& item, int part, Microseconds now) -> std::string {
+auto Control::news_target(PartitionNews& item, int partition, Microseconds now) -> std::string {
     item.asked_relay = false;
     if (load_choice.relayed && !settings.core && now >= item.direct_until) {
         auto const cores = membership.alive_members(true);
@@ -133,9 +134,9 @@
         item.asked_relay = relay != nullptr;
         if (relay != nullptr) return relay->control_address;
     }
-    auto const& record = best_record(part);
-    auto target = membership.address_of(record.primary);
-    if (!target.empty() && record.primary != membership.self.identity && item.unanswered % 2 == 0) return target;
+    auto const& record = best_record(partition);
+    auto target = membership.address_of(record.leader);
+    if (!target.empty() && record.leader != membership.self.identity && item.unanswered % 2 == 0) return target;
     auto members = membership.alive_members(item.unanswered < 6);
     std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
     if (members.empty()) return {};
@@ -143,12 +144,12 @@
 }
 
 auto Control::ask_news(Microseconds now, ControlOutput& output) -> void {
-    for (auto index = std::size_t{0}; index < part_count; ++index) {
+    for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto& item = news[index];
-        if (owns(static_cast<int>(index), now)) continue;
-        if (resting && index != configuration_part && index != resting_part) continue;
+        if (leads(static_cast<int>(index), now)) continue;
+        if (resting && index != configuration_partition && index != resting_partition) continue;
         if (resting && now - item.asked_at < times.resting_interval) continue;
-        if (index == resting_part && !settings.rests && !settings.core) continue;
+        if (index == resting_partition && !settings.rests && !settings.core) continue;
         if (!ask_overdue(item, static_cast<int>(index), now)) continue;
         auto const target = news_target(item, static_cast<int>(index), now);
         if (target.empty()) continue;
@@ -158,23 +159,24 @@
         output.sends.push_back(
             {target,
              NewsAsk{
-                 static_cast<int>(index), item.ask_token, item.record.epoch, item.copy.sequence, item.live_digest,
+                 static_cast<int>(index), item.ask_token, item.record.term, item.copy.sequence, item.live_digest,
                  now - item.live_at, item.whole_wanted}});
     }
 }
 
 auto Control::wants_list(Microseconds now) const -> bool {
-    if (owns(configuration_part, now)) return now - last_list_read >= times.list_interval;
+    if (leads(configuration_partition, now)) return now - last_list_read >= times.list_interval;
     if (resting) return false;
-    return now - news[configuration_part].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
+    return now - news[configuration_partition].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
 }
 
-// A list that was read whole, or the word of a part's owner. What can't be read
+// A list that was read whole, or the word of a partition's leader. What can't be read
 // never reaches this machine, so silence undoes no mark (design 8).
-auto Control::live_read(int part, Microseconds now, Microseconds asked_at, std::string const& text) -> ControlOutput {
+auto Control::live_read(int partition, Microseconds now, Microseconds asked_at, std::string const& text)
+    -> ControlOutput {
     ControlOutput output;
-    if (part == configuration_part) last_list_read = now;
-    auto& item = news[static_cast<std::size_t>(part)];
+    if (partition == configuration_partition) last_list_read = now;
+    auto& item = news[static_cast<std::size_t>(partition)];
     if (asked_at <= item.live_at) return output;  // overtaken by a later reading
     item.live_at = asked_at;
     auto const digest = digest_of(text);
@@ -182,7 +184,7 @@
     item.live = text;
     item.live_digest = digest;
     output.news = true;
-    answer_waiting(now, part, output);
+    answer_waiting(now, partition, output);
     return output;
 }
 
--- a/source/process/machine/kept_feed.cpp
+++ b/source/control/kept_feed.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/kept_feed.hpp"
+#include "control/kept_feed.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/source/process/machine/kept_feed.hpp
+++ b/source/control/kept_feed.hpp
@@ -3,7 +3,7 @@
 // one core node and passed on to all nodes through relays. docs/design.md 9.9.
 #include <deque>
 
-#include "process/machine/membership.hpp"
+#include "membership/membership.hpp"
 
 namespace dockrock {
 
--- a/source/process/machine/load_relay.cpp
+++ b/source/control/load_relay.cpp
@@ -1,4 +1,4 @@
-#include "process/machine/load_relay.hpp"
+#include "control/load_relay.hpp"
 
 #include <algorithm>
 
--- a/source/process/machine/load_relay.hpp
+++ b/source/control/load_relay.hpp
@@ -4,7 +4,7 @@
 #include <deque>
 #include <set>
 
-#include "process/machine/membership.hpp"
+#include "membership/membership.hpp"
 #include "ticket/load.hpp"
 
 namespace dockrock {
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -9,10 +9,10 @@
 #include "connection/http_client.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/form.hpp"
-#include "process/machine/list_pace.hpp"
-#include "process/machine/orders.hpp"
-#include "process/machine/resting.hpp"
-#include "process/machine/weights_duty.hpp"
+#include "control/list_pace.hpp"
+#include "control/orders.hpp"
+#include "control/resting.hpp"
+#include "control/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -99,8 +99,8 @@
     Microseconds started_at = 0;
     std::map<std::uint64_t, std::function<void(ClaimDone)>> claim_waiters;  // inside control_work
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;    // inside control_work
-    std::array<std::uint64_t, part_count> logged_epochs{};                  // inside control_work
-    std::array<bool, part_count> logged_owned{};
+    std::array<std::uint64_t, partition_count> logged_epochs{};             // inside control_work
+    std::array<bool, partition_count> logged_owned{};
     bool load_relayed = false;                 // inside control_work; the table holds the same
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
@@ -140,8 +140,8 @@
     auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
-    auto tell_load(Microseconds now, std::unique_lock<std::mutex> guard) -> void;   // under table.lock
-    auto judge_load(Microseconds now) -> void;  // whether it goes through relays
+    auto tell_load(Microseconds now, std::unique_lock<std::mutex> guard) -> void;  // under table.lock
+    auto judge_load(Microseconds now) -> void;                                     // whether it goes through relays
     auto make_call(Call call, std::function<void(CallDone)> done) -> void;
     auto form_anew(std::function<void(CallDone)> done) -> void;
     auto make_claim(Ticket const& ticket, bool release, std::function<void(ClaimDone)> done) -> void;
@@ -167,7 +167,7 @@
     auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
     auto weights_loop() -> awaitable<void>;
     auto step_weights() -> void;
-    auto licence_checked(int part, std::uint64_t fence) -> awaitable<bool>;
+    auto lease_checked(int partition, std::uint64_t fence) -> awaitable<bool>;
     auto send_duty_order(DutyOrder order) -> awaitable<void>;
     auto ask_duty_report(DutyReport asked) -> awaitable<void>;
     auto poll_metrics(std::string& text) const -> void;
@@ -198,7 +198,7 @@
 
     std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
     Microseconds settings_looked = 0;
-    std::set<std::string> report_loops;  // on the context's strand of report_manager
+    std::set<std::string> report_loops;            // on the context's strand of report_manager
     std::map<std::string, KeptSource> parts_read;  // under loops_lock: the sources that this node reads
     std::set<std::string> parts_missed;            // under loops_lock: sources with a gap in what came
     std::mutex loops_lock;
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <unordered_map>
 
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 #include "ticket/load.hpp"
 #include "ticket/ticket.hpp"
 
--- a/source/ticket/load.hpp
+++ b/source/ticket/load.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock {
 
--- a/tests/hollow/fleet.cpp
+++ b/tests/hollow/fleet.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "meter.hpp"
-#include "process/machine/frame.hpp"
+#include "base/frame.hpp"
 #include "sequence/changes.hpp"
 
 namespace dockrock::hollow {
@@ -128,8 +128,9 @@
         auto const batch = std::move(node.unsynced);
         node.unsynced.clear();
         for (auto const& save : batch) {
-            auto const found = std::find_if(
-                node.synced.begin(), node.synced.end(), [&](auto const& part) { return part.part == save.saved.part; });
+            auto const found = std::find_if(node.synced.begin(), node.synced.end(), [&](auto const& part) {
+                return part.partition == save.saved.partition;
+            });
             if (found == node.synced.end()) node.synced.push_back(save.saved);
             else merge_saved(*found, save.saved);
         }
@@ -161,10 +162,10 @@
         node.control = Control{};
         node.control.start(
             settings, node.identity, node.incarnation, random.next(),
-            node.core ? node.synced : std::vector<PartSaved>{}, had_state, now);
-        for (auto part = std::size_t{0}; part < part_count; ++part)
-            node.control.parts[part].apply =
-                part == configuration_part ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
+            node.core ? node.synced : std::vector<SavedPartition>{}, had_state, now);
+        for (auto part = std::size_t{0}; part < partition_count; ++part)
+            node.control.partitions[part].apply =
+                part == configuration_partition ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
         node.snapshot = empty_snapshot();
         node.list_pace = ListPace();
         node.load = LoadSource();
@@ -180,8 +181,8 @@
     if (!node.running || node.life != life) return;
     act(node, [&] { return node.control.tick(now); });
     ListView view;
-    view.owner = node.control.owns(configuration_part, now);
-    view.list_at = node.control.news[configuration_part].live_at;
+    view.leader = node.control.leads(configuration_partition, now);
+    view.list_at = node.control.news[configuration_partition].live_at;
     if (!view.owner && now - view.list_at > node.list_pace.fallback)
         view.members = node.control.membership.alive_members(false).size();
     if (node.list_pace.due(view, now, node.control.random)) read_list(node);
--- a/tests/hollow/fleet.hpp
+++ b/tests/hollow/fleet.hpp
@@ -6,9 +6,9 @@
 
 #include "figures.hpp"
 #include "load.hpp"
-#include "process/machine/control.hpp"
-#include "process/machine/list_pace.hpp"
-#include "process/machine/snapshot.hpp"
+#include "control/control.hpp"
+#include "control/list_pace.hpp"
+#include "control/snapshot.hpp"
 
 namespace dockrock::hollow {
 
@@ -45,7 +45,7 @@
     // the disk of a core node
     std::string identity;
     std::uint64_t incarnation = 0;
-    std::vector<PartSaved> synced;
+    std::vector<SavedPartition> synced;
     std::vector<Save> unsynced;
     bool disk_busy = false;
     auto account() const -> int { return static_cast<int>(index) + 1; }
--- a/tests/hollow/fleet_figures.cpp
+++ b/tests/hollow/fleet_figures.cpp
@@ -15,12 +15,12 @@
 
 auto HollowFleet::owner(int part) -> HollowNode* {
     for (auto const& node : nodes)
-        if (node->running && node->control.owns(part, now)) return node.get();
+        if (node->running && node->control.leads(part, now)) return node.get();
     return nullptr;
 }
 
 auto HollowFleet::fresh(HollowNode const& node) const -> bool {
-    return node.control.proof_age(configuration_part, now) < node.control.times.proof_limit &&
+    return node.control.proof_age(configuration_partition, now) < node.control.times.proof_limit &&
         !node.snapshot->rules->empty() && !node.snapshot->list.replicas.empty();
 }
 
@@ -36,7 +36,8 @@
         if (!node->running) continue;
         running += 1.0;
         auto owns = false;
-        for (auto part = 0; part < static_cast<int>(part_count); ++part) owns = owns || node->control.owns(part, now);
+        for (auto part = 0; part < static_cast<int>(partition_count); ++part)
+            owns = owns || node->control.leads(part, now);
         auto& [run, count] = roles[owns ? "owner" : node->core ? "core" : "edge"];
         count += 1.0;
         auto const add = [&](std::string const& name, double value) {
--- a/tests/hollow/phases.cpp
+++ b/tests/hollow/phases.cpp
@@ -35,7 +35,7 @@
         while (fleet.now < began + length) {
             fleet.run_until(fleet.now + 50 * one_millisecond);
             for (auto const& node : fleet.nodes)  // one that has just started has none yet
-                if (auto const age = node->control.proof_age(configuration_part, fleet.now);
+                if (auto const age = node->control.proof_age(configuration_partition, fleet.now);
                     node->running && age < 1'000 * one_second)
                     oldest = std::max(oldest, age);
             if (!fleet.all_fresh()) settled = -1;
@@ -57,11 +57,13 @@
         auto const asked = fleet.now;
         auto const token = fleet.call(
             fleet.random.below(fleet.nodes.size()),
-            Call{configuration_part, "change-" + std::to_string(number), "patch", "", patch_of(fleet.shape, number)});
+            Call{
+                configuration_partition, "change-" + std::to_string(number), "patch", "",
+                patch_of(fleet.shape, number)});
         fleet.run_until_true([&] { return fleet.call_results.contains(token); }, 5 * one_second);
         if (!fleet.call_results.contains(token) || fleet.call_results[token].status != 200) continue;
         acknowledged.push_back(static_cast<double>(fleet.now - asked) / 1'000.0);
-        auto const sequence = fleet.owner(configuration_part)->control.news[configuration_part].copy.sequence;
+        auto const sequence = fleet.owner(configuration_partition)->control.news[configuration_partition].copy.sequence;
         auto const taken = fleet.run_until_true(
             [&] {
                 return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](auto const& node) {
@@ -131,8 +133,8 @@
     for (auto index = std::size_t{0}; index < shape.nodes; ++index)
         fleet.at(
             began + static_cast<Microseconds>(fleet.random.below(500'000)), [&fleet, index] { fleet.start(index); });
-    fleet.run_until_true([&] { return fleet.owner(configuration_part) != nullptr; }, 30 * one_second);
-    fleet.call(0, Call{configuration_part, "first", "put", "", tree_of(shape)});
+    fleet.run_until_true([&] { return fleet.owner(configuration_partition) != nullptr; }, 30 * one_second);
+    fleet.call(0, Call{configuration_partition, "first", "put", "", tree_of(shape)});
     fleet.run_until_true([&] { return fleet.all_fresh(); }, 30 * one_second);
     if (wanted("start"))
         measured.tell("start", began, {{"settled_seconds", static_cast<double>(fleet.now - began) / 1e6}});
@@ -149,7 +151,7 @@
     }
     if (wanted("change")) changes(measured);
     if (wanted("owner")) {
-        auto const lost = fleet.owner(configuration_part)->index;
+        auto const lost = fleet.owner(configuration_partition)->index;
         measured.follow("owner", options.length, [&] { fleet.kill(lost); });
         fleet.start(lost);
     }
--- a/tests/kept_feed_test.cpp
+++ b/tests/kept_feed_test.cpp
@@ -1,8 +1,8 @@
 // Changes of kept prompts on their way to all nodes. docs/design.md section 9.9.
 #include <catch2/catch.hpp>
 
-#include "process/machine/kept_feed.hpp"
-#include "process/machine/words.hpp"
+#include "control/kept_feed.hpp"
+#include "base/basics.hpp"
 
 using namespace dockrock;
 
--- a/tests/load_net.hpp
+++ b/tests/load_net.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // Nodes that place and relays that sum their load, in steps of ten milliseconds.
 #include "helpers.hpp"
-#include "process/machine/load_relay.hpp"
+#include "control/load_relay.hpp"
 
 namespace dockrock::testing {
 
--- a/tests/news_relay_test.cpp
+++ b/tests/news_relay_test.cpp
@@ -20,20 +20,21 @@
 // A relay that is not the owner, and serves an edge.
 auto relay_in_use(World& world) -> std::size_t {
     for (auto edge = first_edge; edge < world.nodes.size(); ++edge)
-        if (auto const relay = relay_of(world, edge); relay < first_edge && relay != *world.owner(configuration_part))
+        if (auto const relay = relay_of(world, edge);
+            relay < first_edge && relay != *world.leader(configuration_partition))
             return relay;
     return world.nodes.size();
 }
 auto edges_hold(World& world, std::string const& document) -> bool {
     return std::all_of(world.nodes.begin() + first_edge, world.nodes.end(), [&](auto const& node) {
-        return node->control.news[configuration_part].copy.document == document;
+        return node->control.news[configuration_partition].copy.document == document;
     });
 }
 auto oldest_proof(World& world) -> Microseconds {
     auto oldest = Microseconds{0};
     for (auto edge = first_edge; edge < world.nodes.size(); ++edge) {
         auto const& node = *world.nodes[edge];
-        oldest = std::max(oldest, node.control.proof_age(configuration_part, world.local(node)));
+        oldest = std::max(oldest, node.control.proof_age(configuration_partition, world.local(node)));
     }
     return oldest;
 }
@@ -45,7 +46,7 @@
 }
 // A change made right after a trouble is in force at all edges within the bound.
 auto applied_after(World& world, std::string const& document) -> bool {
-    auto const owner = *world.owner(configuration_part);
+    auto const owner = *world.leader(configuration_partition);
     auto const number = world.put(owner, document, "");
     REQUIRE(world.run_until_true([&] { return world.changes[number].status == 200; }, 4 * one_second));
     return world.run_until_true([&] { return edges_hold(world, document); }, apply_bound);
@@ -57,7 +58,7 @@
     auto world = relayed_world(3);
     std::map<std::string, int> asked;  // edges that asked each node last
     for (auto edge = first_edge; edge < world->nodes.size(); ++edge) {
-        auto const& item = world->nodes[edge]->control.news[configuration_part];
+        auto const& item = world->nodes[edge]->control.news[configuration_partition];
         CHECK(item.asked_relay);
         ++asked[item.asked_whom];
     }
--- a/tests/simulation/fleet_faults.cpp
+++ b/tests/simulation/fleet_faults.cpp
@@ -27,6 +27,20 @@
 
 auto Fleet::fault() -> void {
     ++result.faults;
+    if (options.losses > 1 && random.below(8) == 0) {  // several at once
+        auto const lost = world.some_cores(random, random.below(2) == 0);
+        if (random.below(3) == 0) {
+            world.split(lost);
+            return later(static_cast<Microseconds>(300'000 + random.below(5'000'000)), [this] { world.heal(); });
+        }
+        auto const wipe = random.below(2) == 0 && world.settled();
+        for (auto index : lost) {
+            if (!world.nodes[index]->running) continue;
+            world.kill(index, wipe);
+            later(static_cast<Microseconds>(200'000 + random.below(4'000'000)), [this, index] { world.start(index); });
+        }
+        return;
+    }
     auto const any = random.below(world.nodes.size());
     auto const core = random.below(options.cores);
     auto const target = random.below(replicas.size());
@@ -67,34 +81,34 @@
 // Two things at one moment, as the worst days bring them.
 auto Fleet::combined() -> void {
     ++result.faults;
-    auto const owner = world.owner(configuration_part);
+    auto const leader = world.leader(configuration_partition);
     auto const short_time = static_cast<Microseconds>(random.below(40'000));
     switch (random.below(7)) {
         case 0: {  // a revocation during a two-two split, at the side that can take it
-            if (!owner) return;
-            world.split({*owner, (*owner + 1) % options.cores, options.cores, options.cores + 1});
+            if (!leader) return;
+            world.split({*leader, (*leader + 1) % options.cores, options.cores, options.cores + 1});
             later(short_time, [this] { revoke(); });
             later(6 * one_second, [this] { world.heal(); });
             return;
         }
-        case 1:  // a drain while the owner freezes
-            if (owner) world.freeze(*owner, 5 * one_second);
+        case 1:  // a drain while the leader freezes
+            if (leader) world.freeze(*leader, 5 * one_second);
             return drain();
-        case 2: {  // weights named while the part's owner dies
+        case 2: {  // weights named while the partition's leader dies
             name_weights();
-            auto const holder = world.owner(1 + static_cast<int>(random.below(service_parts)));
+            auto const holder = world.leader(1 + static_cast<int>(random.below(service_partitions)));
             if (holder) later(short_time, [this, holder] { kill(*holder, 2 * one_second); });
             return;
         }
         case 3:  // a rolling restart during a takeover
-            if (owner) kill(*owner, 3 * one_second);
+            if (leader) kill(*leader, 3 * one_second);
             return polite_stop(random.below(world.nodes.size()));
         case 4: {  // all cores killed just after an acknowledgement
             put_tree();
             return kill_cores_once_told(result.acknowledged, world.now + 3 * one_second);
         }
-        case 5: {  // the owner of a service's claims dies while its tickets are claimed, and an edge freezes
-            auto const holder = world.owner(1 + static_cast<int>(random.below(service_parts)));
+        case 5: {  // the leader of a service's claims dies while its tickets are claimed, and an edge freezes
+            auto const holder = world.leader(1 + static_cast<int>(random.below(service_partitions)));
             if (holder) kill(*holder, one_second);
             return world.freeze(options.cores + random.below(options.edges), 3 * one_second);
         }
@@ -108,6 +122,11 @@
 auto Fleet::kill_cores_once_told(std::size_t known, Microseconds until) -> void {
     if (result.acknowledged == known && world.now < until)
         return later(one_millisecond, [this, known, until] { kill_cores_once_told(known, until); });
+    auto const whole = options.losses > 1 && world.settled();  // then as many disks are lost as may be
+    for (auto index : whole ? world.some_cores(random, random.below(2) == 0) : std::vector<std::size_t>()) {
+        world.kill(index, true);
+        later(static_cast<Microseconds>(500'000 + random.below(1'500'000)), [this, index] { world.start(index); });
+    }
     for (auto index = std::size_t{0}; index < options.cores; ++index)
         kill(index, static_cast<Microseconds>(200'000 + random.below(1'500'000)));
 }
