--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -221,7 +221,7 @@
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& item : waiting) {
-        if (now - item.since >= hold_limit(item.ask.part)) answer_news(now, item.address, item.ask, output, false);
+        if (now - item.since >= hold_limit(item.ask.partition)) answer_news(now, item.address, item.ask, output, false);
         else waiting_asks.push_back(item);
     }
     return output;
--- a/source/control/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -16,6 +16,10 @@
     return replicas;
 }
 
+// A large service loads a sixth at a time, or its last replicas would load long
+// after the named version has to serve everywhere.
+auto places_for(std::size_t least, std::size_t replicas) -> std::size_t { return std::max(least, replicas / 6); }
+
 auto address_of(Snapshot const& snapshot, std::string const& replica) -> std::string {
     for (auto const& entry : snapshot.list.replicas)
         if (entry.name == replica) return entry.address;
@@ -76,7 +80,8 @@
         }
         auto const fence = record.term;
         auto const ordering = waited && sure && may_order(control, partition, fence, now);
-        auto const due = rollout.step(snapshot.target_version(model), fence, ordering, at_once, replicas, now);
+        auto const places = places_for(at_once, replicas.size());
+        auto const due = rollout.step(snapshot.target_version(model), fence, ordering, places, replicas, now);
         for (auto const& order : due.orders)
             actions.orders.push_back({order, address_of(snapshot, order.replica), model, fence, partition});
         for (auto const& replica : due.reports)
--- a/tests/weights_duty_test.cpp
+++ b/tests/weights_duty_test.cpp
@@ -11,9 +11,9 @@
 
 auto const model = std::string("m");
 
-auto list_text() -> std::string {
+auto list_text(std::vector<std::string> const& names = {"a", "b", "c", "d"}) -> std::string {
     ReplicaList list;
-    for (auto const* name : {"a", "b", "c", "d"}) {
+    for (auto const& name : names) {
         ReplicaEntry entry;
         entry.name = name;
         entry.address = std::string("10.0.0.1:80");
@@ -198,3 +198,23 @@
     CHECK_FALSE(pace.due(view, now + 800 * one_millisecond, random));
     CHECK(pace.due(view, now + 900 * one_millisecond, random));
 }
+
+TEST_CASE("a large service loads a sixth of its replicas at a time, a small one three") {
+    for (auto const& [count, at_once] : {std::pair(12, 3), std::pair(48, 8)}) {
+        auto world = formed(14);
+        std::vector<std::string> names;
+        for (auto number = 0; number < count; ++number) names.push_back("replica-" + std::to_string(number));
+        for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) {
+            auto& node = *world->nodes[index];
+            world->act(index, node.control.list_read(world->local(node), world->local(node), list_text(names)));
+        }
+        name_version(*world, 2);
+        auto duties = Duties{*world};
+        duties.run(one_second);
+        auto loading = 0;
+        auto const holder = *world->leader(partition_of_service(model));
+        for (auto const& [replica, word] : snapshot_of(*world->nodes[holder]).replica_weights)
+            loading += word.loading ? 1 : 0;
+        CHECK(loading == at_once);
+    }
+}
