--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -108,7 +108,7 @@
                 membership.on(body, address, now, output.sends);
             } else if constexpr (std::is_same_v<Body, NewsAsk>) {
                 if (body.partition >= 0 && body.partition < static_cast<int>(partition_count))
-                    answer_news(now, address, body, output, true);
+                    answer_news(now, {address, body, now}, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
                 if (body.partition >= 0 && body.partition < static_cast<int>(partition_count)) {
                     load_choice.heard(from, now);
@@ -186,7 +186,10 @@
     if (answer != nullptr && answer->partition >= 0 && answer->partition < static_cast<int>(partition_count) &&
         !resting) {
         auto const& item = news[static_cast<std::size_t>(answer->partition)];
-        if (output.news || now - item.asked_at > hold_limit(answer->partition) / 3) ask_news(now, output);
+        // A relay with a fresh proof holds the next question until it hears from the leader itself.
+        auto const relayed = item.asked_relay && now - item.proven_at < hold_limit(answer->partition);
+        auto const held = now - item.asked_at > hold_limit(answer->partition) / 3;
+        if (output.news || held || relayed) ask_news(now, output);
     }
     return output;
 }
@@ -221,7 +224,7 @@
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& item : waiting) {
-        if (now - item.since >= hold_limit(item.ask.partition)) answer_news(now, item.address, item.ask, output, false);
+        if (now - item.since >= hold_limit(item.ask.partition)) answer_news(now, item, output, false);
         else waiting_asks.push_back(item);
     }
     return output;
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -107,6 +107,9 @@
         std::set<std::string> silent;  // addresses that have not answered yet
         std::vector<HeldPartition> best;
         std::uint64_t term = 0;  // once it is sent
+        FormAnew order;
+        std::string at;  // the address that it went to
+        Microseconds sent_at = 0;
     };
     std::optional<PendingAnew> anew;
     bool forms_anew = false;  // this core node holds the copies to form from
@@ -177,8 +180,7 @@
     auto drain(Context& context, ControlOutput& output) -> void;
     auto publish(Microseconds now, ControlOutput& output) -> void;
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
-    auto answer_news(
-        Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
+    auto answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void;
     auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
@@ -201,6 +203,7 @@
     auto cores_needed() const -> std::size_t;
     auto held_parts() const -> std::vector<HeldPartition>;
     auto take_anew(std::vector<HeldPartition> const& told) -> void;
+    auto send_anew(Microseconds now, ControlOutput& output) -> void;
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
     auto old_voter_alive(std::vector<HeldPartition> const& held) const -> std::string;
--- a/source/control/control_anew.cpp
+++ b/source/control/control_anew.cpp
@@ -9,6 +9,7 @@
 namespace {
 constexpr Microseconds gather_limit = 2 * one_second;
 constexpr Microseconds forming_limit = 10 * one_second;
+constexpr Microseconds send_interval = one_second;
 }  // namespace
 
 auto Control::held_parts() const -> std::vector<HeldPartition> {
@@ -80,6 +81,7 @@
     if (anew->term != 0) {
         auto const& record = best_record(configuration_partition);
         if (record.term > anew->term && !record.leader.empty()) return end_anew(200, "formed anew", output);
+        if (now - anew->sent_at > send_interval) send_anew(now, output);  // the last one may be lost
         if (now - anew->since > forming_limit) end_anew(504, "not formed yet; look at the status, order again", output);
         return;
     }
@@ -96,8 +98,15 @@
     for (auto const& core : cores) order.voters.push_back(core.identity);
     anew->term = order.term;
     anew->since = now;
-    if (cores.front().identity == membership.self.identity) on_form_anew(now, order, output);
-    else output.sends.push_back({cores.front().control_address, std::move(order)});
+    anew->order = std::move(order);
+    anew->at = cores.front().control_address;
+    send_anew(now, output);
+}
+
+auto Control::send_anew(Microseconds now, ControlOutput& output) -> void {
+    anew->sent_at = now;
+    if (anew->at == membership.self.control_address) on_form_anew(now, anew->order, output);
+    else output.sends.push_back({anew->at, anew->order});
 }
 
 // Only a core node that had no say in the fleet that was: its disk knows nothing better.
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -33,18 +33,21 @@
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& entry : waiting) {
-        if (entry.ask.partition == partition) answer_news(now, entry.address, entry.ask, output, false);
+        if (entry.ask.partition == partition) answer_news(now, entry, output, false);
         else waiting_asks.push_back(entry);
     }
 }
 
-auto Control::answer_news(
-    Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
+// Ages are told as of the question's arrival: the asker counts from when it
+// asked, and the time that the question was held here is no age (design 8.2).
+auto Control::answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void {
+    auto const& ask = waiting.ask;
     auto const& item = news[static_cast<std::size_t>(ask.partition)];
-    auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
+    auto const live_age = waiting.since - item.live_at;
+    auto const list_newer = item.live_digest != ask.live_digest && live_age < ask.live_age;
     auto const newer = item.copy.sequence > ask.have || list_newer || item.record.term > ask.term;
     if (may_wait && !newer && (leads(ask.partition, now) || relays_news(ask.partition, now))) {
-        if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
+        if (waiting_asks.size() < 1024) waiting_asks.push_back(waiting);
         return;
     }
     NewsAnswer answer;
@@ -52,7 +55,7 @@
     answer.token = ask.token;
     answer.record = item.record;
     answer.proven = now - item.proven_at < 10 * one_second;
-    answer.age = now - item.proven_at;
+    answer.age = waiting.since - item.proven_at;
     answer.sequence = item.copy.sequence;
     if (item.copy.sequence > ask.have) {
         answer.copy = copy_for(item, ask);
@@ -60,9 +63,9 @@
         news_bytes_whole += item.copy.document.size();
     }
     answer.live_digest = item.live_digest;
-    answer.live_age = now - item.live_at;
+    answer.live_age = live_age;
     if (list_newer) answer.live = item.live;
-    output.sends.push_back({address, std::move(answer)});
+    output.sends.push_back({waiting.address, std::move(answer)});
 }
 
 // A core node whose own proof is fresh holds questions as the leader does, and
@@ -77,13 +80,13 @@
     if (answer.token != item.ask_token || item.ask_token == 0) return;
     item.ask_token = 0;
     item.unanswered = 0;
-    if (item.asked_relay && (!answer.proven || answer.age > 2 * hold_limit(answer.partition)))
-        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the leader
     if (answer.record.term > item.record.term) item.record = answer.record;
     take_copy(item, answer, output);
     if (answer.proven && answer.sequence == item.copy.sequence)
         item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
     take_live(item, answer, output);
+    if (item.asked_relay && now - item.proven_at > 2 * hold_limit(answer.partition))
+        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the leader
     if (settings.core && load_choice.relayed) answer_waiting(now, answer.partition, output);
 }
 
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -182,6 +182,7 @@
     auto parts_manager() -> awaitable<void>;
     auto sources_to_read(Snapshot const& current) const -> std::map<std::string, KeptSource>;
     auto step_parts() -> void;
+    auto take_sources(std::map<std::string, KeptSource> sources) -> std::vector<std::pair<std::string, bool>>;
     auto parts_loop(std::string name, bool store, std::uint64_t since, std::string life) -> awaitable<void>;
     auto parts_address(std::string const& name) -> std::string;
     auto parts_told(KeptBatch batch, bool restarted) -> void;
--- a/source/process/node_parts.cpp
+++ b/source/process/node_parts.cpp
@@ -59,15 +59,22 @@
     auto const direct = met && !load_relayed && !settings.front_address.empty();
     std::erase_if(
         all, [&](auto const& item) { return !direct && !control.reads_source(item.first, item.second.area); });
-    auto const guard = std::lock_guard(loops_lock);
-    parts_read = std::move(all);
-    for (auto const& [name, source] : parts_read) {
-        if (!report_loops.insert(name).second) continue;
+    for (auto const& [name, store] : take_sources(std::move(all))) {  // a loop starts at once, and takes the lock
         auto const& cursor = control.kept_feed.cursors[name];
-        asio::co_spawn(context, parts_loop(name, source.store, cursor.next, cursor.life), asio::detached);
+        asio::co_spawn(context, parts_loop(name, store, cursor.next, cursor.life), asio::detached);
     }
 }
 
+// The sources read from now on; those that no loop reads yet are told.
+auto Node::take_sources(std::map<std::string, KeptSource> sources) -> std::vector<std::pair<std::string, bool>> {
+    std::vector<std::pair<std::string, bool>> fresh;
+    auto const guard = std::lock_guard(loops_lock);
+    parts_read = std::move(sources);
+    for (auto const& [name, source] : parts_read)
+        if (report_loops.insert(name).second) fresh.emplace_back(name, source.store);
+    return fresh;
+}
+
 auto Node::parts_manager() -> awaitable<void> {
     if (!form->events_call) co_return;
     if (settings.front_address.empty() && settings.load_relays_from == 0) co_return;
