--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,7 +7,12 @@
 "$build/dockrock-tests"
 "$build/platform-node-check"
 python3 scripts/check_files.py
+python3 scripts/check_includes.py
+python3 tests/includes_test.py
+python3 scripts/check_packages.py "$build"
+python3 tests/packages_test.py "$build"
 python3 tests/live/verdict_test.py
+python3 tests/days/days_test.py
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
 touch "$results/passed" "$results/failed"
@@ -66,7 +71,8 @@
 }
 net=101
 for scenario in calm replica_crash drain revoke config_race weights kill_edges kill_leader total_kill cut_answers \
-  late_answers term_edge planted; do
+  late_answers term_edge planted idle_reuse reset_midway early_answer late_second unframed_ends \
+  planted_resend planted_promise planted_reuse planted_smuggle; do
   day $scenario $net
   net=$((net + 1))
 done
