--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -19,6 +19,7 @@
     Microseconds resend_interval = 400 * one_millisecond;
     Microseconds copy_patience = 200 * one_millisecond;     // a silent partner is passed over
     Microseconds rival_patience = 2'000 * one_millisecond;  // an earlier follower goes first
+    Microseconds silent_memory = 5 * one_second;            // a partner that was passed over is not asked first again
     Microseconds disk_limit = 600 * one_millisecond;
     Microseconds spare_interval = 2 * one_second;
     Microseconds frozen_gap = 400 * one_millisecond;
@@ -73,12 +74,13 @@
     Microseconds now = 0;
     std::string const& self;
     Random& random;
-    std::function<std::vector<Member>()> cores;     // core members held alive (a hint)
+    std::function<std::vector<Member>()> cores;     // core members held alive that stay (a hint)
     std::function<bool(std::string const&)> alive;  // a hint too
     std::vector<IdentifiedMessage> sends;
     std::vector<Save> saves;
     std::vector<CallDone> done;
-    std::vector<std::pair<std::string, ClaimAnswer>> claim_answers;  // by address
+    std::vector<std::pair<std::string, ClaimAnswer>> claim_answers;                              // by address
+    std::function<bool(std::string const&)> leaving = [](std::string const&) { return false; };  // stops politely
 };
 
 // The result of trying a change on a document; status 200 changes it.
@@ -100,16 +102,16 @@
     Sequence synced;                // of `copy`, what is on the disk
     std::optional<Copy> committed;  // only on the leader, once proven
     ClaimTable claims;
-    bool healthy = true;         // the disk answers
+    bool healthy = true;         // the last write to the disk held
     Microseconds vote_from = 0;  // a restarted voter waits out one full grant
     Microseconds last_tick = 0;
     std::map<std::uint64_t, std::pair<Microseconds, Save>> saving;
-
     // voter
     Microseconds granted_until = 0;
     std::string granted_to;
     // leader
     std::map<std::string, Microseconds> grants;  // voter -> asked_at of its newest grant
+    std::map<std::string, Microseconds> heard;   // voter -> asked_at of its newest answer, granted or not
     Microseconds last_ask = 0;
     Microseconds leader_since = 0;
     bool in_flight = false;
@@ -128,6 +130,7 @@
         Sequence sequence;
         std::string body;
         Microseconds since = 0;
+        int status = 200;
     };
     std::vector<Waiter> waiters;
     struct Queued {
@@ -163,15 +166,12 @@
         Microseconds sent = 0;
     };
     std::optional<Proposal> proposal;
+    std::map<std::string, Microseconds> silent_since;  // partners that did not take a copy in time
     std::uint64_t highest_round = 0;
-
     auto is_leader(std::string const& self) const -> bool {
         return votes.decided.term > 0 && votes.decided.leader == self;
     }
-    auto all_have(Sequence const& sequence) const -> bool {
-        return std::all_of(
-            progress.begin(), progress.end(), [&](auto const& item) { return item.second.has >= sequence; });
-    }
+    auto all_have(Sequence const& sequence) const -> bool;
     // Of a group: losses borne at once, and one, but no more than a majority of the voters (design 5).
     auto copies() const -> std::size_t;
     auto follow(Microseconds now) -> void;  // counts anew what the followers were heard to have
@@ -201,13 +201,15 @@
     auto on(Context&, std::string const& from, ClaimFlight const&) -> void;
     auto on(Context&, std::string const& from, ClaimFlown const&) -> void;
     auto claim(Context& context, std::string const& origin, ClaimAsk const& ask) -> void;
-
     auto learn(Context& context, Record const& record) -> void;
 
    private:
     auto save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t;
     auto may_vote(Context& context, std::string const& from, std::uint64_t term, Record const& proof) -> bool;
     auto disk_late(Microseconds now) const -> bool;
+    auto lease_by(std::map<std::string, Microseconds> const& answers) const -> Microseconds;
+    auto leased_lately(Microseconds now) const -> bool { return now - leader_since <= times.grant_duration; }
+    auto ask_for_lease(Context& context) -> void;
     auto step_down(Context& context) -> void;
     auto tell_outcomes_unknown(Context& context) -> void;
     auto leader_tick(Context& context) -> void;
@@ -233,6 +235,7 @@
     auto tick_claims(Context& context) -> void;
     auto claims_under_new_record(Context& context) -> void;
     auto lost_followers(Context& context) const -> std::set<std::string>;
+    auto silent_partners(Microseconds now) const -> std::set<std::string>;
     auto followers_for(Context& context, Record const& from, std::set<std::string> const& lost) const
         -> std::vector<std::string>;
     auto renewed_voters(Context& context) const -> std::vector<std::string>;
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -50,6 +50,7 @@
     Microseconds list_fallback = 1'200 * one_millisecond;
     Microseconds call_limit = 4 * one_second;
     Microseconds call_unsent_limit = 2'500 * one_millisecond;
+    Microseconds call_refused_limit = 800 * one_millisecond;  // of a node out of contact
     Microseconds call_resend = 700 * one_millisecond;
     Microseconds claim_limit = 4 * one_second;
     Microseconds claim_resend = 150 * one_millisecond;
@@ -91,6 +92,9 @@
         Microseconds sent_at = 0;
         int outstanding = 0;  // sends whose fate is not known
         std::uint64_t local_token = 0;
+        std::string asker;  // the node that it is passed on for; its token is `local_token`
+        int hops = 0;
+        int sends = 0;
     };
     std::map<std::uint64_t, PendingCall> calls;
     struct PendingClaim {
@@ -132,6 +136,10 @@
     auto start(
         ControlSettings const& given, std::string const& identity, std::uint64_t incarnation, std::uint64_t seed,
         std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void;
+    // A node that started without its disk becomes the core node that the disk says it is.
+    auto take_disk(
+        std::string const& identity, std::uint64_t incarnation, std::vector<SavedPartition> const& saved_parts,
+        bool had_state, Microseconds now) -> void;
     auto tick(Microseconds now) -> ControlOutput;
     auto receive(Microseconds now, std::string const& from, std::string const& address, Message const& message)
         -> ControlOutput;
@@ -173,6 +181,8 @@
     auto best_record(int partition) const -> Record const&;
 
    private:
+    auto appear_as(std::string const& identity, std::uint64_t incarnation) -> void;
+    auto load_partitions(std::vector<SavedPartition> const& saved_parts, bool had_state, Microseconds now) -> void;
     auto with_parts(Microseconds now, ControlOutput& output, std::function<void(Context&)> const& work) -> void;
     auto deliver(
         Microseconds now, std::string const& from, std::string const& address, Message const& message,
@@ -181,6 +191,8 @@
     auto publish(Microseconds now, ControlOutput& output) -> void;
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
     auto answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void;
+    auto next_is_held(PartitionNews const& item, int partition, Microseconds now) const -> bool;
+    auto answer_overdue(Microseconds now, ControlOutput& output) -> void;
     auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
@@ -192,6 +204,10 @@
     auto ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool;
     auto news_target(PartitionNews& item, int partition, Microseconds now) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
+    auto on_call_forward(Microseconds now, CallForward const& forward, ControlOutput& output) -> void;
+    auto out_of_contact(Microseconds now, int partition) const -> bool;
+    auto next_hop(PendingCall const& pending) -> std::string;
+    auto answer_call(PendingCall const& pending, CallDone done, ControlOutput& output) -> void;
     auto finish_call(std::uint64_t token, int status, std::string body, std::string etag, ControlOutput& output)
         -> void;
     auto tick_calls(Microseconds now, ControlOutput& output) -> void;
@@ -201,6 +217,9 @@
     auto form(Microseconds now, Context& context) -> void;
     auto may_form_now(Microseconds now, std::vector<Member> const& cores) -> bool;
     auto cores_needed() const -> std::size_t;
+    auto staying_cores() const -> std::vector<Member>;
+    auto begin_leaving(ControlOutput& output) -> void;
+    auto has_duties() const -> bool;
     auto held_parts() const -> std::vector<HeldPartition>;
     auto take_anew(std::vector<HeldPartition> const& told) -> void;
     auto send_anew(Microseconds now, ControlOutput& output) -> void;
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -29,6 +29,22 @@
     }
 }
 
+// After an answer that was held the next question is held as well; so it is at
+// a relay with a fresh proof, which answers with what it hears from the leader.
+auto Control::next_is_held(PartitionNews const& item, int partition, Microseconds now) const -> bool {
+    auto const relayed = item.asked_relay && now - item.proven_at < hold_limit(partition);
+    return relayed || now - item.asked_at > hold_limit(partition) / 3;
+}
+
+auto Control::answer_overdue(Microseconds now, ControlOutput& output) -> void {
+    auto waiting = std::move(waiting_asks);
+    waiting_asks.clear();
+    for (auto const& item : waiting) {
+        if (now - item.since >= hold_limit(item.ask.partition)) answer_news(now, item, output, false);
+        else waiting_asks.push_back(item);
+    }
+}
+
 auto Control::answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void {
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
--- a/source/membership/membership.hpp
+++ b/source/membership/membership.hpp
@@ -65,6 +65,7 @@
     auto find(std::string const& identity) const -> Member const*;
     auto alive_members(bool core_only) const -> std::vector<Member>;
     auto alive_count() const -> std::size_t;  // with this node
+    auto leaving(std::string const& identity) const -> bool;
 
    private:
     auto learn(Member const& told, Microseconds now) -> void;
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -2,20 +2,11 @@
 
 namespace dockrock::simulation {
 
-namespace {
-
-auto apply_text(Copy const&, Call const& call) -> ChangeResult {
-    if (call.body.find("bad") != std::string::npos) return {400, "bad", ""};
-    return {200, "", call.body};
-}
-
-}  // namespace
-
 World::World(WorldOptions const& given) : options(given) {
     random.state = given.seed * 7'919 + 13;
-    for (auto index = std::size_t{0}; index < given.cores + given.edges; ++index) {
+    for (auto index = std::size_t{0}; index < given.cores + given.edges + given.replacements; ++index) {
         auto node = std::make_unique<SimulatedNode>();
-        node->core = index < given.cores;
+        node->core = is_core(index);
         node->address = "10.0.0." + std::to_string(index + 1) + ":7000";
         node->area = "area-" + std::to_string(index % given.areas);
         node->clock_offset = static_cast<Microseconds>(random.below(1'000'000'000));
@@ -82,11 +73,15 @@
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->claims.clear();
             if (auto* flight = std::get_if<ClaimFlight>(&send.message)) flight->claims.clear();
         }
+        if (options.planted_outcomes_lost) {
+            if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->copy.outcomes.clear();
+        }
         if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
         if (static_cast<double>(random.below(10'000)) < options.loss * 10'000.0) continue;
         auto delay = static_cast<Microseconds>(200 + random.below(2'500));
         if (random.below(100) == 0) delay += static_cast<Microseconds>(random.below(200'000));
+        if (auto const slow = slowed.find({index, target}); slow != slowed.end()) delay += slow->second;
         auto const life = nodes[target]->life;
         at(now + delay, [this, index, target, life, identity, message = std::move(send.message), from = node.address] {
             if (cuts.contains({index, target})) return;
@@ -117,73 +112,6 @@
     if (when_acted) when_acted(index, output);
 }
 
-auto World::work_disk(std::size_t index) -> void {
-    auto& node = *nodes[index];
-    if (node.disk_busy || node.unsynced.empty() || node.disk.mode == DiskMode::stalled) return;
-    node.disk_busy = true;
-    auto delay = static_cast<Microseconds>(500 + random.below(4'000));
-    if (node.disk.mode == DiskMode::slow) delay += static_cast<Microseconds>(50'000 + random.below(400'000));
-    at(now + delay, [this, index, life = node.life] {
-        auto& later = *nodes[index];
-        if (!later.running || later.life != life) return;
-        later.disk_busy = false;
-        if (later.disk.mode == DiskMode::stalled) return;
-        if (later.disk.mode == DiskMode::full) later.disk.broken = true;
-        auto batch = std::move(later.unsynced);
-        later.unsynced.clear();
-        auto const good = !later.disk.broken;
-        for (auto const& save : batch) {
-            if (!good) break;
-            auto const found = std::find_if(
-                later.disk.synced.begin(), later.disk.synced.end(),
-                [&](auto const& partition) { return partition.partition == save.saved.partition; });
-            if (found == later.disk.synced.end()) later.disk.synced.push_back(save.saved);
-            else merge_saved(*found, save.saved);
-        }
-        for (auto const& save : batch)
-            on_node(index, life, [this, index, good, token = save.token] {
-                act(index, nodes[index]->control.saved(local(*nodes[index]), token, good));
-            });
-        work_disk(index);
-    });
-}
-
-auto World::start(std::size_t index) -> void {
-    auto& node = *nodes[index];
-    if (node.running) return;
-    node.running = true;
-    ++node.life;
-    node.unsynced.clear();
-    node.disk_busy = false;
-    node.held.clear();
-    node.frozen_until = 0;
-    node.newest_seen = {};
-    node.disk.broken = false;
-    auto const had_state = node.core && !node.disk.identity.empty();
-    auto identity = had_state ? node.disk.identity
-                              : "id-" + std::to_string(index) + "-" + std::to_string(random.below(1'000'000'000));
-    auto const incarnation = had_state ? node.disk.incarnation + 1 : static_cast<std::uint64_t>(now + 1);
-    if (node.core) {
-        node.disk.identity = identity;
-        node.disk.incarnation = incarnation;
-    }
-    auto settings = ControlSettings{node.address, "", node.area};
-    settings.core = node.core;
-    settings.core_count = options.cores;
-    settings.load_relays_from = options.load_relays_from;
-    settings.machines_lost = options.losses;
-    for (auto seed = std::size_t{0}; seed < 3 && seed < nodes.size(); ++seed)
-        settings.seeds.push_back(nodes[seed]->address);
-    node.control = Control{};
-    node.control.start(
-        settings, identity, incarnation, random.next(), node.core ? node.disk.synced : std::vector<SavedPartition>{},
-        had_state, local(node));
-    for (auto& partition : node.control.partitions) partition.apply = apply_text;
-    note("start " + node.address + " " + identity);
-    if (when_started) when_started(index);
-    tick(index, node.life);
-}
-
 auto World::tick(std::size_t index, std::uint64_t life) -> void {
     auto const& node = *nodes[index];
     if (!node.running || node.life != life) return;
@@ -209,35 +137,6 @@
     if (when_killed) when_killed(index);
 }
 
-auto World::freeze(std::size_t index, Microseconds length) -> void {
-    auto& node = *nodes[index];
-    if (!node.running || node.frozen_until > now) return;
-    node.frozen_until = now + length;
-    note("freeze " + node.address + " for " + std::to_string(length / 1'000) + "ms");
-    at(node.frozen_until, [this, index, life = node.life] {
-        auto& later = *nodes[index];
-        if (!later.running || later.life != life) return;
-        auto held = std::move(later.held);
-        later.held.clear();
-        for (auto& work : held) work();
-    });
-}
-
-auto World::isolate(std::size_t index) -> void { split({index}); }
-
-auto World::split(std::vector<std::size_t> const& side) -> void {
-    auto const inside = [&](std::size_t index) { return std::find(side.begin(), side.end(), index) != side.end(); };
-    for (auto from = std::size_t{0}; from < nodes.size(); ++from)
-        for (auto to = std::size_t{0}; to < nodes.size(); ++to)
-            if (inside(from) != inside(to)) cuts.insert({from, to});
-    note("split of " + std::to_string(side.size()));
-}
-
-auto World::heal() -> void {
-    cuts.clear();
-    note("heal");
-}
-
 auto World::leader(int partition) -> std::optional<std::size_t> {
     for (auto index = std::size_t{0}; index < nodes.size(); ++index)
         if (nodes[index]->running && nodes[index]->frozen_until <= now &&
