--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -61,6 +61,8 @@
     }
     membership.self.knows_fleet = knows_fleet();
     blank_since = cores_since = now;
+    load_relay.number = random.next() >> 12U;
+    kept_feed.id = random.next() | 1U;
 }
 
 auto Control::knows_fleet() const -> bool {
@@ -141,11 +143,26 @@
                 membership.on(body, address, now, output.sends);
             } else if constexpr (std::is_same_v<Body, NewsAsk>) {
                 if (body.partition >= 0 && body.partition < static_cast<int>(partition_count))
-                    answer_news(now, address, body, output, true);
+                    answer_news(now, {address, body, now}, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
-                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count)) take_news(body, output);
+                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count)) {
+                    load_choice.heard(from, now);
+                    take_news(now, body, output);
+                }
             } else if constexpr (std::is_same_v<Body, BurdenDigest>) {
                 output.digests.emplace_back(from, body);
+            } else if constexpr (std::is_same_v<Body, LoadTold>) {
+                if (!settings.core) return;
+                if (auto sum = load_relay.take(from, body, now)) output.sends.push_back({address, std::move(*sum)});
+            } else if constexpr (std::is_same_v<Body, LoadShare>) {
+                if (settings.core) load_relay.take(from, body, now);
+            } else if constexpr (std::is_same_v<Body, LoadSum>) {
+                load_choice.heard(from, now);
+                output.load_sums.emplace_back(from, body);
+            } else if constexpr (std::is_same_v<Body, FeedAsk>) {
+                if (settings.core) output.sends.push_back({address, kept_feed.answer(body)});
+            } else if constexpr (std::is_same_v<Body, FeedAnswer>) {
+                take_feed(now, from, body, output);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
                 if (body.call.partition < 0 || body.call.partition >= static_cast<int>(partition_count)) return;
                 on_call_forward(now, body, output);
@@ -195,7 +212,7 @@
     if (answer != nullptr && answer->partition >= 0 && answer->partition < static_cast<int>(partition_count) &&
         !resting) {
         auto const& item = news[static_cast<std::size_t>(answer->partition)];
-        if (output.news || now - item.asked_at > times.hold_limit / 3) ask_news(now, output);
+        if (output.news || next_is_held(item, answer->partition, now)) ask_news(now, output);
     }
     return output;
 }
@@ -212,6 +229,7 @@
 auto Control::tick(Microseconds now) -> ControlOutput {
     ControlOutput output;
     membership.self.knows_fleet = knows_fleet();
+    judge_load_relays();
     membership.tick(now, random, output.sends);
     if (settings.core) {
         with_parts(now, output, [&](Context& context) {
@@ -219,17 +237,14 @@
             for (auto& partition : partitions) partition.tick(context);
         });
     }
+    share_load(now, output);
+    ask_feed(now, output);
     publish(now, output);
     ask_news(now, output);
     tick_calls(now, output);
     tick_claims(now, output);
     tick_anew(now, output);
-    auto waiting = std::move(waiting_asks);
-    waiting_asks.clear();
-    for (auto const& item : waiting) {
-        if (now - item.since >= times.hold_limit) answer_news(now, item.address, item.ask, output, false);
-        else waiting_asks.push_back(item);
-    }
+    answer_overdue(now, output);
     return output;
 }
 
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -3,8 +3,10 @@
 // docs/design.md sections 4 to 8.
 #include <array>
 
-#include "membership/membership.hpp"
 #include "consensus/partition.hpp"
+#include "control/kept_feed.hpp"
+#include "control/load_relay.hpp"
+#include "membership/membership.hpp"
 #include "control/partition_news.hpp"
 
 namespace dockrock {
@@ -30,11 +32,17 @@
     std::size_t core_count = 4;     // 0: not told (design 5.7)
     std::size_t machines_lost = 1;  // core nodes, at once, with their disks
     bool may_form = true;
+    std::size_t load_relays_from = 0;  // nodes from which on load goes through relays; 0: never
+    bool rests = true;                 // this node may be told to rest
 };
 
 struct NewsTimes {
     Microseconds hold_limit = 300 * one_millisecond;
     Microseconds ask_limit = 500 * one_millisecond;
+    // The other parts decide nothing by their age: a change is told at once either way.
+    Microseconds service_hold_limit = 700 * one_millisecond;
+    Microseconds service_ask_limit = 900 * one_millisecond;
+    Microseconds direct = 2 * one_second;  // how long a relay is passed by that was silent or behind
     Microseconds resting_interval = one_second;
     Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
     Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
@@ -66,6 +74,8 @@
     std::vector<Save> saves;
     std::vector<CallDone> results;                              // for calls made at this node
     std::vector<std::pair<std::string, BurdenDigest>> digests;  // from other admitting nodes
+    std::vector<std::pair<std::string, LoadSum>> load_sums;     // from the relay
+    std::vector<KeptFeed::Taken> kept;                          // changes of kept prompts, in order
     std::vector<ClaimDone> claims;
     bool news = false;  // something a snapshot is made of changed
 };
@@ -108,6 +118,9 @@
         std::set<std::string> silent;  // addresses that have not answered yet
         std::vector<HeldPartition> best;
         std::uint64_t term = 0;  // once it is sent
+        FormAnew order;
+        std::string at;  // the address that it went to
+        Microseconds sent_at = 0;
     };
     std::optional<PendingAnew> anew;
     bool forms_anew = false;  // this core node holds the copies to form from
@@ -116,6 +129,12 @@
     Microseconds cores_since = 0;
     Microseconds last_list_read = -3'600 * one_second;
     Microseconds last_forming = 0;
+    LoadRelay load_relay;  // where this is a core node
+    LoadRelayChoice load_choice;
+    Microseconds load_told_at = -3'600 * one_second;
+    KeptFeedTimes kept_times;
+    KeptFeed kept_feed;
+    Microseconds feed_asked_at = 0;
     std::vector<IdentifiedMessage> loopback;
     std::uint64_t news_bytes = 0;  // sent as news of documents, and what whole ones would have been
     std::uint64_t news_bytes_whole = 0;
@@ -144,6 +163,19 @@
     auto digest(std::string const& body, std::uint64_t number, std::set<std::string> const& resting_nodes)
         -> ControlOutput;
 
+    // Whether load goes through relays, by the number of nodes held alive (design 9.8).
+    auto judge_load_relays() -> bool;
+    auto nodes_placing() const -> std::int64_t;
+    // This node's word of its load to its relay; what it holds of which relay's sums.
+    auto tell_load(
+        Microseconds now, std::uint64_t number, std::string body, std::string const& held_of, std::uint64_t held)
+        -> ControlOutput;
+
+    // Whether this core node reads the events of a source, and what it read there (design 9.9).
+    auto reads_source(std::string_view source, std::string_view area) const -> bool;
+    auto kept_read(KeptBatch batch) -> void;
+    auto kept_caught_up(KeptBatch const& batch) -> bool;
+
     auto hand_over(Microseconds now, bool& pending) -> ControlOutput;
     auto leave() -> ControlOutput;
     auto leads(int partition, Microseconds now) const -> bool {
@@ -165,10 +197,19 @@
     auto drain(Context& context, ControlOutput& output) -> void;
     auto publish(Microseconds now, ControlOutput& output) -> void;
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
-    auto answer_news(
-        Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void;
+    auto answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void;
+    auto next_is_held(PartitionNews const& item, int partition, Microseconds now) const -> bool;
+    auto answer_overdue(Microseconds now, ControlOutput& output) -> void;
     auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
-    auto take_news(NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto relays_news(int partition, Microseconds now) const -> bool;
+    auto hold_limit(int partition) const -> Microseconds {
+        return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
+    }
+    auto ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool;
+    auto news_target(PartitionNews& item, int partition, Microseconds now) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto on_call_forward(Microseconds now, CallForward const& forward, ControlOutput& output) -> void;
     auto out_of_contact(Microseconds now, int partition) const -> bool;
@@ -188,9 +229,13 @@
     auto has_duties() const -> bool;
     auto held_parts() const -> std::vector<HeldPartition>;
     auto take_anew(std::vector<HeldPartition> const& told) -> void;
+    auto send_anew(Microseconds now, ControlOutput& output) -> void;
     auto tick_anew(Microseconds now, ControlOutput& output) -> void;
     auto end_anew(int status, std::string_view what, ControlOutput& output) -> void;
     auto old_voter_alive(std::vector<HeldPartition> const& held) const -> std::string;
+    auto ask_feed(Microseconds now, ControlOutput& output) -> void;
+    auto take_feed(Microseconds now, std::string const& from, FeedAnswer const& answer, ControlOutput& output) -> void;
+    auto share_load(Microseconds now, ControlOutput& output) -> void;
     auto on_form_anew(Microseconds now, FormAnew const& order, ControlOutput& output) -> void;
 };
 
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -29,22 +29,41 @@
     }
 }
 
+// After an answer that was held the next question is held as well; so it is at
+// a relay with a fresh proof, which answers with what it hears from the leader.
+auto Control::next_is_held(PartitionNews const& item, int partition, Microseconds now) const -> bool {
+    auto const relayed = item.asked_relay && now - item.proven_at < hold_limit(partition);
+    return relayed || now - item.asked_at > hold_limit(partition) / 3;
+}
+
+auto Control::answer_overdue(Microseconds now, ControlOutput& output) -> void {
+    auto waiting = std::move(waiting_asks);
+    waiting_asks.clear();
+    for (auto const& item : waiting) {
+        if (now - item.since >= hold_limit(item.ask.partition)) answer_news(now, item, output, false);
+        else waiting_asks.push_back(item);
+    }
+}
+
 auto Control::answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void {
     auto waiting = std::move(waiting_asks);
     waiting_asks.clear();
     for (auto const& entry : waiting) {
-        if (entry.ask.partition == partition) answer_news(now, entry.address, entry.ask, output, false);
+        if (entry.ask.partition == partition) answer_news(now, entry, output, false);
         else waiting_asks.push_back(entry);
     }
 }
 
-auto Control::answer_news(
-    Microseconds now, std::string const& address, NewsAsk const& ask, ControlOutput& output, bool may_wait) -> void {
+// Ages are told as of the question's arrival: the asker counts from when it
+// asked, and the time that the question was held here is no age (design 8.2).
+auto Control::answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void {
+    auto const& ask = waiting.ask;
     auto& item = news[static_cast<std::size_t>(ask.partition)];
-    auto const list_newer = item.live_digest != ask.live_digest && now - item.live_at < ask.live_age;
+    auto const live_age = waiting.since - item.live_at;
+    auto const list_newer = item.live_digest != ask.live_digest && live_age < ask.live_age;
     auto const newer = item.copy.sequence > ask.have || list_newer || item.record.term > ask.term;
-    if (may_wait && !newer && leads(ask.partition, now)) {
-        if (waiting_asks.size() < 1024) waiting_asks.push_back({address, ask, now});
+    if (may_wait && !newer && (leads(ask.partition, now) || relays_news(ask.partition, now))) {
+        if (waiting_asks.size() < 1024) waiting_asks.push_back(waiting);
         return;
     }
     NewsAnswer answer;
@@ -52,7 +71,7 @@
     answer.token = ask.token;
     answer.record = item.record;
     answer.proven = now - item.proven_at < 10 * one_second;
-    answer.age = now - item.proven_at;
+    answer.age = waiting.since - item.proven_at;
     answer.sequence = item.copy.sequence;
     if (item.copy.sequence > ask.have) {
         answer.copy = copy_told(item, ask);
@@ -60,30 +79,46 @@
         news_bytes_whole += item.copy.document.size();
     }
     answer.live_digest = item.live_digest;
-    answer.live_age = now - item.live_at;
+    answer.live_age = live_age;
     if (list_newer) answer.live = item.live;
-    output.sends.push_back({address, std::move(answer)});
+    output.sends.push_back({waiting.address, std::move(answer)});
+}
+
+// A core node whose own proof is fresh holds questions as the leader does, and
+// answers them with what it hears from the leader next (design 8.1).
+auto Control::relays_news(int partition, Microseconds now) const -> bool {
+    if (!settings.core || !load_choice.relayed) return false;
+    return now - news[static_cast<std::size_t>(partition)].proven_at < 2 * hold_limit(partition);
 }
 
-auto Control::take_news(NewsAnswer const& answer, ControlOutput& output) -> void {
+auto Control::take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
     auto& item = news[static_cast<std::size_t>(answer.partition)];
     if (answer.token != item.ask_token || item.ask_token == 0) return;
     item.ask_token = 0;
     item.unanswered = 0;
     if (answer.record.term > item.record.term) item.record = answer.record;
-    if (answer.copy && answer.copy->sequence > item.copy.sequence) {  // never back to an older one
-        auto made = apply_news(item, *answer.copy);
-        item.whole_wanted = !made.has_value();
-        if (made) {
-            remember(item);
-            item.copy.sequence = answer.copy->sequence;
-            item.copy.document = std::move(*made);
-            item.copy.outcomes.clear();
-            output.news = true;
-        }
-    }
+    take_copy(item, answer, output);
     if (answer.proven && answer.sequence == item.copy.sequence)
         item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
+    take_live(item, answer, output);
+    if (item.asked_relay && now - item.proven_at > 2 * hold_limit(answer.partition))
+        item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the leader
+    if (settings.core && load_choice.relayed) answer_waiting(now, answer.partition, output);
+}
+
+auto Control::take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+    if (!answer.copy || !(answer.copy->sequence > item.copy.sequence)) return;  // never back to an older one
+    auto made = apply_news(item, *answer.copy);
+    item.whole_wanted = !made.has_value();
+    if (!made) return;
+    remember(item);
+    item.copy.sequence = answer.copy->sequence;
+    item.copy.document = std::move(*made);
+    item.copy.outcomes.clear();
+    output.news = true;
+}
+
+auto Control::take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
     // A list is told apart by its digest: the same text is as fresh as its
     // freshest reading, another one is taken where it was read later (design 8.4).
     auto const live_at = item.asked_at - answer.live_age;
@@ -98,25 +133,45 @@
     }
 }
 
+// Whether the partition may be asked about now: nothing is under way, or too long.
+auto Control::ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool {
+    if (item.ask_token == 0) return true;
+    if (now - item.asked_at < (partition == configuration_partition ? times.ask_limit : times.service_ask_limit))
+        return false;
+    if (item.asked_relay) item.direct_until = now + times.direct;
+    else ++item.unanswered;
+    return true;
+}
+
+// A relay where there are many nodes; else the leader first, and where that does
+// not answer, anyone may relay its proof.
+auto Control::news_target(PartitionNews& item, int partition, Microseconds now) -> std::string {
+    item.asked_relay = false;
+    if (load_choice.relayed && !settings.core && now >= item.direct_until) {
+        auto const cores = membership.alive_members(true);
+        auto const* relay = load_choice.choose(membership.self, cores, now);
+        item.asked_relay = relay != nullptr;
+        if (relay != nullptr) return relay->control_address;
+    }
+    auto const& record = best_record(partition);
+    auto target = membership.address_of(record.leader);
+    if (!target.empty() && record.leader != membership.self.identity && item.unanswered % 2 == 0) return target;
+    auto members = membership.alive_members(item.unanswered < 6);
+    std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
+    if (members.empty()) return {};
+    return members[random.below(members.size())].control_address;
+}
+
 auto Control::ask_news(Microseconds now, ControlOutput& output) -> void {
     for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto& item = news[index];
         if (leads(static_cast<int>(index), now)) continue;
         if (resting && index != configuration_partition && index != resting_partition) continue;
         if (resting && now - item.asked_at < times.resting_interval) continue;
-        if (item.ask_token != 0) {
-            if (now - item.asked_at < times.ask_limit) continue;
-            ++item.unanswered;
-        }
-        auto const& record = best_record(static_cast<int>(index));
-        auto target = membership.address_of(record.leader);
-        // The leader first; where it does not answer, anyone may relay its proof.
-        if (target.empty() || record.leader == membership.self.identity || item.unanswered % 2 == 1) {
-            auto members = membership.alive_members(item.unanswered < 6);
-            std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
-            if (members.empty()) continue;
-            target = members[random.below(members.size())].control_address;
-        }
+        if (index == resting_partition && !settings.rests && !settings.core) continue;
+        if (!ask_overdue(item, static_cast<int>(index), now)) continue;
+        auto const target = news_target(item, static_cast<int>(index), now);
+        if (target.empty()) continue;
         item.ask_token = random.next() | 1U;
         item.asked_at = now;
         item.asked_whom = target;
--- a/source/control/partition_news.hpp
+++ b/source/control/partition_news.hpp
@@ -19,6 +19,8 @@
     std::uint64_t live_digest = 0;
     Microseconds live_at = -3'600 * one_second;
     std::uint64_t ask_token = 0;
+    bool asked_relay = false;       // by the question under way
+    Microseconds direct_until = 0;  // the owner is asked, not the relay
     Microseconds asked_at = 0;
     std::string asked_whom;
     std::uint64_t told_term = 0;  // as leader: the term that all members were told of
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -25,7 +25,9 @@
         held.has_value(),
         static_cast<std::size_t>(settings.core_count),
         static_cast<std::size_t>(settings.bounds.machines_lost),
-        settings.may_form};
+        settings.may_form,
+        static_cast<std::size_t>(settings.load_relays_from),
+        settings.resting};
     auto device = std::random_device();
     control.start(
         given, identity, incarnation, (static_cast<std::uint64_t>(device()) << 32U) ^ device(), saved_parts, had_state,
@@ -113,11 +115,14 @@
         claim_waiters.erase(found);
         waiter(claim);
     }
-    if (!output.digests.empty()) {
+    if (!output.digests.empty() || !output.load_sums.empty()) {
         auto const guard = std::lock_guard(table.lock);
-        for (auto const& [node, digest] : output.digests)
-            table.granting.burden.take_digest(node, digest.number, digest.body, now);
+        auto& burden = table.granting.burden;
+        for (auto const& [node, digest] : output.digests) burden.take_digest(node, digest.number, digest.body, now);
+        for (auto const& [relay, sum] : output.load_sums)
+            burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
+    if (!output.kept.empty()) take_feed(output.kept);
     proven_at = control.news[configuration_partition].proven_at;
     losses_bearable.look(control, now);
     if (output.news) publish_snapshot();
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -54,6 +54,7 @@
     std::size_t losses = 1;  // core nodes that may be lost at once, with their disks
     std::size_t areas = 4;
     double loss = 0.01;
+    std::size_t load_relays_from = 0;  // news go through relays
     bool core_count_told = true;
     std::size_t replacements = 0;            // core nodes at addresses of their own that start blank and later
     bool planted_claims_not_copied = false;  // for showing that the checks bite
--- a/tests/simulation/world_disk.cpp
+++ b/tests/simulation/world_disk.cpp
@@ -105,6 +105,7 @@
     settings.area = node.area;
     settings.core = with_disk;
     settings.core_count = options.core_count_told ? options.cores : 0;
+    settings.load_relays_from = options.load_relays_from;
     settings.machines_lost = options.losses;
     settings.seeds = node.seeds;
     for (auto seed = std::size_t{0}; node.seeds.empty() && seed < 3 && seed < nodes.size(); ++seed)
