--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -142,10 +142,9 @@
             } else if constexpr (std::is_same_v<Body, ProbeFor>) {
                 membership.on(body, address, now, output.sends);
             } else if constexpr (std::is_same_v<Body, NewsAsk>) {
-                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count))
-                    answer_news(now, {address, body, now}, output, true);
+                if (is_partition(body.partition)) answer_news(now, {address, body, now}, output, true);
             } else if constexpr (std::is_same_v<Body, NewsAnswer>) {
-                if (body.partition >= 0 && body.partition < static_cast<int>(partition_count)) {
+                if (is_partition(body.partition)) {
                     load_choice.heard(from, now);
                     take_news(now, body, output);
                 }
@@ -164,10 +163,10 @@
             } else if constexpr (std::is_same_v<Body, FeedAnswer>) {
                 take_feed(now, from, body, output);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
-                if (body.call.partition < 0 || body.call.partition >= static_cast<int>(partition_count)) return;
+                if (!is_partition(body.call.partition)) return;
                 on_call_forward(now, body, output);
             } else if constexpr (std::is_same_v<Body, ClaimAsk>) {
-                if (body.partition < 0 || body.partition >= static_cast<int>(partition_count) || !settings.core) return;
+                if (!is_partition(body.partition) || !settings.core) return;
                 with_parts(now, output, [&](Context& context) {
                     partitions[static_cast<std::size_t>(body.partition)].claim(context, address, body);
                 });
@@ -183,7 +182,7 @@
                 finish_call(body.token, body.status, body.body, body.etag, output);
             } else {
                 if constexpr (std::is_same_v<Body, Decided>) {
-                    if (body.partition < 0 || body.partition >= static_cast<int>(partition_count)) return;
+                    if (!is_partition(body.partition)) return;
                     auto& item = news[static_cast<std::size_t>(body.partition)];
                     if (body.record.term > item.record.term) {
                         item.record = body.record;
@@ -191,7 +190,7 @@
                         item.unanswered = 0;
                     }
                 }
-                if (!settings.core || body.partition < 0 || body.partition >= static_cast<int>(partition_count)) return;
+                if (!settings.core || !is_partition(body.partition)) return;
                 with_parts(now, output, [&](Context& context) {
                     partitions[static_cast<std::size_t>(body.partition)].on(context, from, body);
                 });
@@ -209,8 +208,7 @@
     // The next question follows an answer that was held, or that brought news,
     // without waiting for a tick; answers given at once are paced by the ticks.
     auto const* answer = std::get_if<NewsAnswer>(&message);
-    if (answer != nullptr && answer->partition >= 0 && answer->partition < static_cast<int>(partition_count) &&
-        !resting) {
+    if (answer != nullptr && is_partition(answer->partition) && !resting) {
         auto const& item = news[static_cast<std::size_t>(answer->partition)];
         if (output.news || next_is_held(item, answer->partition, now)) ask_news(now, output);
     }
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -18,6 +18,9 @@
 inline constexpr auto resting_partition = 4;
 inline constexpr auto service_partitions = 3;
 
+// Whether a number that came with a message names a partition.
+inline auto is_partition(int number) -> bool { return number >= 0 && number < static_cast<int>(partition_count); }
+
 // The partition that holds a service, by hash of its name (design 5).
 inline auto partition_of_service(std::string_view service) -> int {
     return 1 + static_cast<int>(hash_text(service) % service_partitions);
--- a/source/ticket/load.cpp
+++ b/source/control/load.cpp
@@ -1,4 +1,4 @@
-#include "ticket/load.hpp"
+#include "control/load.hpp"
 
 #include <algorithm>
 #include <array>
--- a/source/control/load_relay.hpp
+++ b/source/control/load_relay.hpp
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "membership/membership.hpp"
-#include "ticket/load.hpp"
+#include "control/load.hpp"
 
 namespace dockrock {
 
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -6,7 +6,7 @@
 #include <unordered_map>
 
 #include "base/json_structs.hpp"
-#include "ticket/load.hpp"
+#include "control/load.hpp"
 #include "ticket/ticket.hpp"
 
 namespace dockrock {
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -1,7 +1,7 @@
 // Sums of load and their short text. docs/design.md 9.8.
 #include <catch2/catch.hpp>
 
-#include "ticket/load.hpp"
+#include "control/load.hpp"
 
 using namespace dockrock;
 
