--- a/tests/model/planted.cpp
+++ b/tests/model/planted.cpp
@@ -81,7 +81,10 @@
 }
 
 auto plant_in_save(Planted planted, SavedPartition& saved, SavedPartition const& held) -> void {
-    if (planted == Planted::copy_kept_in_memory) saved.copy.reset();
+    if (planted == Planted::copy_kept_in_memory) {
+        saved.copy.reset();
+        saved.change.reset();
+    }
     if (planted != Planted::promises_not_saved || saved.votes.decided.term != held.votes.decided.term) return;
     saved.votes.promised = held.votes.promised;
     saved.votes.accepted_ballot = held.votes.accepted_ballot;
--- a/tests/model/world_steps.cpp
+++ b/tests/model/world_steps.cpp
@@ -3,6 +3,16 @@
 
 namespace dockrock::model {
 
+namespace {
+
+auto bring_to_disk(Node& node, SavedPartition const& saved) -> void {
+    auto held = std::vector<SavedPartition>{std::move(node.disk)};
+    take_saved(held, saved);
+    node.disk = std::move(held.front());
+}
+
+}  // namespace
+
 auto World::deliver(std::size_t place, bool keep) -> void {
     auto const envelope = network[place];
     if (keep) network[place].held = true;
@@ -36,7 +46,7 @@
         auto const write = node.writes.front();
         node.writes.erase(node.writes.begin());
         if (!node.disk_failing) {
-            merge_saved(node.disk, write.saved);
+            bring_to_disk(node, write.saved);
             node.disk_blank = false;
         }
         auto const ok = !node.disk_failing;
@@ -52,7 +62,7 @@
     change_node(index, [&](Node& node) {
         if (keep_unsynced && !node.disk_failing)
             for (auto const& write : node.writes) {
-                merge_saved(node.disk, write.saved);
+                bring_to_disk(node, write.saved);
                 node.disk_blank = false;
             }
         node.writes.clear();
