--- a/tests/hollow/fleet.cpp
+++ b/tests/hollow/fleet.cpp
@@ -183,7 +183,7 @@
     ListView view;
     view.leader = node.control.leads(configuration_partition, now);
     view.list_at = node.control.news[configuration_partition].live_at;
-    if (!view.owner && now - view.list_at > node.list_pace.fallback)
+    if (!view.leader && now - view.list_at > node.list_pace.fallback)
         view.members = node.control.membership.alive_members(false).size();
     if (node.list_pace.due(view, now, node.control.random)) read_list(node);
     if (requests && !node.core && now - node.last_digest >= node.load.table.options.digest_interval) tell_load(node);
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -79,7 +79,7 @@
         if (options.planted_outcomes_lost) {
             if (auto* offer = std::get_if<CopyOffer>(&send.message)) offer->copy.outcomes.clear();
             if (auto* append = std::get_if<Append>(&send.message)) append->copy.outcomes.clear();
-            if (auto* change = std::get_if<AppendChange>(&send.message)) change->change.outcomes.clear();
+            if (auto* change = std::get_if<AppendChange>(&send.message)) change->change.outcomes_added.clear();
         }
         if (planted(index, send)) continue;
         if (target >= nodes.size() || cuts.contains({index, target})) continue;
