--- a/source/control/load_relay.cpp
+++ b/source/control/load_relay.cpp
@@ -34,7 +34,8 @@
         if (now - share.at > times.lost) return true;
         if (now - share.at <= times.old || share.rates.empty()) return false;
         auto moved = std::size_t{0};
-        for (auto const& [node, rate] : share.rates) {
+        for (auto const& entry : share.rates) {
+            auto const& node = entry.first;
             auto const here = children.contains(node) && children.at(node).at > share.at;
             auto const there = std::any_of(shares.begin(), shares.end(), [&](auto const& other) {
                 return other.first != item.first && now - other.second.at <= times.old &&
--- a/source/request/relayed.cpp
+++ b/source/request/relayed.cpp
@@ -62,6 +62,35 @@
     return static_cast<int>(std::clamp<std::int64_t>(rank * 3 + std::clamp<std::int64_t>(route.rank, 0, 3), 0, 9));
 }
 
+namespace {
+// The limit of the route, or the client's own where that is shorter.
+auto deadline_of(RelayArrival const& arrival, Route const& route) -> Microseconds {
+    auto const given = number_of(arrival.deadline, 0);
+    auto limit = route.timeout;
+    if (given > 0) limit = std::min(limit, std::min<std::int64_t>(given, 3'600'000) * one_millisecond);
+    return arrival.now + limit;
+}
+
+// What granting has to know of a request that its route and its tenant let in.
+auto fill_ticket(RelayArrival const& arrival, Route const& route, ServiceTenant const* tenant, Ticket& ticket) -> void {
+    ticket.body.model = choose_service(route, hash_text(arrival.identity));
+    ticket.body.kind = route.name;
+    ticket.body.run_once = !route.repeatable;
+    ticket.tries = route.tries;
+    ticket.tenant_path = tenant == nullptr ? "" : tenant->name;
+    ticket.wall_domain = tenant != nullptr && tenant->isolated ? tenant->name : "";
+    ticket.rank = 9 - urgency_of(tenant, route);
+    ticket.arrived_at = arrival.now;
+    ticket.deadline = deadline_of(arrival, route);
+    auto tokens = arrival.tokens;
+    auto const prompt = number_of(take_until(tokens, ','), 0);
+    ticket.body.max_tokens = std::clamp<std::int64_t>(number_of(tokens, 1), 1, most_tokens);
+    ticket.parts_alone = true;
+    read_prefix(arrival.prefix, ticket);
+    ticket.prompt_tokens = std::max<std::int64_t>(0, std::min(prompt, most_tokens) - ticket.prefix_tokens);
+}
+}  // namespace
+
 auto judge_relayed(std::shared_ptr<ServiceRules const> rules, RelayArrival const& arrival) -> RelayVerdict {
     RelayVerdict result;
     auto& verdict = result.verdict;
@@ -81,25 +110,7 @@
         if (result.tenant == nullptr) return refuse(401, "unknown key");
     }
     if (arrival.identity.empty()) return refuse(400, "a request needs its identity");
-    auto const number = hash_text(arrival.identity);
-    ticket.body.model = choose_service(route, number);
-    ticket.body.kind = route.name;
-    ticket.body.run_once = !route.repeatable;
-    ticket.tries = route.tries;
-    ticket.tenant_path = result.tenant == nullptr ? "" : result.tenant->name;
-    ticket.wall_domain = result.tenant != nullptr && result.tenant->isolated ? result.tenant->name : "";
-    ticket.rank = 9 - urgency_of(result.tenant, route);
-    ticket.arrived_at = arrival.now;
-    auto const given = number_of(arrival.deadline, 0);
-    auto limit = route.timeout;
-    if (given > 0) limit = std::min(limit, std::min<std::int64_t>(given, 3'600'000) * one_millisecond);
-    ticket.deadline = arrival.now + limit;
-    auto tokens = arrival.tokens;
-    auto const prompt = number_of(take_until(tokens, ','), 0);
-    ticket.body.max_tokens = std::clamp<std::int64_t>(number_of(tokens, 1), 1, most_tokens);
-    ticket.parts_alone = true;
-    read_prefix(arrival.prefix, ticket);
-    ticket.prompt_tokens = std::max<std::int64_t>(0, std::min(prompt, most_tokens) - ticket.prefix_tokens);
+    fill_ticket(arrival, route, result.tenant, ticket);
     verdict.kind = Verdict::Kind::enter;
     verdict.status = 0;
     return result;
