Hollow fleets: their disks take saves by the storage's own function

Cause: the loop stood twice, and the copy ignored a difference that did not fit and kept a first one unapplied, so a save could be reported and not be held. take_saved serves both; a misfit ends the run.

--- a/tests/hollow/fleet.cpp
+++ b/tests/hollow/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "meter.hpp"
 #include "base/frame.hpp"
@@ -127,13 +128,9 @@
         node.disk_busy = false;
         auto const batch = std::move(node.unsynced);
         node.unsynced.clear();
-        for (auto const& save : batch) {
-            auto const found = std::find_if(node.synced.begin(), node.synced.end(), [&](auto const& part) {
-                return part.partition == save.saved.partition;
-            });
-            if (found == node.synced.end()) node.synced.push_back(save.saved);
-            else merge_saved(*found, save.saved);
-        }
+        for (auto const& save : batch)
+            if (!take_saved(node.synced, save.saved))
+                throw std::logic_error("a change was logged of a copy that the disk does not hold");
         for (auto const& save : batch) act(node, [&] { return node.control.saved(now, save.token, true); });
         if (!node.unsynced.empty()) work_disk(node);
     });
