--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "process/machine/control.hpp"
-#include "process/machine/frame.hpp"
-#include "process/machine/rollout.hpp"
+#include "control/control.hpp"
+#include "base/frame.hpp"
+#include "control/rollout.hpp"
 #include "process/settings.hpp"
 
 using namespace dockrock;
--- a/tests/resting_test.cpp
+++ b/tests/resting_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "process/machine/resting.hpp"
+#include "control/resting.hpp"
 
 using namespace dockrock;
 
--- a/tests/rollout_helpers.hpp
+++ b/tests/rollout_helpers.hpp
@@ -7,8 +7,8 @@
 #include <random>
 #include <set>
 
-#include "process/machine/tenure.hpp"
-#include "process/machine/versions_rollout.hpp"
+#include "control/tenure.hpp"
+#include "control/versions_rollout.hpp"
 
 namespace dockrock::testing {
 
--- a/tests/simulation/timeline.hpp
+++ b/tests/simulation/timeline.hpp
@@ -3,7 +3,7 @@
 #include <functional>
 #include <queue>
 
-#include "process/machine/words.hpp"
+#include "base/basics.hpp"
 
 namespace dockrock::simulation {
 
--- a/tests/stand_ins/common.hpp
+++ b/tests/stand_ins/common.hpp
@@ -10,7 +10,7 @@
 
 #include "connection/http_client.hpp"
 #include "process/clock.hpp"
-#include "process/machine/reading.hpp"
+#include "base/json_structs.hpp"
 
 namespace dockrock::stand_in {
 
--- a/tests/stand_ins/stand_in_relay.cpp
+++ b/tests/stand_ins/stand_in_relay.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "common.hpp"
-#include "process/machine/frame.hpp"
+#include "base/frame.hpp"
 
 namespace {
 
