--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,8 @@
 python3 tests/includes_test.py
 python3 scripts/check_packages.py "$build"
 python3 tests/packages_test.py "$build"
+python3 tests/tidy_test.py
+python3 scripts/tidy.py
 python3 tests/live/verdict_test.py
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
--- /dev/null
+++ b/scripts/tidy.py
@@ -0,0 +1,92 @@
+"""Runs clang-tidy, with the checks of .clang-tidy, over the control code; exit 1 on a finding.
+
+The compile commands come from a fresh configuration of the product, without prepared headers of another compiler.
+Use: tidy.py [--jobs N] [--limit SECONDS] [FOLDER...]
+"""
+
+import argparse
+import concurrent.futures
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import time
+
+# Functions over 40 lines that wait to be split: a new one fails the check, and so does a listed one that is gone.
+WAITING = {
+    "source/base/json_structs.hpp: read_json",
+    "source/consensus/changes.cpp: change",
+    "source/consensus/leader_and_follower.cpp: leader_tick",
+    "source/control/control.cpp: deliver",
+    "source/control/control_form.cpp: form",
+    "source/control/resting.cpp: step",
+    "source/control/weights_duty.cpp: step_partition",
+    "source/membership/membership.cpp: tick",
+}
+FINDING = re.compile(r"^(/[^:]+):\d+:\d+: (?:error|warning): (.*) \[[^\]]+\]$")
+TOO_LONG = re.compile(r"function '([^']+)' exceeds recommended size")
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FOLDERS = ("source/base", "source/membership", "source/consensus", "source/control", "source/request", "platform")
+
+
+def configure(folder):
+    command = ["cmake", "-S", str(ROOT), "-B", folder, "-G", "Ninja"]
+    command += ["-DDOCKROCK_TESTS=OFF", "-DCMAKE_EXPORT_COMPILE_COMMANDS=ON"]
+    subprocess.run(command, check=True, capture_output=True)
+
+
+def run(path, folder, limit):
+    """What clang-tidy prints for one file; second, whether it ended by itself."""
+    command = ["clang-tidy", "--quiet", "-p", folder, str(path)]
+    try:
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=limit)
+    except subprocess.TimeoutExpired:
+        return "", False
+    return done.stdout, True
+
+
+def judge(printed, waiting=frozenset(WAITING), root=ROOT):
+    """The findings in all that was printed, once each; second, the waiting functions that were met."""
+    bad, met = set(), set()
+    for line in printed.splitlines():
+        found = FINDING.match(line)
+        if not found:
+            continue
+        path = os.path.relpath(found[1], root)
+        long = TOO_LONG.match(found[2])
+        name = "%s: %s" % (path, long[1]) if long else None
+        if name in waiting:
+            met.add(name)
+        else:
+            bad.add(line)
+    return bad, met
+
+
+def main(words):
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--jobs", type=int, default=os.cpu_count())
+    parser.add_argument("--limit", type=float, default=600, help="seconds for one file")
+    parser.add_argument("folders", nargs="*", default=FOLDERS)
+    options = parser.parse_args(words)
+    files = [path for folder in options.folders for path in sorted((ROOT / folder).rglob("*.cpp"))]
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        configure(folder)
+        with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+            told = list(pool.map(lambda path: run(path, folder, options.limit), files))
+    bad, met = judge("\n".join(printed for printed, _ in told))
+    bad |= {"%s: not done in time" % path for path, (_, ended) in zip(files, told) if not ended}
+    looked_at = tuple(str(folder) + "/" for folder in options.folders)
+    bad |= {"%s is short now: take it off the list" % name for name in WAITING - met if name.startswith(looked_at)}
+    for item in sorted(bad):
+        print(item)
+    state = "clean" if not bad else "%d findings" % len(bad)
+    seconds = time.monotonic() - began
+    print("clang-tidy: %s (%d files in %.0f s, %d long functions waiting)" % (state, len(files), seconds, len(met)))
+    return 1 if bad or not files else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/source/membership/membership.cpp
+++ b/source/membership/membership.cpp
@@ -96,7 +96,8 @@
 
 auto Membership::judge_pending(Microseconds now, Random& random, AddressedMessages& out) -> void {
     for (auto place = pending.begin(); place != pending.end();) {
-        auto& [token, waiting] = *place;
+        auto const token = place->first;
+        auto& waiting = place->second;
         auto const found = known.find(waiting.identity);
         if (found == known.end() || found->second.member.state == state_dead) {
             place = pending.erase(place);
--- /dev/null
+++ b/tests/tidy_test.py
@@ -0,0 +1,40 @@
+"""The reading of clang-tidy's findings under test, and clang-tidy itself on a planted breach of .clang-tidy."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
+import tidy
+
+LONG = "/root/source/a.cpp:3:6: error: function 'far' exceeds recommended size/complexity thresholds [readability-x,-y]"
+OTHER = "/root/source/a.cpp:9:1: error: use after move [bugprone-use-after-move,-warnings-as-errors]"
+
+bad, met = tidy.judge("\n".join([LONG, LONG, OTHER, "a note"]), {"source/a.cpp: far"}, "/root")
+assert bad == {OTHER} and met == {"source/a.cpp: far"}, (bad, met)
+bad, met = tidy.judge(LONG, {"source/a.cpp: near"}, "/root")
+assert bad == {LONG} and met == set(), (bad, met)
+
+PLANTED = """
+#include <string>
+#include <utility>
+auto twice(std::string text) -> std::string {
+    auto first = std::move(text);
+    return first + text;
+}
+auto long_one(int number) -> int {
+%s    return number;
+}
+"""
+with tempfile.TemporaryDirectory() as folder:
+    source = pathlib.Path(folder, "planted.cpp")
+    source.write_text(PLANTED % ("    ++number;\n" * 45))
+    command = ["clang-tidy", "--quiet", "--config-file=%s" % (ROOT / ".clang-tidy"), str(source), "--", "-std=c++20"]
+    done = subprocess.run(command, capture_output=True, text=True)
+    bad, _ = tidy.judge(done.stdout, frozenset(), folder)
+    assert done.returncode != 0
+    for words in ("bugprone-use-after-move", "function 'long_one' exceeds"):
+        assert any(words in line for line in bad), (words, done.stdout, done.stderr)
+print("clang-tidy check: planted breaches found")
