Long functions of membership, resting and first forming split by what they do

Cause: three functions of over 40 lines waited on tidy's list. Each is now a few of one job; the constants have names. No change of logic: the order of random draws is the same.

--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -20,10 +20,7 @@
     "source/consensus/changes.cpp: change",
     "source/consensus/leader_and_follower.cpp: leader_tick",
     "source/control/control.cpp: deliver",
-    "source/control/control_form.cpp: form",
-    "source/control/resting.cpp: step",
     "source/control/weights_duty.cpp: step_partition",
-    "source/membership/membership.cpp: tick",
 }
 FINDING = re.compile(r"^(/[^:]+):\d+:\d+: (?:error|warning): (.*) \[[^\]]+\]$")
 TOO_LONG = re.compile(r"function '([^']+)' exceeds recommended size")
--- a/source/control/control_form.cpp
+++ b/source/control/control_form.cpp
@@ -8,6 +8,44 @@
 namespace {
 constexpr Microseconds calm_limit = 1'200 * one_millisecond;  // the set of core nodes must stay as it is
 constexpr Microseconds seed_patience = 3 * one_second;        // on top, while a seed was not heard of
+constexpr Microseconds forming_interval = 700 * one_millisecond;
+constexpr auto forming_jitter = std::uint64_t{400'000};  // microseconds
+
+auto fleet_heard_of(Membership const& membership) -> bool {
+    auto const members = membership.alive_members(false);
+    return std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
+}
+
+auto cores_by_address(Membership const& membership) -> std::vector<Member> {
+    auto cores = membership.alive_members(true);
+    std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
+        return left.control_address < right.control_address;
+    });
+    return cores;
+}
+
+// The group to propose where none was decided yet: spread over areas, where there are enough.
+// After a loss of all the one that holds the copies is the first leader of all partitions.
+auto first_group(Membership const& membership, Partition const& partition) -> Record {
+    auto wanted = partition.votes.decided;
+    auto const& voters = wanted.voters;
+    auto const count = voters.size();
+    auto const own = std::find(voters.begin(), voters.end(), membership.self.identity);
+    auto const place = wanted.term != 0 ? static_cast<std::size_t>(own - voters.begin()) % count
+                                        : static_cast<std::size_t>(partition.index) % count;
+    wanted.leader = voters[place];
+    auto const* leader = membership.find(wanted.leader);
+    auto areas = std::set<std::string>{leader != nullptr ? leader->area : ""};
+    for (auto spread : {true, false})
+        for (auto step = std::size_t{1}; step < count && wanted.followers.size() + 1 < partition.copies(); ++step) {
+            auto const& identity = voters[(place + step) % count];
+            auto const* other = membership.find(identity);
+            if (wanted.has_member(identity) || (spread && (other == nullptr || areas.contains(other->area)))) continue;
+            wanted.followers.push_back(identity);
+            if (other != nullptr) areas.insert(other->area);
+        }
+    return wanted;
+}
 }  // namespace
 
 // Where the number of core nodes is not told: as many as still have a majority
@@ -41,49 +79,27 @@
 // First forming (design 5.7): only among blank core nodes, and only where
 // nobody reachable knows a fleet.
 auto Control::form(Microseconds now, Context& context) -> void {
-    auto const members = membership.alive_members(false);
-    auto const somebody_knows =
-        std::any_of(members.begin(), members.end(), [](auto const& member) { return member.knows_fleet; });
     auto const& first = partitions[0].votes.decided;
-    if (somebody_knows && !forms_anew && first.term == 0 && first.voters.empty()) {
+    auto const blank = first.term == 0 && first.voters.empty();
+    if (blank && !forms_anew && fleet_heard_of(membership)) {
         blank_since = cores_since = now;
         return;
     }
-    if (first.term == 0 && first.voters.empty()) {
-        auto cores = membership.alive_members(true);
-        std::sort(cores.begin(), cores.end(), [](auto const& left, auto const& right) {
-            return left.control_address < right.control_address;
-        });
+    if (blank) {
+        auto const cores = cores_by_address(membership);
         if (!may_form_now(now, cores)) return;
-        Record blank;
-        for (auto const& member : cores) blank.voters.push_back(member.identity);
-        for (auto& partition : partitions) partition.learn(context, blank);
+        Record voters_only;
+        for (auto const& member : cores) voters_only.voters.push_back(member.identity);
+        for (auto& partition : partitions) partition.learn(context, voters_only);
     }
-    if (now - last_forming < 700 * one_millisecond + static_cast<Microseconds>(random.below(400'000))) return;
+    auto const pause = forming_interval + static_cast<Microseconds>(random.below(forming_jitter));
+    if (now - last_forming < pause) return;
     last_forming = now;
     for (auto& partition : partitions) {
         auto const& record = partition.votes.decided;
         auto const named = !record.leader.empty() || record.voters.empty();
         if (named || partition.proposal || (record.term != 0 && !forms_anew)) continue;
-        auto const count = record.voters.size();
-        auto wanted = record;
-        // After a loss the one that holds the copies is the first leader of all partitions.
-        auto const own = std::find(record.voters.begin(), record.voters.end(), membership.self.identity);
-        auto const place = record.term != 0 ? static_cast<std::size_t>(own - record.voters.begin()) % count
-                                            : static_cast<std::size_t>(partition.index) % count;
-        wanted.leader = record.voters[place];
-        auto const* leader = membership.find(wanted.leader);
-        auto areas = std::set<std::string>{leader != nullptr ? leader->area : ""};
-        for (auto spread : {true, false})  // groups lie in different areas, where there are enough
-            for (auto step = std::size_t{1}; step < count && wanted.followers.size() + 1 < partition.copies(); ++step) {
-                auto const& identity = record.voters[(place + step) % count];
-                auto const* other = membership.find(identity);
-                if (wanted.has_member(identity) || (spread && (other == nullptr || areas.contains(other->area))))
-                    continue;
-                wanted.followers.push_back(identity);
-                if (other != nullptr) areas.insert(other->area);
-            }
-        partition.propose(context, wanted);
+        partition.propose(context, first_group(membership, partition));
     }
 }
 
--- a/source/control/resting.cpp
+++ b/source/control/resting.cpp
@@ -18,57 +18,71 @@
     return std::min(edges.size(), std::max(needed, areas.size()) + slack);  // one in every area, and one to lose
 }
 
+// A resting node that was given traffic is awake already.
+auto Resting::still_rests(RestingNode const& node, std::set<std::string> const& now_resting, Microseconds now) const
+    -> bool {
+    auto const rested = rested_at.find(node.identity);
+    auto const in_grace = rested != rested_at.end() && now - rested->second < options.grace;
+    return now_resting.contains(node.identity) && (node.rate <= 0.0 || in_grace);
+}
+
 auto Resting::step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now)
     -> std::optional<std::set<std::string>> {
-    auto wanted = std::set<std::string>();
-    std::map<std::string, int> awake_in_area;
-    auto awake = std::size_t{0};
+    Plan plan;
     for (auto const& node : edges) {
-        // A resting node that was given traffic is awake already.
-        auto const rested = rested_at.find(node.identity);
-        auto const in_grace = rested != rested_at.end() && now - rested->second < options.grace;
-        if (now_resting.contains(node.identity) && (node.rate <= 0.0 || in_grace)) {
-            wanted.insert(node.identity);
+        if (still_rests(node, now_resting, now)) {
+            plan.resting.insert(node.identity);
         } else {
-            ++awake;
-            ++awake_in_area[node.area];
+            ++plan.awake;
+            ++plan.awake_in_area[node.area];
         }
     }
     auto const least = least_awake(edges);
+    wake_needed(edges, least, plan);
+    if (plan.awake <= least) {
+        low_since = 0;
+    } else if (low_since == 0) {
+        low_since = now;
+    } else if (now - low_since >= options.calm && now - last_step >= options.step) {
+        rest_one(edges, plan, now);
+    }
+    if (plan.resting == now_resting) return std::nullopt;
+    return plan.resting;
+}
+
+// Nodes are woken at once, those of the emptiest area first.
+auto Resting::wake_needed(std::vector<RestingNode> const& edges, std::size_t least, Plan& plan) -> void {
+    auto const area_asleep = [&] {
+        return std::any_of(
+            edges.begin(), edges.end(), [&](auto const& node) { return plan.awake_in_area[node.area] == 0; });
+    };
     auto const fewest_first = [&](auto const& left, auto const& right) {
-        return awake_in_area[left->area] < awake_in_area[right->area];
+        return plan.awake_in_area[left->area] < plan.awake_in_area[right->area];
     };
-    while (awake < least ||
-           std::any_of(edges.begin(), edges.end(), [&](auto const& node) { return awake_in_area[node.area] == 0; })) {
-        std::vector<RestingNode const*> candidates;  // woken at once, the emptiest area first
+    while (plan.awake < least || area_asleep()) {
+        std::vector<RestingNode const*> candidates;
         for (auto const& node : edges)
-            if (wanted.contains(node.identity)) candidates.push_back(&node);
-        if (candidates.empty()) break;
+            if (plan.resting.contains(node.identity)) candidates.push_back(&node);
+        if (candidates.empty()) return;
         auto const* chosen = *std::min_element(candidates.begin(), candidates.end(), fewest_first);
-        wanted.erase(chosen->identity);
-        ++awake;
-        ++awake_in_area[chosen->area];
+        plan.resting.erase(chosen->identity);
+        ++plan.awake;
+        ++plan.awake_in_area[chosen->area];
     }
-    if (awake <= least) {
-        low_since = 0;
-    } else if (low_since == 0) {
-        low_since = now;
-    } else if (now - low_since >= options.calm && now - last_step >= options.step) {
-        RestingNode const* chosen = nullptr;  // the idlest node of the fullest area
-        for (auto const& node : edges) {
-            if (wanted.contains(node.identity) || awake_in_area[node.area] < 2) continue;
-            if (chosen == nullptr ||
-                std::pair(-awake_in_area[node.area], node.rate) < std::pair(-awake_in_area[chosen->area], chosen->rate))
-                chosen = &node;
-        }
-        if (chosen != nullptr) {
-            wanted.insert(chosen->identity);
-            rested_at[chosen->identity] = now;
-            last_step = now;
-        }
+}
+
+// The idlest node of the fullest area, if that area keeps another one awake.
+auto Resting::rest_one(std::vector<RestingNode> const& edges, Plan& plan, Microseconds now) -> void {
+    auto const order = [&](RestingNode const& node) { return std::pair(-plan.awake_in_area[node.area], node.rate); };
+    RestingNode const* chosen = nullptr;
+    for (auto const& node : edges) {
+        if (plan.resting.contains(node.identity) || plan.awake_in_area[node.area] < 2) continue;
+        if (chosen == nullptr || order(node) < order(*chosen)) chosen = &node;
     }
-    if (wanted == now_resting) return std::nullopt;
-    return wanted;
+    if (chosen == nullptr) return;
+    plan.resting.insert(chosen->identity);
+    rested_at[chosen->identity] = now;
+    last_step = now;
 }
 
 }  // namespace dockrock
--- a/source/control/resting.hpp
+++ b/source/control/resting.hpp
@@ -32,6 +32,17 @@
     auto step(std::vector<RestingNode> const& edges, std::set<std::string> const& now_resting, Microseconds now)
         -> std::optional<std::set<std::string>>;
     auto least_awake(std::vector<RestingNode> const& edges) const -> std::size_t;
+
+   private:
+    // Who is to rest, and what stays awake then.
+    struct Plan {
+        std::set<std::string> resting;
+        std::map<std::string, int> awake_in_area;
+        std::size_t awake = 0;
+    };
+    auto still_rests(RestingNode const& node, std::set<std::string> const& now_resting, Microseconds now) const -> bool;
+    static auto wake_needed(std::vector<RestingNode> const& edges, std::size_t least, Plan& plan) -> void;
+    auto rest_one(std::vector<RestingNode> const& edges, Plan& plan, Microseconds now) -> void;
 };
 
 }  // namespace dockrock
--- a/source/membership/membership.cpp
+++ b/source/membership/membership.cpp
@@ -110,90 +110,6 @@
     return told;
 }
 
-auto Membership::judge_pending(Microseconds now, Random& random, AddressedMessages& out) -> void {
-    for (auto place = pending.begin(); place != pending.end();) {
-        auto const token = place->first;
-        auto& waiting = place->second;
-        auto const found = known.find(waiting.identity);
-        if (found == known.end() || found->second.member.state == state_dead) {
-            place = pending.erase(place);
-            continue;
-        }
-        if (!waiting.asked_others && now - waiting.sent_at > times.probe_limit) {
-            waiting.asked_others = true;
-            auto helpers = alive_members(false);
-            std::erase_if(helpers, [&](auto const& member) {
-                return member.identity == self.identity || member.identity == waiting.identity;
-            });
-            for (auto count = 0; count < 2 && !helpers.empty(); ++count) {
-                auto const chosen = random.below(helpers.size());
-                out.push_back({helpers[chosen].control_address, ProbeFor{token, found->second.member.control_address}});
-                helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(chosen));
-            }
-        }
-        if (now - waiting.sent_at > 3 * times.probe_limit) {
-            if (found->second.member.state == state_alive) {
-                found->second.member.state = state_suspect;
-                found->second.changed_at = now;
-                found->second.times_told = 0;
-            }
-            place = pending.erase(place);
-            continue;
-        }
-        ++place;
-    }
-}
-
-auto Membership::tick(Microseconds now, Random& random, AddressedMessages& out) -> void {
-    if (last_tick != 0 && now - last_tick > times.frozen_gap) {
-        // We were frozen: our own timers accuse nobody (design 4).
-        pending.clear();
-        relayed.clear();
-        for (auto& [identity, entry] : known)
-            if (entry.member.state == state_suspect) entry.changed_at = now;
-    }
-    last_tick = now;
-    judge_pending(now, random, out);
-    for (auto place = known.begin(); place != known.end();) {
-        auto& entry = place->second;
-        if (entry.member.state == state_suspect && now - entry.changed_at > times.suspicion_limit) {
-            entry.member.state = state_dead;
-            entry.changed_at = now;
-            entry.times_told = 0;
-        }
-        if (entry.member.state == state_dead && now - entry.changed_at > times.forget_limit) place = known.erase(place);
-        else ++place;
-    }
-    std::erase_if(relayed, [&](auto const& item) { return now - item.second.sent_at > 4 * times.probe_limit; });
-    if (now - last_seed > (known.empty() ? one_second / 4 : 2 * one_second)) {
-        // Seeds are first contacts only; everyone met is remembered as well.
-        last_seed = now;
-        std::set<std::string> addresses(seeds.begin(), seeds.end());
-        for (auto const& [address, area] : remembered_addresses) addresses.insert(address);
-        addresses.erase(self.control_address);
-        for (auto const& member : alive_members(false)) addresses.erase(member.control_address);
-        auto count = 0;
-        for (auto const& address : addresses)
-            if (known.empty() || (random.below(addresses.size()) < 4 && ++count <= 4))
-                out.push_back({address, Probe{0, rumours(4)}});
-    }
-    if (now - last_probe < times.probe_interval) return;
-    last_probe = now;
-    while (!probe_order.empty() && !known.contains(probe_order.back())) probe_order.pop_back();
-    if (probe_order.empty()) {
-        for (auto const& [identity, entry] : known) probe_order.push_back(identity);
-        for (auto index = probe_order.size(); index > 1; --index)
-            std::swap(probe_order[index - 1], probe_order[random.below(index)]);
-    }
-    if (probe_order.empty()) return;
-    auto const target = probe_order.back();
-    probe_order.pop_back();
-    auto const& member = known.at(target).member;
-    auto const token = next_token++;
-    if (member.state != state_dead) pending[token] = {target, now, false};
-    out.push_back({member.control_address, Probe{token, rumours(6)}});
-}
-
 auto Membership::on(
     Probe const& probe, std::string const& from, std::string const& address, Microseconds now, AddressedMessages& out)
     -> void {
@@ -204,7 +120,7 @@
     auto const thinks_little = stranger || probe.members.size() < 3;
     out.push_back(
         {asker != nullptr ? asker->control_address : address,
-         ProbeAnswer{probe.token, thinks_little ? everyone() : rumours(6)}});
+         ProbeAnswer{probe.token, thinks_little ? everyone() : rumours(rumours_to_members)}});
 }
 
 auto Membership::on(
@@ -236,7 +152,7 @@
 auto Membership::on(ProbeFor const& ask, std::string const& address, Microseconds now, AddressedMessages& out) -> void {
     auto const token = next_token++;
     relayed[token] = {ask.token, address, now};
-    out.push_back({ask.target, Probe{token, rumours(4)}});
+    out.push_back({ask.target, Probe{token, rumours(rumours_to_strangers)}});
 }
 
 }  // namespace dockrock
--- a/source/membership/membership.hpp
+++ b/source/membership/membership.hpp
@@ -21,6 +21,10 @@
     Microseconds frozen_gap = 900 * one_millisecond;
 };
 
+// How many other members are told of in one message.
+inline constexpr auto rumours_to_members = std::size_t{6};
+inline constexpr auto rumours_to_strangers = std::size_t{4};
+
 struct KnownMember {
     Member member;
     Microseconds changed_at = 0;
@@ -72,6 +76,10 @@
     auto rumours(std::size_t most) -> std::vector<Member>;
     auto everyone() const -> std::vector<Member>;
     auto judge_pending(Microseconds now, Random& random, AddressedMessages& out) -> void;
+    auto forgive_after_freeze(Microseconds now) -> void;
+    auto age_members(Microseconds now) -> void;
+    auto contact_addresses(Microseconds now, Random& random, AddressedMessages& out) -> void;
+    auto probe_next(Microseconds now, Random& random, AddressedMessages& out) -> void;
 };
 
 }  // namespace dockrock
