Sight: roll-outs of versions tell what is named, loaded, silent and overdue

No log line, metric or setting told when a version was named, how long a replica held a place, or that it was overdue. Change: the roll-out's pure machine notes named, announced, loaded (with its time), silent and overdue; the leader logs them and has three metrics; the naming times are kept by the duty, as leader or not. A node's own guard is a pure machine of its own (weights_guard), its decision as before; it logs and counts whom it withholds. Ruled out: nothing yet; no decision is changed.

--- /dev/null
+++ b/source/control/named_versions.hpp
@@ -0,0 +1,40 @@
+#pragma once
+// When the versions of one model were named, as this node came to know of them:
+// from each of them runs the time in which older weights may still serve.
+// docs/design.md section 11.4.
+#include <map>
+#include <algorithm>
+#include <optional>
+
+#include "control/replica_weights.hpp"
+
+namespace dockrock {
+
+// Weights are withheld this long before that time is over: until a node has heard
+// of it, and what lies unstarted at the replica has begun or was turned away.
+inline constexpr Microseconds weights_margin = 2'500 * one_millisecond;
+
+struct NamedVersions {
+    static constexpr std::size_t most = 64;
+    std::map<std::int64_t, Microseconds> at;
+
+    // True where it was not known before. Versions only rise.
+    auto take(std::int64_t version, Microseconds now) -> bool {
+        if (version <= first_version || (!at.empty() && version <= at.rbegin()->first)) return false;
+        at[version] = now;
+        // The oldest gives way, and its moment stays: nobody is given more time by it.
+        if (at.size() > most) {
+            auto const oldest = at.begin()->second;
+            at.erase(at.begin());
+            at.begin()->second = oldest;
+        }
+        return true;
+    }
+    // When the lowest version above `held` was named: newer ones give no more time.
+    auto named_after(std::int64_t held) const -> std::optional<Microseconds> {
+        auto const next = at.upper_bound(held);
+        return next == at.end() ? std::nullopt : std::optional(next->second);
+    }
+};
+
+}  // namespace dockrock
--- a/source/control/versions_rollout.cpp
+++ b/source/control/versions_rollout.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace dockrock {
 
@@ -29,7 +30,7 @@
         course.drain = replica.drain;
         course.listed = replica.version;
         course.version = std::max(course.version, replica.version);
-        if (polled(course) && course.version >= course.wanted) course.stage = Stage::idle;
+        if (polled(course) && course.version >= course.wanted) loaded(replica.name, course, now);
         if (course.stage != Stage::idle || !course.told || course.listed < course.version) {
             course.shown_at = 0;
         } else if (course.shown_at == 0) {
@@ -46,6 +47,7 @@
     std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions {
     fence = under_fence;
     take_list(replicas, now);
+    if (named.take(wanted, now)) notes.push_back({RolloutNote::Kind::named, "", wanted, 0});
     if (wanted > target) {
         target = wanted;
         for (auto& [name, course] : courses) course.failures = 0;
@@ -68,6 +70,8 @@
         actions.orders.push_back({name, target, course.orders});
     }
     if (may_order) announce(at_once, now);
+    note(now);
+    actions.notes = std::exchange(notes, {});
     return actions;
 }
 
@@ -83,19 +87,24 @@
     }
     while (true) {
         Course* best = nullptr;
+        auto const* best_name = static_cast<std::string const*>(nullptr);
         for (auto& [name, course] : courses) {
             if (course.stage != Stage::idle || course.drain || course.version >= target || now < course.next) continue;
             if (busy[course.service] >= at_once) continue;
             auto const fewer = [&](Course const& item) {
                 return std::tuple(item.failures, busy_there[{item.service, item.area}]);
             };
-            if (best == nullptr || fewer(course) < fewer(*best)) best = &course;
+            if (best != nullptr && !(fewer(course) < fewer(*best))) continue;
+            best = &course;
+            best_name = &name;
         }
         if (best == nullptr) return;
         best->stage = Stage::announced;
         best->told = true;
         best->wanted = target;
+        best->announced_at = now;
         best->next = now + times.announce;
+        notes.push_back({RolloutNote::Kind::announced, *best_name, target, 0});
         ++busy[best->service];
         ++busy_there[{best->service, best->area}];
     }
@@ -162,9 +171,7 @@
         auto const took = now - course.ordered_at;
         if (course.stage == Stage::loading && course.ordered_at != 0)
             quickest = quickest == 0 ? took : std::min(quickest, took);
-        course.stage = Stage::idle;
-        course.failures = 0;
-        course.next = now;
+        loaded(replica, course, now);
     } else if (report->busy) {
         course.stage = Stage::loading;
         course.next = now + times.poll;
--- a/source/control/versions_rollout.hpp
+++ b/source/control/versions_rollout.hpp
@@ -3,7 +3,7 @@
 // the decisions, apart from who may order. docs/design.md section 11.
 #include <array>
 
-#include "control/replica_weights.hpp"
+#include "control/named_versions.hpp"
 
 namespace dockrock {
 
@@ -39,9 +39,25 @@
     std::int64_t version = 0;
     std::optional<std::uint64_t> orders;  // expected count, where a report told it
 };
+// What a log tells of a roll-out: which version, and how long ago or for how long.
+struct RolloutNote {
+    enum class Kind : int { named, announced, loaded, silent, overdue };
+    Kind kind = Kind::named;
+    std::string replica;  // none where a version was named
+    std::int64_t version = 0;
+    Microseconds length = 0;
+};
+inline constexpr auto rollout_note_names = std::to_array<std::string_view>(
+    {"weights-named", "weights-announced", "weights-loaded", "weights-silent", "weights-overdue"});
 struct RolloutActions {
     std::vector<VersionOrder> orders;
     std::vector<std::string> reports;  // replicas to ask now
+    std::vector<RolloutNote> notes;
+};
+struct RolloutFigures {
+    std::size_t behind = 0;   // replicas that hold older weights, leaving ones apart
+    std::size_t overdue = 0;  // of all, those that get nothing new for it
+    Microseconds oldest = 0;  // since the oldest version was named that isn't everywhere
 };
 struct RolloutTimes {
     Microseconds announce = 50 * one_millisecond;     // nodes hear of it before the replica does
@@ -53,6 +69,8 @@
     Microseconds least_pause = 500 * one_millisecond;
     Microseconds longest_pause = 4 * one_second;
     Microseconds shown = 5 * one_second;  // a word stays this long after the list shows the same
+    Microseconds bound = 0;               // named weights serve everywhere; none: no bound
+    Microseconds margin = weights_margin;
 };
 
 struct VersionsRollout {
@@ -67,14 +85,18 @@
         std::int64_t wanted = 0;   // of the order under way
         std::optional<std::uint64_t> orders;
         bool asking = false;
-        bool told = false;  // a word of it is out
+        bool told = false;     // a word of it is out
+        bool silent = false;   // noted as such
+        bool overdue = false;  // the same
         int failures = 0;
         Microseconds next = 0;  // the next thing is due
+        Microseconds announced_at = 0;
         Microseconds ordered_at = 0;
         Microseconds heard_at = 0;
         Microseconds shown_at = 0;
     };
     RolloutTimes times;
+    NamedVersions named;
     std::int64_t target = 0;
     std::uint64_t fence = 0;
     std::uint64_t stopped_fence = 0;  // a later holder was seen under this fence: no more orders
@@ -93,8 +115,14 @@
     // The present word of each replica that the list does not tell.
     auto words(std::string const& model, WeightsWords& into) const -> void;
     auto under_way() const -> bool;
+    // Its weights are older than what has to serve everywhere soon: nothing new goes there.
+    auto late(Course const& course, Microseconds now) const -> bool;
+    auto figures(Microseconds now) const -> RolloutFigures;
 
    private:
+    std::vector<RolloutNote> notes;  // since the last step
+    auto note(Microseconds now) -> void;
+    auto loaded(std::string const& name, Course& course, Microseconds now) -> void;
     auto take_list(std::vector<ListedReplica> const& replicas, Microseconds now) -> void;
     auto announce(std::size_t at_once, Microseconds now) -> void;
     auto give_up(Course& course, Microseconds now) -> void;
--- a/source/control/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -40,6 +40,7 @@
 
 auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions {
     DutyActions actions;
+    for (auto const& [model, version] : snapshot.target_versions) named[model].take(version, now);
     for (auto partition = 1; partition <= service_partitions; ++partition)
         step_partition(partition, control, snapshot, now, actions);
     return actions;
@@ -73,11 +74,13 @@
             if (!read_told) told = read_words(news.live);
             read_told = true;
             rollout.target = snapshot.target_version(model);
+            rollout.named = named[model];
             for (auto const& replica : replicas)
                 if (auto const word = told.find(replica.name); word != told.end())
                     if (auto const version = word->second.versions.find(model); version != word->second.versions.end())
                         rollout.adopt(replica, version->second, word->second.loading, now);
         }
+        rollout.times.bound = bound;
         auto const fence = record.term;
         auto const ordering = waited && sure && may_order(control, partition, fence, now);
         auto const places = places_for(at_once, replicas.size());
@@ -86,6 +89,7 @@
             actions.orders.push_back({order, address_of(snapshot, order.replica), model, fence, partition});
         for (auto const& replica : due.reports)
             actions.reports.push_back({replica, address_of(snapshot, replica), model, partition});
+        for (auto const& note : due.notes) actions.notes.emplace_back(model, note);
         rollout.words(model, words);
         actions.under_way = actions.under_way || rollout.under_way();
     }
@@ -95,6 +99,17 @@
         actions.words.emplace_back(partition, std::move(text));
 }
 
+auto WeightsDuty::figures(Microseconds now) const -> RolloutFigures {
+    RolloutFigures sum;
+    for (auto const& [place, rollout] : rollouts) {
+        auto const figures = rollout.figures(now);
+        sum.behind += figures.behind;
+        sum.overdue += figures.overdue;
+        sum.oldest = std::max(sum.oldest, figures.oldest);
+    }
+    return sum;
+}
+
 auto WeightsDuty::order_ended(DutyOrder const& order, OrderEnd end, Microseconds now) -> void {
     auto const found = rollouts.find({order.partition, order.model});
     if (found != rollouts.end()) found->second.order_ended(order.order.replica, end, now);
--- a/source/control/weights_duty.hpp
+++ b/source/control/weights_duty.hpp
@@ -23,22 +23,28 @@
 struct DutyActions {
     std::vector<DutyOrder> orders;
     std::vector<DutyReport> reports;
-    std::vector<std::pair<int, std::string>> words;  // partition, and the text to be spread for it
+    std::vector<std::pair<int, std::string>> words;          // partition, and the text to be spread for it
+    std::vector<std::pair<std::string, RolloutNote>> notes;  // by model
     bool under_way = false;
 };
 
 struct WeightsDuty {
+    Microseconds bound = 0;                       // named weights serve everywhere; none: no bound
     std::size_t at_once = 3;                      // replicas of one service
     Microseconds wait = 3'200 * one_millisecond;  // of a new holder
     std::array<Tenure, partition_count> tenures;
     std::map<std::pair<int, std::string>, VersionsRollout> rollouts;  // by partition and model
 
+    std::map<std::string, NamedVersions> named;  // by model, by the clock of this life, as leader or not
+
     auto step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions;
     auto order_ended(DutyOrder const& order, OrderEnd end, Microseconds now) -> void;
     auto reported(
         DutyReport const& asked, std::optional<ReportedWeights> const& report, Microseconds asked_at, Microseconds now)
         -> void;
 
+    auto figures(Microseconds now) const -> RolloutFigures;  // of all models led here
+
    private:
     auto step_partition(
         int partition, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions)
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -14,6 +14,7 @@
 #include "control/orders.hpp"
 #include "control/resting.hpp"
 #include "control/weights_duty.hpp"
+#include "control/weights_guard.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
@@ -74,6 +75,7 @@
         save_batches{0}, disk_failures{0}, disk_repairs{0};
     std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
     std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
+    std::atomic<std::uint64_t> weights_behind{0}, weights_overdue{0}, weights_oldest{0}, weights_withheld{0};  // now
 };
 
 // A list that was read whole, as the product's own text.
@@ -157,11 +159,9 @@
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
-    auto relay_changes() -> void;                 // how a relaying fleet's documents change
-    auto take_services(Snapshot& fresh) -> void;  // what the document says of listed replicas
-    std::map<std::string, std::pair<std::int64_t, Microseconds>> targets_known;  // under table.lock: since when
-    auto version_late(Snapshot const& fresh, std::string const& model, std::int64_t version, Microseconds now) const
-        -> bool;
+    auto relay_changes() -> void;                              // how a relaying fleet's documents change
+    auto take_services(Snapshot& fresh) -> void;               // what the document says of listed replicas
+    WeightsGuard weights_guard;                                // under table.lock
     auto take_replica_weights(Snapshot const& fresh) -> void;  // under table.lock
     auto tick_control() -> void;
     auto log_parts(Microseconds now) -> void;
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -1,14 +1,14 @@
 // What a node does beyond the product's own wire where it relays requests.
 // docs/platform.md section 3.
 #include "process/clock.hpp"
+#include "process/log.hpp"
 #include "process/node.hpp"
 #include "version/changes.hpp"
 
 namespace dockrock {
 
 namespace {
-constexpr Microseconds weights_margin = 2'500 * one_millisecond;  // looked at each second, and a queue in the replica
-constexpr auto unlimited_memory = std::int64_t{1} << 40U;         // a service that keeps no prompts
+constexpr auto unlimited_memory = std::int64_t{1} << 40U;  // a service that keeps no prompts
 }  // namespace
 
 auto Node::relay_changes() -> void {
@@ -39,15 +39,6 @@
     }
 }
 
-// Near the end of the time in which named weights have to serve everywhere,
-// nothing new goes to replicas that hold older ones (design 11.3).
-auto Node::version_late(Snapshot const& fresh, std::string const& model, std::int64_t version, Microseconds now) const
-    -> bool {
-    auto const known = targets_known.find(model);
-    return known != targets_known.end() && version < fresh.target_version(model) &&
-        now - known->second.second > settings.bounds.weights - weights_margin;
-}
-
 auto Node::take_replica_weights(Snapshot const& fresh) -> void {
     auto& stores = table.granting.stores;
     std::set<std::string> named;
@@ -62,18 +53,18 @@
         }
     std::erase_if(stores, [&](auto const& item) { return !named.contains(item.first); });
     auto const now = clock_now();
-    for (auto const& [model, version] : fresh.target_versions) {
-        auto& known = targets_known[model];
-        if (known.first != version) known = {version, now};
-    }
+    weights_guard.bound = settings.bounds.weights;
+    weights_guard.take_targets(fresh.target_versions, now);
     for (auto const& [name, held] : fresh.replica_weights) {
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
         for (auto const& [model, number] : held.versions) version = std::max(version, number);
-        auto const late = std::any_of(held.versions.begin(), held.versions.end(), [&](auto const& item) {
-            return version_late(fresh, item.first, item.second, now);
-        });
+        auto const late = weights_guard.late(held, now);
+        if (weights_guard.withhold(name, late))  // the leader's log tells why it takes so long
+            write_log(Level::warning, "weights-withheld", fields("replica", name, "version", version));
         table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading || late);
     }
+    weights_guard.forget_others(fresh.replica_weights);
+    counters.weights_withheld = weights_guard.withheld.size();
 }
 
 auto Node::sweep_loop() -> awaitable<void> {
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -36,12 +36,28 @@
     return {due.model, due.order.version, holder, due.fence, due.order.orders, due.order.replica};
 }
 
+auto tell_notes(DutyActions const& due) -> void {
+    for (auto const& [model, note] : due.notes) {
+        auto const grave = note.kind == RolloutNote::Kind::overdue || note.kind == RolloutNote::Kind::silent;
+        write_log(
+            grave ? Level::warning : Level::information, rollout_note_names[static_cast<std::size_t>(note.kind)],
+            fields(
+                "model", model, "version", note.version, "replica", note.replica, "milliseconds",
+                note.length / one_millisecond));
+    }
+}
+
 }  // namespace
 
 auto Node::step_weights() -> void {
     auto const now = clock_now();
     auto due = weights_duty.step(control, *snapshot.load(), now);
     weights_under_way = due.under_way;
+    tell_notes(due);
+    auto const figures = weights_duty.figures(now);
+    counters.weights_behind = figures.behind;
+    counters.weights_overdue = figures.overdue;
+    counters.weights_oldest = static_cast<std::uint64_t>(figures.oldest / one_millisecond);
     for (auto const& [partition, text] : due.words) act_on(control.live_read(partition, now, now, text));
     for (auto& order : due.orders)
         asio::co_spawn(asio::make_strand(context), send_duty_order(std::move(order)), asio::detached);
@@ -53,6 +69,7 @@
     if (settings.data_folder.empty()) co_return;  // the duty lies with the core
     in_control([this] {
         weights_duty.at_once = static_cast<std::size_t>(settings.weights_at_once);
+        weights_duty.bound = settings.bounds.weights;
         weights_duty.wait = settings.bounds.lease + 200 * one_millisecond;
     });
     while (!finished) {
@@ -139,6 +156,10 @@
             counters.order_ends[index].load());
     line("weights_reports_total", counters.weights_reports.load());
     line("weights_report_failures_total", counters.weights_report_failures.load());
+    line("weights_replicas_behind", counters.weights_behind.load());
+    line("weights_replicas_overdue", counters.weights_overdue.load());
+    line("weights_oldest_milliseconds", counters.weights_oldest.load());
+    line("weights_withheld", counters.weights_withheld.load());
     line("list_reads_total", counters.list_reads.load());
     line("list_failures_total", counters.list_failures.load());
     line("list_calls_total", counters.list_calls.load());
--- a/tests/version_late_test.cpp
+++ b/tests/version_late_test.cpp
@@ -2,21 +2,41 @@
 // docs/platform.md section 8, docs/design.md section 11.
 #include <catch2/catch.hpp>
 
-#include "process/node.hpp"
+#include "control/weights_guard.hpp"
 
 using namespace dockrock;
 
+namespace {
+
+auto const known_at = 100 * one_second;
+
+auto guard_of_twelve_seconds() -> WeightsGuard {
+    auto guard = WeightsGuard();
+    guard.bound = 12 * one_second;
+    return guard;
+}
+
+}  // namespace
+
 TEST_CASE("near the bound of named weights, replicas of older ones get nothing new") {
-    auto const node = std::make_unique<Node>();
-    node->settings.bounds.weights = 12 * one_second;
-    Snapshot fresh;
-    fresh.target_versions["m"] = 2;
-    auto const known_at = 100 * one_second;
-    CHECK_FALSE(node->version_late(fresh, "m", 1, known_at + 11 * one_second));  // nothing known since when
-    node->targets_known["m"] = {2, known_at};
-    CHECK_FALSE(node->version_late(fresh, "m", 1, known_at + 9 * one_second));
-    CHECK(node->version_late(fresh, "m", 1, known_at + 10 * one_second));
-    CHECK(node->version_late(fresh, "m", 1, known_at + 60 * one_second));
-    CHECK_FALSE(node->version_late(fresh, "m", 2, known_at + 60 * one_second));
-    CHECK_FALSE(node->version_late(fresh, "other", 1, known_at + 60 * one_second));
+    auto guard = guard_of_twelve_seconds();
+    CHECK_FALSE(guard.late("m", 1, known_at + 11 * one_second));  // nothing known since when
+    guard.take_targets({{"m", 2}}, known_at);
+    CHECK_FALSE(guard.late("m", 1, known_at + 9 * one_second));
+    CHECK(guard.late("m", 1, known_at + 10 * one_second));
+    CHECK(guard.late("m", 1, known_at + 60 * one_second));
+    CHECK_FALSE(guard.late("m", 2, known_at + 60 * one_second));
+    CHECK_FALSE(guard.late("other", 1, known_at + 60 * one_second));
+}
+
+TEST_CASE("a replica that is withheld is told of once, and again after it got something in between") {
+    auto guard = guard_of_twelve_seconds();
+    CHECK_FALSE(guard.withhold("a", false));
+    CHECK(guard.withhold("a", true));
+    CHECK_FALSE(guard.withhold("a", true));
+    CHECK(guard.withhold("b", true));
+    guard.forget_others({{"a", {}}});
+    CHECK(guard.withheld == std::set<std::string>{"a"});
+    CHECK_FALSE(guard.withhold("a", false));
+    CHECK(guard.withhold("a", true));
 }
