--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,13 +4,14 @@
 set -euo pipefail
 build="${1:-build}"
 cd "$(dirname "$0")/.."
-"$build/dockrock-tests"
+scripts/unit_tests.sh "$build/dockrock-tests" KNOWN-RED.txt
 "$build/platform-node-check"
 python3 scripts/check_files.py
 python3 scripts/check_includes.py
 python3 tests/includes_test.py
 python3 scripts/check_packages.py "$build"
 python3 tests/packages_test.py "$build"
+python3 tests/unit_tests_test.py
 python3 tests/tidy_test.py
 python3 scripts/tidy.py
 python3 tests/live/verdict_test.py
--- a/tests/rollout_helpers.hpp
+++ b/tests/rollout_helpers.hpp
@@ -34,6 +34,7 @@
     std::map<std::string, std::pair<Microseconds, std::int64_t>> listed;  // the list is late
     Microseconds now = 100 * one_second;
     std::int64_t target = 2;
+    std::map<std::int64_t, Microseconds> named_at;
     std::uint64_t fence = 4;
     bool may_order = true;
     std::size_t most_at_once = 0;
@@ -92,6 +93,24 @@
             else rollout.reported(name, replica.told.front().second, now, now);
         }
     }
+    // Names a version now; each one's time counts from its own naming.
+    auto name_version(std::int64_t version) -> void {
+        target = version;
+        named_at[version] = now;
+    }
+    // How many get new requests though their weights are older than what has to
+    // serve everywhere: nodes send where no word forbids it.
+    auto open_after(Microseconds time) const -> int {
+        auto words = WeightsWords();
+        rollout.words("m", words);
+        auto open = 0;
+        for (auto const& [name, replica] : replicas) {
+            auto const next = named_at.upper_bound(replica.version);
+            if (next == named_at.end() || now - next->second < time || !replica.listed) continue;
+            open += words.contains(name) && words.at(name).loading ? 0 : 1;
+        }
+        return open;
+    }
     auto all_hold(std::int64_t version) const -> bool {
         return std::all_of(replicas.begin(), replicas.end(), [&](auto const& item) {
             return item.second.version >= version || !item.second.listed || item.second.drain;
--- /dev/null
+++ b/tests/unit_tests_test.py
@@ -0,0 +1,66 @@
+#!/usr/bin/env python3
+"""The runner of unit tests passes over what is listed as known to be red, and over nothing else."""
+
+import pathlib
+import subprocess
+import tempfile
+import unittest
+
+RUNNER = pathlib.Path(__file__).resolve().parent.parent / "scripts" / "unit_tests.sh"
+# As a test program of the framework is called: a list of names, all but some, or one.
+PROGRAM = """#!/usr/bin/env python3
+import re, sys
+red = %r
+names = ["adds up", "is red", "is red too"]
+spec = sys.argv[1] if len(sys.argv) > 1 else ""
+if spec == "--list-test-names-only":
+    print("\\n".join(names))
+    sys.exit(len(names))
+left_out = re.findall(r'~"([^"]*)"', spec)
+wanted = names if not spec else [name for name in names if name not in left_out] if left_out else [spec.strip('"')]
+sys.exit(any(name in red for name in wanted))
+"""
+
+
+def run(red, known):
+    with tempfile.TemporaryDirectory() as folder:
+        program = pathlib.Path(folder, "program")
+        program.write_text(PROGRAM % (red,), encoding="utf-8")
+        program.chmod(0o755)
+        listed = pathlib.Path(folder, "KNOWN-RED.txt")
+        if known is not None:
+            listed.write_text("".join("%s, a cause, issue 0\n" % name for name in known), encoding="utf-8")
+        return subprocess.run([RUNNER, program, listed], capture_output=True, text=True)
+
+
+class Runner(unittest.TestCase):
+    def test_all_green(self):
+        for known in (None, []):
+            self.assertEqual(run([], known).returncode, 0)
+
+    def test_listed_red_is_printed_and_passed_over(self):
+        done = run(["is red"], ["is red"])
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("KNOWN RED: is red, a cause, issue 0", done.stdout)
+
+    def test_any_other_red_fails(self):
+        self.assertNotEqual(run(["is red"], None).returncode, 0)
+        self.assertNotEqual(run(["is red", "is red too"], ["is red"]).returncode, 0)
+        self.assertNotEqual(run(["is red"], ["is red too"]).returncode, 0)
+
+    def test_part_of_a_name_passes_nothing_over(self):
+        self.assertNotEqual(run(["is red too"], ["is red"]).returncode, 0)
+
+    def test_listed_green_is_told(self):
+        done = run([], ["is red"])
+        self.assertEqual(done.returncode, 0)
+        self.assertIn("green now", done.stdout)
+
+    def test_a_live_scenario_is_none_of_them(self):
+        done = run([], ["weights magnolia-junction"])
+        self.assertEqual(done.returncode, 0)
+        self.assertNotIn("KNOWN RED", done.stdout)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/version_late_test.cpp
+++ b/tests/version_late_test.cpp
@@ -29,6 +29,16 @@
     CHECK_FALSE(guard.late("other", 1, known_at + 60 * one_second));
 }
 
+TEST_CASE("a version named later gives older weights no more time") {
+    auto guard = guard_of_twelve_seconds();
+    guard.take_targets({{"m", 2}}, known_at);
+    guard.take_targets({{"m", 3}}, known_at + 5 * one_second);
+    CHECK_FALSE(guard.late("m", 1, known_at + 9 * one_second));
+    CHECK(guard.late("m", 1, known_at + 10 * one_second));
+    CHECK_FALSE(guard.late("m", 2, known_at + 14 * one_second));
+    CHECK(guard.late("m", 2, known_at + 15 * one_second));
+}
+
 TEST_CASE("a replica that is withheld is told of once, and again after it got something in between") {
     auto guard = guard_of_twelve_seconds();
     CHECK_FALSE(guard.withhold("a", false));
