Mend of the bound of named weights: by version, by one decider, at its pace

Cause: nodes counted from the newest version known (or from their restart), the leader withheld nobody; three places at a time, each held for 2 to 5 s under load, did not choose the oldest; a count of orders read before a load that the list ended was sent with the next order (the two 409), and a 409 held its place for 2 s; and a load longer than 2 s was taken for silent before it had been asked. Change: NamedVersions keeps when each version was named, at every core node as leader or not; a replica is due by the lowest version above its own. From the bound less 2.5 s the leader's word of it is loading, and it is ordered without a place, also if it is leaving. The earliest due go first; more than weights_at_once only as far as needed, at most half. A node's guard counts in the same way, and waits 3 s at most for partitions not heard of. Ruled out: overload alone (company to it); streams are not cut, orders stay under lease and fence.

--- a/source/control/versions_due.cpp
+++ b/source/control/versions_due.cpp
@@ -15,6 +15,30 @@
     return times.bound > 0 && since && now - *since >= times.bound - times.margin;
 }
 
+// As many as it takes so that, when nothing new may go to older weights, no more
+// is left than one round of `least`, which is ordered then; by the time that a
+// place is held. Never above half of the replicas.
+auto VersionsRollout::places(std::string_view service, std::size_t least, Microseconds now) const -> std::size_t {
+    if (times.bound == 0 || held == 0) return least;
+    auto replicas = std::size_t{0};
+    std::multimap<Microseconds, double> behind;  // time left, and the part of a load that is
+    for (auto const& [name, course] : courses) {
+        if (course.service != service || course.drain) continue;
+        ++replicas;
+        auto const since = named.named_after(course.version);
+        if (since && !late(course, now))
+            behind.emplace(*since + times.bound - times.margin - now, course.stage == Stage::idle ? 1.0 : 0.5);
+    }
+    auto needed = 0.0;
+    auto loads = -static_cast<double>(least);
+    for (auto const& [left, part] : behind) {
+        loads += part;
+        needed = std::max(needed, loads * static_cast<double>(held) / static_cast<double>(left));
+    }
+    auto const most = std::max(least, replicas / 2);
+    return std::clamp(static_cast<std::size_t>(std::min(needed + 0.5, static_cast<double>(most))), least, most);
+}
+
 // Once for each time that a replica falls silent or overdue.
 auto VersionsRollout::note(Microseconds now) -> void {
     for (auto& [name, course] : courses) {
@@ -45,6 +69,10 @@
 auto VersionsRollout::loaded(std::string const& name, Course& course, Microseconds now) -> void {
     if (course.stage == Stage::loading)
         notes.push_back({RolloutNote::Kind::loaded, name, course.version, now - course.ordered_at});
+    if (course.stage == Stage::loading && course.announced_at != 0) {
+        auto const took = now - course.announced_at;
+        held = held == 0 ? took : (3 * held + took) / 4;
+    }
     course.stage = Stage::idle;
     course.failures = 0;
     course.next = now;
--- a/source/control/versions_rollout.cpp
+++ b/source/control/versions_rollout.cpp
@@ -17,7 +17,7 @@
 
 auto VersionsRollout::holds_place(Course const& course, Microseconds now) const -> bool {
     if (course.stage == Stage::idle) return false;
-    return !polled(course) || now - course.heard_at <= times.silence;
+    return !polled(course) || now - course.heard_at <= (course.doubted ? times.doubt : times.silence);
 }
 
 auto VersionsRollout::take_list(std::vector<ListedReplica> const& replicas, Microseconds now) -> void {
@@ -30,7 +30,10 @@
         course.drain = replica.drain;
         course.listed = replica.version;
         course.version = std::max(course.version, replica.version);
-        if (polled(course) && course.version >= course.wanted) loaded(replica.name, course, now);
+        if (polled(course) && course.listed >= course.wanted) {
+            loaded(replica.name, course, now);
+            course.orders.reset();  // counted before this load
+        }
         if (course.stage != Stage::idle || !course.told || course.listed < course.version) {
             course.shown_at = 0;
         } else if (course.shown_at == 0) {
@@ -60,7 +63,7 @@
             actions.reports.push_back(name);
         }
         if (course.stage != Stage::announced || now < course.next) continue;
-        if (!may_order || course.version >= target || course.drain) {
+        if (!may_order || course.version >= target || (course.drain && !late(course, now))) {
             course.stage = Stage::idle;
             continue;
         }
@@ -75,44 +78,47 @@
     return actions;
 }
 
-// Freed places are filled at once, from the areas with the fewest under way.
-// A replica that is leaving is not worth a load.
+// Freed places are filled at once: first those that are due first, then from the
+// areas with the fewest under way. One that is overdue needs no place, since it
+// gets nothing new anyway; one that is leaving is worth a load only then.
 auto VersionsRollout::announce(std::size_t at_once, Microseconds now) -> void {
     std::map<std::string_view, std::size_t> busy;
+    std::map<std::string_view, std::size_t> allowed;
     std::map<std::pair<std::string_view, std::string_view>, std::size_t> busy_there;
     for (auto const& [name, course] : courses) {
+        if (!allowed.contains(course.service)) allowed[course.service] = places(course.service, at_once, now);
         if (!holds_place(course, now)) continue;
         ++busy[course.service];
         ++busy_there[{course.service, course.area}];
     }
+    auto const first = [&](Course const& course) {
+        return std::tuple(
+            named.named_after(course.version), course.failures, busy_there[{course.service, course.area}]);
+    };
     while (true) {
-        Course* best = nullptr;
-        auto const* best_name = static_cast<std::string const*>(nullptr);
-        for (auto& [name, course] : courses) {
-            if (course.stage != Stage::idle || course.drain || course.version >= target || now < course.next) continue;
-            if (busy[course.service] >= at_once) continue;
-            auto const fewer = [&](Course const& item) {
-                return std::tuple(item.failures, busy_there[{item.service, item.area}]);
-            };
-            if (best != nullptr && !(fewer(course) < fewer(*best))) continue;
-            best = &course;
-            best_name = &name;
+        std::pair<std::string const, Course>* best = nullptr;
+        for (auto& item : courses) {
+            auto const& course = item.second;
+            if (course.stage != Stage::idle || course.version >= target || now < course.next) continue;
+            if (!late(course, now) && (course.drain || busy[course.service] >= allowed[course.service])) continue;
+            if (best == nullptr || first(course) < first(best->second)) best = &item;
         }
         if (best == nullptr) return;
-        best->stage = Stage::announced;
-        best->told = true;
-        best->wanted = target;
-        best->announced_at = now;
-        best->next = now + times.announce;
-        notes.push_back({RolloutNote::Kind::announced, *best_name, target, 0});
-        ++busy[best->service];
-        ++busy_there[{best->service, best->area}];
+        auto& course = best->second;
+        course.stage = Stage::announced;
+        course.told = true;
+        course.wanted = target;
+        course.announced_at = now;
+        course.next = now + times.announce;
+        notes.push_back({RolloutNote::Kind::announced, best->first, target, 0});
+        ++busy[course.service];
+        ++busy_there[{course.service, course.area}];
     }
 }
 
 auto VersionsRollout::give_up(Course& course, Microseconds now) -> void {
     course.stage = Stage::idle;
-    auto const doublings = std::min(course.failures, 6);
+    auto const doublings = course.overdue ? 0 : std::min(course.failures, 6);
     course.next = now + std::min(times.longest_pause, times.least_pause << doublings);
     ++course.failures;
 }
@@ -121,11 +127,12 @@
     auto const found = courses.find(replica);
     if (found == courses.end() || found->second.stage != Stage::ordering) return;
     auto& course = found->second;
+    course.doubted = end == OrderEnd::conflict;
     switch (end) {
         case OrderEnd::taken:
             course.stage = Stage::loading;
-            course.heard_at = now;
             course.next = course.ordered_at + (quickest == 0 ? times.first_poll : quickest * 9 / 10);
+            course.heard_at = course.next;  // until it is asked it can't be silent
             break;
         case OrderEnd::holds:
             course.stage = Stage::idle;
@@ -167,15 +174,16 @@
     course.orders = report->orders;
     course.version = std::max(course.version, report->version);
     if (!polled(course)) return;
-    if (course.version >= course.wanted) {
+    if (course.version >= course.wanted && !report->busy) {
         auto const took = now - course.ordered_at;
         if (course.stage == Stage::loading && course.ordered_at != 0)
             quickest = quickest == 0 ? took : std::min(quickest, took);
         loaded(replica, course, now);
     } else if (report->busy) {
         course.stage = Stage::loading;
+        course.doubted = false;
         course.next = now + times.poll;
-    } else if (asked_at - course.ordered_at < times.believe) {
+    } else if (asked_at - course.ordered_at < (course.doubted ? times.settle : times.believe)) {
         course.next = now + times.poll;  // it may tell of the moment before the order
     } else {
         give_up(course, now);  // not taken, or ended undone: ordered anew, on the count just told
@@ -196,17 +204,18 @@
 
 auto VersionsRollout::words(std::string const& model, WeightsWords& into) const -> void {
     for (auto const& [name, course] : courses) {
-        if (!course.told && course.stage == Stage::idle && course.version <= course.listed) continue;
+        auto const closed = course.stage != Stage::idle || course.overdue;
+        if (!course.told && !closed && course.version <= course.listed) continue;
         auto& word = into[name];
         word.versions[model] = course.version;
-        word.loading = word.loading || course.stage != Stage::idle;
+        word.loading = word.loading || closed;
     }
 }
 
 auto VersionsRollout::under_way() const -> bool {
     return std::any_of(courses.begin(), courses.end(), [&](auto const& item) {
         auto const& course = item.second;
-        return course.stage != Stage::idle || (course.version < target && !course.drain);
+        return course.stage != Stage::idle || (course.version < target && (!course.drain || course.overdue));
     });
 }
 
--- a/source/control/versions_rollout.hpp
+++ b/source/control/versions_rollout.hpp
@@ -66,6 +66,7 @@
     Microseconds settle = 300 * one_millisecond;  // a report tells of a moment some time ago
     Microseconds believe = one_second;            // a report later than this after an order has seen it
     Microseconds silence = 2 * one_second;        // without a report, a replica holds no place
+    Microseconds doubt = 600 * one_millisecond;   // the same after a 409, where nothing of ours is under way
     Microseconds least_pause = 500 * one_millisecond;
     Microseconds longest_pause = 4 * one_second;
     Microseconds shown = 5 * one_second;  // a word stays this long after the list shows the same
@@ -86,8 +87,9 @@
         std::optional<std::uint64_t> orders;
         bool asking = false;
         bool told = false;     // a word of it is out
+        bool doubted = false;  // the last order was answered 409
         bool silent = false;   // noted as such
-        bool overdue = false;  // the same
+        bool overdue = false;  // nothing new goes there until it has loaded
         int failures = 0;
         Microseconds next = 0;  // the next thing is due
         Microseconds announced_at = 0;
@@ -101,6 +103,7 @@
     std::uint64_t fence = 0;
     std::uint64_t stopped_fence = 0;  // a later holder was seen under this fence: no more orders
     Microseconds quickest = 0;        // measured from order to report
+    Microseconds held = 0;            // a place, by one replica: measured, smoothed
     std::map<std::string, Course> courses;
 
     auto step(
@@ -127,6 +130,7 @@
     auto announce(std::size_t at_once, Microseconds now) -> void;
     auto give_up(Course& course, Microseconds now) -> void;
     auto holds_place(Course const& course, Microseconds now) const -> bool;
+    auto places(std::string_view service, std::size_t least, Microseconds now) const -> std::size_t;
 };
 
 }  // namespace dockrock
--- a/source/control/weights_guard.hpp
+++ b/source/control/weights_guard.hpp
@@ -1,35 +1,51 @@
 #pragma once
 // A node's own guard against replicas of older weights, behind the leader's word:
 // near the end of the time in which named weights have to serve everywhere,
-// nothing new goes to replicas that hold older ones. docs/design.md section 11.
+// nothing new goes to replicas that hold older ones; nor, for a moment, to
+// replicas of models whose named version this node has not heard of in its life.
+// docs/design.md section 11.4.
 #include <algorithm>
+#include <bitset>
 #include <set>
 
+#include "control/control.hpp"
 #include "control/named_versions.hpp"
 
 namespace dockrock {
 
 struct WeightsGuard {
-    Microseconds bound = 0;  // named weights serve everywhere; none: no bound
-    std::map<std::string, std::pair<std::int64_t, Microseconds>> known;  // the newest version, and since when
+    static constexpr Microseconds patience = 3 * one_second;
+    Microseconds bound = 0;                             // named weights serve everywhere; none: no bound
+    std::bitset<partition_count> heard;                 // service partitions whose leader was heard of in this life
+    std::map<std::string, NamedVersions> named;         // by model
+    std::map<std::string, Microseconds> unheard_since;  // by model
     std::set<std::string> withheld;
 
     auto take_targets(std::map<std::string, std::int64_t> const& targets, Microseconds now) -> void {
-        for (auto const& [model, version] : targets) {
-            auto& place = known[model];
-            if (place.first != version) place = {version, now};
-        }
+        for (auto const& [model, version] : targets) named[model].take(version, now);
     }
     auto late(std::string const& model, std::int64_t version, Microseconds now) const -> bool {
-        auto const found = known.find(model);
-        return found != known.end() && version < found->second.first &&
-            now - found->second.second > bound - weights_margin;
+        auto const found = named.find(model);
+        auto const since = found == named.end() ? std::nullopt : found->second.named_after(version);
+        return bound > 0 && since && now - *since >= bound - weights_margin;
+    }
+    // Whether a version was named is not known yet; it is waited for so long.
+    auto unjudged(std::string const& model, int partition, Microseconds now) -> bool {
+        if (heard[static_cast<std::size_t>(partition)]) return false;
+        return now - unheard_since.try_emplace(model, now).first->second < patience;
     }
     auto late(ReplicaWeights const& held, Microseconds now) const -> bool {
         return std::any_of(held.versions.begin(), held.versions.end(), [&](auto const& item) {
             return late(item.first, item.second, now);
         });
     }
+    // What is said to be named, or not to be, counts once its partition was heard of.
+    static auto heard_by(Control const& control) -> std::bitset<partition_count> {
+        std::bitset<partition_count> partitions;
+        for (auto index = std::size_t{1}; index <= service_partitions; ++index)
+            partitions[index] = control.news[index].proven_at > PartitionNews().proven_at;
+        return partitions;
+    }
     // True where it begins, to be told once.
     auto withhold(std::string const& replica, bool is_late) -> bool {
         if (is_late) return withheld.insert(replica).second;
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -125,7 +125,8 @@
     if (!output.kept.empty()) take_feed(output.kept);
     proven_at = control.news[configuration_partition].proven_at;
     losses_bearable.look(control, now);
-    if (output.news) publish_snapshot();
+    auto const first_heard = form != nullptr && weights_guard.heard != WeightsGuard::heard_by(control);
+    if (output.news || first_heard) publish_snapshot();
 }
 
 auto Node::publish_snapshot() -> void {
@@ -136,6 +137,7 @@
     snapshot = fresh;
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
+    if (form != nullptr) weights_guard.heard = WeightsGuard::heard_by(control);  // written here alone
     if (form != nullptr) take_services(*fresh);
     table.granting.burden.take_list(fresh->list);
     if (form != nullptr) take_replica_weights(*fresh);
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -59,9 +59,13 @@
         auto version = std::int64_t{0};  // one model a service: the greatest number there is
         for (auto const& [model, number] : held.versions) version = std::max(version, number);
         auto const late = weights_guard.late(held, now);
+        auto const unjudged = std::any_of(held.versions.begin(), held.versions.end(), [&](auto const& item) {
+            return weights_guard.unjudged(item.first, partition_of_service(item.first), now);
+        });
         if (weights_guard.withhold(name, late))  // the leader's log tells why it takes so long
             write_log(Level::warning, "weights-withheld", fields("replica", name, "version", version));
-        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), held.loading || late);
+        auto const closed = held.loading || late || unjudged;
+        table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), closed);
     }
     weights_guard.forget_others(fresh.replica_weights);
     counters.weights_withheld = weights_guard.withheld.size();
--- a/tests/version_late_test.cpp
+++ b/tests/version_late_test.cpp
@@ -50,3 +50,13 @@
     CHECK_FALSE(guard.withhold("a", false));
     CHECK(guard.withhold("a", true));
 }
+
+TEST_CASE("what was named is waited for after a start, for models with weights and for a while") {
+    auto guard = guard_of_twelve_seconds();
+    CHECK(guard.unjudged("m", 3, known_at));
+    CHECK(guard.unjudged("m", 3, known_at + 2 * one_second));
+    CHECK_FALSE(guard.unjudged("m", 3, known_at + WeightsGuard::patience));
+    CHECK(guard.unjudged("n", 4, known_at));
+    guard.heard[4] = true;
+    CHECK_FALSE(guard.unjudged("n", 4, known_at));
+}
--- a/tests/versions_due_test.cpp
+++ b/tests/versions_due_test.cpp
@@ -44,3 +44,149 @@
     }
     CHECK(open == 0);
 }
+
+namespace {
+
+// The most that load at a time until nothing new goes to the older weights.
+auto most_before_margin(Pool& pool, Microseconds length) -> std::size_t {
+    pool.name_version(2);
+    pool.run(length - weights_margin);
+    return pool.most_at_once;
+}
+
+}  // namespace
+
+TEST_CASE("calm replicas load three at a time in either bound") {
+    for (auto const length : {12 * one_second, 15 * one_second}) {
+        auto pool = Pool(18);
+        auto random = std::mt19937(7);
+        for (auto& [name, replica] : pool.replicas)
+            replica.load = static_cast<Microseconds>(1'100'000 + random() % 700'000);
+        pool.rollout.times.bound = length;
+        CHECK(most_before_margin(pool, length) == 3);
+        REQUIRE(pool.run_until([&] { return pool.all_hold(2); }, 2 * one_second + load_time));
+        CHECK(pool.orders == 18);
+    }
+}
+
+TEST_CASE("where loads take long more go at a time and never above half before the margin") {
+    for (auto const load : {3 * one_second, 4 * one_second, 9 * one_second}) {
+        auto pool = Pool(18);
+        for (auto& [name, replica] : pool.replicas) replica.load = load;
+        pool.rollout.times.bound = bound;
+        auto const most = most_before_margin(pool, bound);
+        CHECK(most > 3);
+        CHECK(most <= 9);
+        pool.run(heard + pool.rollout.times.announce);
+        for (auto const& [name, replica] : pool.replicas) CHECK((replica.version == 2 || replica.loading == 2));
+        CHECK(pool.run_until([&] { return pool.all_hold(2); }, load));
+        CHECK(pool.orders == 18);
+    }
+}
+
+TEST_CASE("one that is leaving is ordered only when it is overdue and what lies there unstarted would begin late") {
+    auto pool = Pool(2);
+    pool.rollout.times.bound = bound;
+    pool.replicas["r10"].drain = true;
+    pool.name_version(2);
+    pool.run(bound - weights_margin - heard);
+    CHECK(pool.orders == 1);
+    pool.run(heard + heard + pool.rollout.times.announce);
+    CHECK(pool.orders == 2);
+    CHECK(pool.open_after(bound - weights_margin + heard) == 0);
+}
+
+TEST_CASE("those that are due first are loaded first") {
+    auto pool = Pool(9);
+    pool.rollout.times.bound = bound;
+    pool.name_version(2);
+    REQUIRE(pool.run_until([&] { return pool.orders == 6; }, 5 * one_second));
+    pool.name_version(4);
+    auto ordered = std::vector<std::int64_t>();
+    pool.bend = [&](auto const& order, auto end) {
+        return ordered.push_back(pool.rollout.courses[order.replica].version), end;
+    };
+    REQUIRE(pool.run_until([&] { return pool.all_hold(4); }, 15 * one_second));
+    CHECK(std::is_sorted(ordered.begin(), ordered.end()));
+    CHECK(std::count(ordered.begin(), ordered.end(), 1) == 3);
+}
+
+TEST_CASE("a 409 holds a place no longer than a report takes") {
+    auto pool = Pool(6);
+    auto refused = std::set<std::string>();
+    pool.bend = [&](auto const& order, auto end) {
+        if (refused.size() == 3 || end != OrderEnd::taken) return end;
+        auto& replica = pool.replicas[order.replica];
+        replica.loading = 0;
+        replica.silent = true;
+        refused.insert(order.replica);
+        return OrderEnd::conflict;
+    };
+    REQUIRE(pool.run_until([&] { return refused.size() == 3; }, one_second));
+    auto const others = [&] {
+        auto loads = 0;
+        for (auto const& [name, replica] : pool.replicas) loads += replica.loading == 2 ? 1 : 0;
+        return loads == 3;
+    };
+    CHECK(pool.run_until(others, one_second));
+}
+
+TEST_CASE("a replica that shows the new version and is still busy is not ordered again") {
+    auto rollout = VersionsRollout();
+    auto replicas = std::vector<ListedReplica>{{"a", "service", "", 1, false}};
+    auto const step = [&](std::int64_t wanted, Microseconds now) {
+        return rollout.step(wanted, 1, true, 3, replicas, now);
+    };
+    auto now = 100 * one_second;
+    step(2, now);
+    REQUIRE(step(2, now += 50 * one_millisecond).orders.size() == 1);
+    rollout.order_ended("a", OrderEnd::taken, now);
+    REQUIRE(step(2, now += one_second).reports.size() == 1);
+    rollout.reported("a", ReportedWeights{2, true, 1}, now, now);
+    for (auto count = 0; count < 6; ++count) CHECK(step(3, now += 25 * one_millisecond).orders.empty());
+    REQUIRE(step(3, now += 200 * one_millisecond).reports.size() == 1);
+    rollout.reported("a", ReportedWeights{2, false, 1}, now, now);
+    step(3, now += 25 * one_millisecond);
+    auto const orders = step(3, now += 50 * one_millisecond).orders;
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].orders == 1);
+}
+
+TEST_CASE("a new leader gives its word of those that are due before it may order") {
+    auto pool = Pool(6);
+    pool.may_order = false;
+    pool.rollout.times.bound = bound;
+    pool.name_version(2);
+    pool.run(3 * one_second);
+    pool.name_version(3);  // gives version 1 no more time
+    pool.run(bound - weights_margin + heard - 3 * one_second);
+    CHECK(pool.orders == 0);
+    CHECK(pool.open_after(0) == 0);
+    CHECK(pool.rollout.figures(pool.now).overdue == 6);
+    CHECK(pool.rollout.figures(pool.now).behind == 6);
+    CHECK(pool.rollout.figures(pool.now).oldest >= bound - weights_margin);
+}
+
+TEST_CASE("the moments of versions named long ago give way and give nobody more time") {
+    auto named = NamedVersions();
+    CHECK_FALSE(named.take(1, 5));
+    for (auto version = 2; version < 200; ++version) CHECK(named.take(version, 10 * version));
+    CHECK_FALSE(named.take(199, 9'999));
+    CHECK_FALSE(named.take(50, 9'999));
+    CHECK(named.at.size() == NamedVersions::most);
+    CHECK(*named.named_after(1) <= 10 * 136);
+    for (auto version = 136; version < 199; ++version) CHECK(*named.named_after(version) == 10 * (version + 1));
+    CHECK_FALSE(named.named_after(199));
+}
+
+TEST_CASE("a replica that is back with its former version long after the bound gets nothing and is ordered at once") {
+    auto pool = Pool(4);
+    pool.rollout.times.bound = bound;
+    pool.name_version(2);
+    REQUIRE(pool.run_until([&] { return pool.all_hold(2); }, bound));
+    pool.run(20 * one_second);
+    pool.replicas["r99"];
+    pool.run(2 * one_second);
+    CHECK(pool.open_after(bound) == 0);
+    CHECK((pool.replicas["r99"].loading == 2 || pool.replicas["r99"].version == 2));
+}
--- a/tests/weights_duty_test.cpp
+++ b/tests/weights_duty_test.cpp
@@ -133,6 +133,30 @@
     CHECK(world->violations.empty());
 }
 
+TEST_CASE("the next holder counts from when the version was named and not from its own beginning") {
+    auto world = formed(15);
+    auto const partition = partition_of_service(model);
+    auto const holder = *world->leader(partition);
+    for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) {
+        auto& node = *world->nodes[index];
+        world->act(index, node.control.list_read(world->local(node), world->local(node), list_text()));
+    }
+    auto duties = Duties{*world};
+    duties.run(one_second);
+    name_version(*world, 2);
+    duties.run(one_second);
+    auto const heard = world->now;
+    world->kill(holder, false);
+    duties.run(10 * one_second);
+    auto const next = world->leader(partition);
+    REQUIRE(next);
+    REQUIRE(*next != holder);
+    auto const& node = *world->nodes[*next];
+    auto const& rollout = duties.duties.at(*next).rollouts.at({partition, model});
+    REQUIRE(rollout.named.named_after(1));
+    CHECK(world->local(node) - *rollout.named.named_after(1) >= world->now - heard);
+}
+
 TEST_CASE("a leader's word of its replicas reaches every node at once, and a word of a gone replica is none") {
     auto world = formed(12);
     auto const partition = partition_of_service(model);
