--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -8,6 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from day import day_text
 from families import AWAY_S, FAMILIES, HUNDREDS_OF_CHANGES
+from halves import MEANWHILE, SPLIT_S
 from moments import CLOSING_KINDS, MIXES, MOMENTS
 from site_file import described_kinds, read_site
 from write_days import SETS, days_of
@@ -113,6 +114,29 @@
     assert away and all(item["how"] == "power" for item in away if item["kind"] == "node_kill"), "back at once"
 
 
+def test_halves(site):
+    days = days_of(site, 7, ["halves"])
+    assert len(days) == len(MEANWHILE) + 2
+    for day in days:
+        splits = [item for item in day.faults() if item["kind"] == "core_cut"]
+        assert splits and all(item["how"] == "split" and item["for_s"] > 5.0 for item in splits), day.name
+        first, last = splits[0]["at"], max(item["at"] + item["for_s"] for item in splits)
+        planned = {item["kind"] for item in day.plan() if first <= item["at"] <= last}
+        assert {"config_change", "config_race", "revoke", "version_bump"} <= planned, day.name
+        assert day.closing["kind"] == "wipe_after_ack"
+        assert last + site.catch_up_s < (day.length_s or site.length_s), "%s ends in two halves" % day.name
+    assert any(sum(item["kind"] == "core_cut" for item in day.faults()) > 1 for day in days)
+    assert any(item["kind"] == "herd_kill" and item["at"] > SPLIT_S for day in days for item in day.faults())
+
+
+def test_losses_beyond_what_is_borne(site):
+    for day in days_of(site, 7, ["beyond"]):
+        wiped = [item["count"] for item in day.faults() if item["kind"] == "after_ack_wipe"]
+        assert sum(wiped) <= site.tolerate, "%s loses more disks than are borne" % day.name
+        losing = {"herd_kill", "core_cut", "after_ack_wipe"}
+        assert any(item["kind"] in losing for item in day.faults()), day.name
+
+
 def main():
     with tempfile.TemporaryDirectory() as folder:
         site = orchard(pathlib.Path(folder))
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -11,10 +11,12 @@
 
 from day import day_text
 from families import FAMILIES
+from halves import beyond, halves
 from moments import alone, closings, mixes, pairs
 from site_file import read_site
 
 SETS = {"alone": alone, "pairs": pairs, "closings": closings, "mixes": mixes, **FAMILIES}
+SETS |= {"halves": halves, "beyond": beyond}
 
 
 def days_of(site, seed, names):
