A route that moves while a request waits takes the request to its new service

Cause: Course::judged compared chain and wall only, so a request that waited while its route moved was sent to the former service under rules that no longer name it. Ruled out: choose_service itself; nine splits in 300 windows of 200 requests each stay within 0.2 of their weights under random, counted and nearly alike identities. Change: another service enters the request again; an answer that has begun stays where it began. tests/splits_test.cpp: 3 checks fail before, none after (linked against the platform build's libraries).

--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -113,7 +113,10 @@
         step.step = step_for(retry::without_another_try(request_facts()));
         return step;
     }
-    auto const moved = verdict.ticket.chain != ticket.chain || verdict.ticket.wall_domain != ticket.wall_domain;
+    // An answer that has begun is ended by the service that began it.
+    auto const elsewhere = !history.output_begun && verdict.ticket.body.model != ticket.body.model;
+    auto const moved =
+        elsewhere || verdict.ticket.chain != ticket.chain || verdict.ticket.wall_domain != ticket.wall_domain;
     if (!moved) return last_checks(facts);
     verdict.ticket.number = ticket.number;
     verdict.ticket.arrived_at = ticket.arrived_at;
