What any Connection line of a head lists stays on that connection

Cause: only the first line of that name was read, so what a second one lists was passed on to the replica. tests/relay_heads_test.cpp: 1 check fails before, none after. Model, tokens and parts pass unchanged, also twice, in odd case and with spaces; none of the names that the fleet sets passes from a client (right before as well).

--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -15,12 +15,16 @@
 
 auto same(View left, std::string_view right) -> bool { return beast::iequals(left, View(right.data(), right.size())); }
 
-auto of_connection(View name, View listed) -> bool {
+// Names that concern one connection: the fixed ones, and those that any `Connection` line of this head lists.
+auto of_connection(View name, http::fields const& head) -> bool {
     for (auto const& field : connection_fields)
         if (same(name, field)) return true;
-    if (listed.empty()) return false;
-    auto const tokens = http::token_list(listed);
-    return std::any_of(tokens.begin(), tokens.end(), [&](auto const& token) { return beast::iequals(token, name); });
+    auto const [first, last] = head.equal_range(http::field::connection);
+    return std::any_of(first, last, [&](auto const& line) {
+        auto const tokens = http::token_list(line.value());
+        return std::any_of(
+            tokens.begin(), tokens.end(), [&](auto const& token) { return beast::iequals(token, name); });
+    });
 }
 
 auto add(std::string& head, std::string_view name, std::string_view value) -> void {
@@ -45,13 +49,12 @@
     std::string head;
     head.reserve(1'024);
     head.append(view(request.method_string())).append(" ").append(view(target)).append(" HTTP/1.1\r\n");
-    auto const listed = request[http::field::connection];
     for (auto const& field : request.base()) {
         auto const name = field.name_string();
         auto const replaced = std::any_of(own.begin(), own.end(), [&](auto item) {
             return item.size() == name.size() && !item.empty() && same(name, item);
         });
-        if (replaced || of_connection(name, listed)) continue;
+        if (replaced || of_connection(name, request)) continue;
         add(head, view(name), view(field.value()));
     }
     auto const& ticket = course.ticket;
@@ -80,9 +83,8 @@
     head.reserve(512);
     head.append("HTTP/1.1 ").append(std::to_string(from.result_int())).append(" ");
     head.append(view(from.reason())).append("\r\n");
-    auto const listed = from[http::field::connection];
     for (auto const& field : from)
-        if (!of_connection(field.name_string(), listed)) add(head, view(field.name_string()), view(field.value()));
+        if (!of_connection(field.name_string(), from)) add(head, view(field.name_string()), view(field.value()));
     if (chunked) add(head, "Transfer-Encoding", "chunked");
     else if (length) add(head, "Content-Length", std::to_string(*length));
     if (!keep) add(head, "Connection", "close");
--- /dev/null
+++ b/tests/relay_heads_test.cpp
@@ -0,0 +1,109 @@
+// What of a client's head reaches a replica, and under which names. docs/users-rules.md, UNASKED.
+#include <catch2/catch.hpp>
+
+#include "connection/relay_session.hpp"
+
+using namespace dockrock;
+
+namespace {
+
+auto parsed(std::string const& lines, boost::system::error_code& failure) -> HttpRequest {
+    auto parser = http::request_parser<http::string_body>();
+    parser.eager(true);
+    parser.put(asio::buffer("GET /a?b HTTP/1.1\r\nHost: h\r\nRequest-Name: id-1\r\n" + lines + "\r\n"), failure);
+    return parser.release();
+}
+
+auto head_of(std::string const& lines, bool with_tenant = true, Microseconds read_before = 0) -> std::string {
+    boost::system::error_code failure;
+    auto const request = parsed(lines, failure);
+    REQUIRE_FALSE(failure);
+    RelayForm form;
+    form.headers.request_identity = "Request-Name";
+    form.headers.key = "Secret";
+    form.headers.tenant = "Group";
+    form.headers.deadline = "Left";
+    form.headers.salt = "Salt";
+    form.headers.last_event = "After";
+    form.headers.urgency = "Haste";
+    form.headers.replica_wanted = "Life";
+    form.headers.weights_wanted = "Weights";
+    form.headers.fetch_from = "Fetch";
+    form.headers.store_at = "Store";
+    auto route = Route();
+    auto tenant = ServiceTenant{"clerks", {}};
+    auto judged = RelayVerdict();
+    judged.route = &route;
+    if (with_tenant) judged.tenant = &tenant;
+    auto course = Course();
+    course.ticket.deadline = 10 * one_second;
+    course.placement.replica = "life-1";
+    return head_for_replica(form, request, judged, course, -1, 7 * one_second + read_before);
+}
+
+auto count(std::string const& head, std::string const& what) -> int {
+    auto found = 0;
+    for (auto at = head.find(what); at != std::string::npos; at = head.find(what, at + 1)) ++found;
+    return found;
+}
+
+}  // namespace
+
+TEST_CASE("what names the work passes as the client sent it, also twice, in odd case and with spaces") {
+    auto const lines = std::string(
+        "MODEL:  m-1 \r\ntokens: 14 , 8\r\nPrefix-Hash: 5c:800, 91:410\r\nprefix-hash: e4:250\r\n"
+        "X-Twice: 1\r\nX-Twice: 2\r\nX-Empty:\r\nRequest-name: id-2\r\n");
+    auto const head = head_of(lines);
+    CHECK(head.starts_with("GET /a?b HTTP/1.1\r\n"));
+    for (auto const* line :
+         {"\r\nMODEL: m-1\r\n", "\r\ntokens: 14 , 8\r\n", "\r\nPrefix-Hash: 5c:800, 91:410\r\n",
+          "\r\nprefix-hash: e4:250\r\n", "\r\nX-Twice: 1\r\nX-Twice: 2\r\n", "\r\nX-Empty: \r\n",
+          "\r\nRequest-Name: id-1\r\n", "\r\nRequest-name: id-2\r\n"})
+        CHECK(count(head, line) == 1);
+}
+
+TEST_CASE("what the fleet sets is never the client's, however often and however it is written") {
+    auto lines = std::string();
+    for (auto const* name :
+         {"Secret", "Group", "Left", "Salt", "After", "Haste", "Life", "Weights", "Fetch", "Store"}) {
+        auto odd = std::string(name);
+        for (auto& letter : odd) letter = static_cast<char>(letter ^ 0x20);  // the other case
+        lines.append(name).append(": forged\r\n").append(odd).append(":forged \r\n");
+    }
+    auto const head = head_of(lines);
+    CHECK(count(head, "forged") == 0);
+    CHECK(count(head, "Group: clerks\r\n") == 1);
+    CHECK(count(head, "Left: 3000\r\n") == 1);
+    CHECK(count(head, "Life: life-1\r\n") == 1);
+    CHECK(count(head, "Haste: ") == 1);
+    for (auto const* name : {"Secret", "Salt", "After", "Weights", "Fetch", "Store"}) CHECK(count(head, name) == 0);
+    CHECK(count(head_of(lines, false), "Group") == 0);  // no tenant, no name of one
+}
+
+TEST_CASE("what concerns one connection stays there, whatever lists it") {
+    auto const head = head_of(
+        "Connection: keep-alive, X-One\r\nconnection: X-Two ,x-three\r\nX-One: dropped\r\nX-TWO: dropped\r\n"
+        "X-Three: dropped\r\nTE: trailers\r\nKeep-Alive: timeout=5\r\nUpgrade: x\r\nProxy-Connection: x\r\nX-Four: "
+        "kept\r\n");
+    CHECK(count(head, "dropped") == 0);
+    for (auto const* name : {"onnection", "TE:", "Keep-Alive", "Upgrade", "Content-Length", "Transfer"})
+        CHECK(count(head, name) == 0);
+    CHECK(count(head, "X-Four: kept\r\n") == 1);
+}
+
+TEST_CASE("a head that could be read in two ways is not read at all") {
+    for (auto const* line :
+         {"Model : m-1\r\n", "Mo del: m-1\r\n", ": m-1\r\n", "Model\r\n",
+          "Model: a\x01"
+          "b\r\n"}) {
+        boost::system::error_code failure;
+        parsed(line, failure);
+        CHECK(failure);
+    }
+}
+
+TEST_CASE("a replica is told the time that is left, counted down, and never none") {
+    CHECK(count(head_of("", true, 1'500 * one_millisecond), "Left: 1500\r\n") == 1);
+    CHECK(count(head_of("", true, 2'999'500), "Left: 1\r\n") == 1);  // half a millisecond
+    CHECK(count(head_of("", true, 5 * one_second), "Left: 1\r\n") == 1);
+}
