A hanging failure ends with its deadline; nothing is sent for a client that has left

A failure whose body did not come was waited for up to 30 s, whatever the route's limit: it now ends 0.2 s after it, as answers do. A client's end that lay unread behind its request was noticed only after the request had gone out on a kept connection: the session looks once right before it sends (one poll a try). Ruled out by tests on real sockets: a kept connection closed unanswered while pipelined bytes wait, at 13 moments round the end of its rest, in a stop, at a silent replica; a run that outlasts its client at seven points of its answer, in a long body, in the queue, between tries.

--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -60,9 +60,16 @@
     auto close_when_client_leaves() -> void;
     auto give_back() -> void;
     auto client_left() const -> bool { return session.watch->gone; }
+    auto answer_patience() const -> std::chrono::microseconds;
     auto result() -> TryResult;
 };
 
+// How long the next bytes of an answer that has begun are waited for.
+auto RelayTry::answer_patience() const -> std::chrono::microseconds {
+    auto const left = std::max<Microseconds>(until + past_deadline - clock_now(), one_millisecond);
+    return std::chrono::microseconds(std::min(silence_limit, left));
+}
+
 auto RelayTry::result() -> TryResult {
     session.watch->on_gone = nullptr;
     if (client_left()) facts.client = ClientState::gone;
@@ -102,7 +109,7 @@
         co_return false;
     }
     facts.written = BytesWritten::none;
-    co_return !client_left();
+    co_return !session.look_for_client();
 }
 
 auto RelayTry::read_head() -> awaitable<bool> {
@@ -132,7 +139,7 @@
     auto const& message = parser.get();
     auto const status = static_cast<int>(message.result_int());
     auto const not_run = message.find(node.form->headers.not_run) != message.end() || status == 421;
-    connection->stream.expires_after(std::chrono::microseconds(silence_limit));
+    connection->stream.expires_after(answer_patience());
     auto const [failure, size] = co_await http::async_read(connection->stream, connection->buffer, parser, use_tuple);
     facts.received = not_run ? Received::not_run : Received::cut_before_output;
     reason = not_run ? reason_of(message) : "replica-broke";
@@ -152,8 +159,7 @@
     auto& parser = *exchange->parser;
     if (parser.is_done()) co_return boost::system::error_code();
     if (connection->buffer.size() == 0) co_await exchange->send_on(until);  // answered before it was sent whole
-    auto const left = std::max<Microseconds>(until + past_deadline - clock_now(), one_millisecond);
-    connection->stream.expires_after(std::chrono::microseconds(std::min(silence_limit, left)));
+    connection->stream.expires_after(answer_patience());
     auto const [failure, size] =
         co_await http::async_read_some(connection->stream, connection->buffer, parser, use_tuple);
     co_return failure;
--- a/source/connection/relay_watch.cpp
+++ b/source/connection/relay_watch.cpp
@@ -38,6 +38,12 @@
     });
 }
 
+// A busy node may not have come to the client's end yet.
+auto RelaySession::look_for_client() -> bool {
+    watch->gone = watch->gone || has_left(client.socket());
+    return watch->gone;
+}
+
 auto RelaySession::end_watch() -> void {
     watch->active = false;
     watch->on_gone = nullptr;
