--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -77,7 +77,7 @@
         Level::information, "started",
         fields(
             "identity", identity, "incarnation", incarnation, "core", core, "area", settings.area, "had_state",
-            had_state));
+            had_state, "http_address", settings.http_address));
     return {};
 }
 
