Ten invariants checked in the running code, counted, reported, and on in all tests

Cause: what must hold was written in pages and looked at by tests alone; a node that refused under an old proof, or sent to overdue weights, told nobody.

Change: source/base/invariants.* (names, counters, a sink), invariant_checks.hpp (each as a pure function of facts), and one call at the last point before each effect. A violation is counted, logged at most once a second (`invariant-violated`, level failure, with its numbers), reported in `dockrock_invariant_violations_total{invariant}` and in `status`, and what was about to leave is held back where that is safe; the process goes on. docs/consensus.md 5.1 has the table, with the planted violation of each; operators.md what to do. In tests: tests/main.cpp fails the test that meets one, unless an ExpectedViolations guard names it, which fails in turn where none comes. Simulated worlds, the model checker, the live scripts (rule 13 of prove.py, live.py) judge any violation as broken.

Mended on the way, each met by reading while the checks were placed: - A request was written up to 0.6 s after its last checks, as its connection was opened between. They now open the connection first and look at the lease at most 5 ms before, as those by a form do. - The product's own interface answered 401, 403 and 404 under proofs of any age: now 503.

Ruled out: a listener of the test framework, which is made by inheritance; a check of a proof against the time of the question alone, as a question that was held is answered by a later proof.

Processor time before and after: not measured.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -21,6 +21,7 @@
 
 // How long a client waits before it comes again: seconds, as text.
 constexpr auto soon = "0.3";
+constexpr auto not_fresh = "not-fresh";
 
 }  // namespace
 
@@ -32,6 +33,7 @@
 
 auto RelaySession::refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after)
     -> awaitable<bool> {
+    if (!node.refusal_leaves(status)) std::tie(status, reason, retry_after) = std::tuple(503, not_fresh, soon);
     auto const keep = request.keep_alive() && !node.stopping;
     auto body = "{\"error\":" + json::serialize(json::string(reason)) + "}";
     auto head = "HTTP/1.1 " + std::to_string(status) + " " +
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -224,6 +224,10 @@
     auto attempt = RelayTry{*this, request, *judged.route, course, answer, node};
     if (!co_await attempt.connect()) co_return attempt.result();
     attempt.close_when_client_leaves();
+    if (!node.still_right(course)) {
+        attempt.reason = "moved-on";
+        co_return attempt.result();
+    }
     auto const now = clock_now();
     attempt.until = course.ticket.deadline;
     auto const& form = *node.form;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -158,6 +158,7 @@
     auto [verdict, current] = co_await interpret_now(request);
     node.last_ticket = clock_now();
     if (verdict.kind == Verdict::Kind::answer) {
+        if (!node.refusal_is_sure(verdict.status)) co_return co_await shed(request, "not-fresh", 1);
         ++node.counters.refused;
         auto body = fields("outcome", "shed", "error", verdict.reason);
         if (!verdict.problems.empty()) body["problems"] = write_problems(verdict.problems);
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -49,7 +49,6 @@
 };
 
 // Sends one try to its replica and relays the pieces (design 10).
-auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive)
-    -> awaitable<TryResult>;
+auto run_try(Session& session, Course const& course, bool keep_alive) -> awaitable<TryResult>;
 
 }  // namespace dockrock
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -53,9 +53,11 @@
 
 }  // namespace
 
-auto run_try(Session& session, Ticket const& ticket, Placement const& placement, int try_number, bool keep_alive)
-    -> awaitable<TryResult> {
+auto run_try(Session& session, Course const& course, bool keep_alive) -> awaitable<TryResult> {
     auto& node = session.node;
+    auto const& ticket = course.ticket;
+    auto const& placement = course.placement;
+    auto const try_number = course.try_number;
     auto facts = TryFacts();
     auto const endpoint = endpoint_of(placement.address);
     if (!endpoint) co_return ended(facts, "bad-address");
@@ -64,6 +66,8 @@
     if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure)
         co_return ended(facts, "unreachable");
     stream.socket().set_option(tcp::no_delay(true));
+    facts.written = BytesWritten::none;
+    if (!node.still_right(course)) co_return ended(facts, "moved-on");
     auto const posted = http_ask(http::verb::post, "/run", run_body(ticket, placement));
     auto const request = make_request(posted, placement.address);
     // From here on the replica may have it: whatever breaks is not known to
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -79,8 +79,7 @@
     ++node.counters.tries;
     auto const sent_at = clock_now();
     auto const replica = course.placement.replica;
-    auto const result =
-        co_await run_try(*this, course.ticket, course.placement, course.try_number, request.keep_alive());
+    auto const result = co_await run_try(*this, course, request.keep_alive());
     node.try_ended(replica, course.ticket, result.end, result.reason, sent_at);
     log_ticket(course.ticket, "try-ended", result.reason.empty() ? std::string("answered") : result.reason, replica);
     usable = result.usable;
@@ -121,6 +120,7 @@
             case Step::answer_failure:  // of relayed requests alone
             case Step::answer_unknown: co_return co_await unknown(request, step.reason);
             case Step::answer_refused:
+                if (!node.refusal_leaves(step.status)) co_return co_await shed(request, "not-fresh", 1);
                 ++node.counters.refused;
                 co_return co_await answer(request, step.status, fields("outcome", "shed", "error", step.reason));
             case Step::answer_seen: co_return co_await answer(request, 409, seen_body());
--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -1,7 +1,7 @@
 // Changes: queued, tried, logged, copied, acknowledged. docs/design.md 5.4 and 7.
 #include <algorithm>
 
-#include "consensus/partition.hpp"
+#include "consensus/answer_checks.hpp"
 
 namespace dockrock {
 
@@ -58,8 +58,9 @@
     in_flight = false;
     std::erase_if(waiters, [&](auto const& waiter) {
         if (waiter.sequence > committed->sequence) return false;
+        auto const etag = etag_told(waiter.status, waiter.sequence);
         context.done.push_back(
-            {waiter.origin, waiter.token, waiter.status, waiter.body, etag_told(waiter.status, waiter.sequence)});
+            checked_outcome(*this, waiter.sequence, {waiter.origin, waiter.token, waiter.status, waiter.body, etag}));
         return true;
     });
     if (copy.sequence > committed->sequence) fly(context);
@@ -117,7 +118,10 @@
             return outcome.identity == asked.identity;
         });
     };
-    if (asked.operation == "get") return answer(200, committed->document, etag_of(committed->sequence));
+    if (asked.operation == "get") {
+        auto read = CallDone{item.origin, item.token, 200, committed->document, etag_of(committed->sequence)};
+        return context.done.push_back(checked_read(*this, context, std::move(read)));
+    }
     // Without a base the digest is the one that older copies hold.
     auto const on_base = asked.base.empty() ? std::string() : " on " + asked.base;
     auto const digest = hash_text(asked.operation + on_base + "\n" + asked.if_match + "\n" + asked.body) >> 1U;
@@ -140,8 +144,11 @@
     if (done != copy.outcomes.end()) {
         if (done->digest != digest)
             return answer(422, error_body("this change identity was used for another change"), "");
-        if (done->sequence <= committed->sequence)
-            return answer(200, accepted_body(done->sequence), etag_of(done->sequence));
+        if (done->sequence <= committed->sequence) {
+            auto told = accepted_body(done->sequence);
+            auto first = CallDone{item.origin, item.token, 200, std::move(told), etag_of(done->sequence)};
+            return context.done.push_back(checked_outcome(*this, done->sequence, std::move(first)));
+        }
         waiters.push_back({item.origin, item.token, done->sequence, 200, accepted_body(done->sequence), context.now});
         return;
     }
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -8,6 +8,7 @@
 #include "control/load_relay.hpp"
 #include "membership/membership.hpp"
 #include "control/partition_news.hpp"
+#include "control/partition_watch.hpp"
 
 namespace dockrock {
 
@@ -90,6 +91,7 @@
     Membership membership;
     std::array<Partition, partition_count> partitions;
     std::array<PartitionNews, partition_count> news;
+    std::array<PartitionWatch, partition_count> watches;
     struct WaitingAsk {
         std::string address;
         NewsAsk ask;
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -10,6 +10,7 @@
         auto& partition = partitions[index];
         auto& item = news[index];
         if (partition.votes.decided.term > item.record.term) item.record = partition.votes.decided;
+        if (!watches[index].look(partition, item, membership.self.identity, now)) continue;
         if (!partition.committed || !partition.has_lease(membership.self.identity, now)) continue;
         auto const changed = partition.committed->sequence > item.copy.sequence;
         if (changed) {
@@ -98,7 +99,8 @@
     item.unanswered = 0;
     if (answer.record.term > item.record.term) item.record = answer.record;
     take_copy(item, answer, output);
-    if (answer.proven && answer.sequence == item.copy.sequence)
+    if (answer.proven && answer.sequence == item.copy.sequence &&
+        invariants::check(invariants::ProofFacts{item.asked_at - answer.age, item.asked_at, now}))
         item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
     take_live(item, answer, output);
     if (item.asked_relay && now - item.proven_at > 2 * hold_limit(answer.partition))
--- a/source/control/orders.cpp
+++ b/source/control/orders.cpp
@@ -1,5 +1,7 @@
 #include "control/orders.hpp"
 
+#include "consensus/answer_checks.hpp"
+
 namespace dockrock {
 
 auto Orders::due(
@@ -26,4 +28,16 @@
     return orders;
 }
 
+auto order_facts(Control const& control, int partition, std::uint64_t fence, Microseconds now)
+    -> invariants::OrderFacts {
+    auto const place = static_cast<std::size_t>(partition);
+    auto facts = invariants::OrderFacts();
+    facts.leased = keeps(lease_facts(control.partitions[place], control.membership.self.identity, now));
+    facts.lease_age = now;
+    facts.fence = fence;
+    facts.term = control.best_record(partition).term;
+    facts.since_other = now - control.watches[place].other_holder_at;
+    return facts;
+}
+
 }  // namespace dockrock
--- a/source/control/orders.hpp
+++ b/source/control/orders.hpp
@@ -22,6 +22,10 @@
         Microseconds now) -> std::vector<Order>;
 };
 
+// What the check of an order looks at, but for what is known only once it leaves. Its `lease_age` is the moment.
+auto order_facts(Control const& control, int partition, std::uint64_t fence, Microseconds now)
+    -> invariants::OrderFacts;
+
 // Asked again right before an order is sent.
 inline auto may_order(Control const& control, Order const& order, Microseconds now) -> bool {
     return control.leads(order.partition, now) && control.best_record(order.partition).term == order.fence;
--- /dev/null
+++ b/source/control/partition_watch.cpp
@@ -0,0 +1,38 @@
+#include "control/partition_watch.hpp"
+
+#include <algorithm>
+
+namespace dockrock {
+
+auto PartitionWatch::look(
+    Partition const& partition, PartitionNews const& news, std::string const& self, Microseconds now) -> bool {
+    auto const leased = partition.has_lease(self, now);
+    auto const& decided = partition.votes.decided;
+    auto const known = std::max(decided.term, news.record.term);
+    auto const& leader = decided.term == known ? decided.leader : news.record.leader;
+    if (known > 0 && leader != self) other_holder_at = now;
+    auto const terms = invariants::check(invariants::TermFacts{highest_term, known, leased, decided.term});
+    highest_term = known;
+    return content_kept(partition, news, leased && partition.committed) && terms;
+}
+
+auto PartitionWatch::content_kept(Partition const& partition, PartitionNews const& news, bool leased) -> bool {
+    auto const& text = news.copy.document;
+    auto const moved = news.copy.sequence != in_force;
+    if (moved || text.data() != document) {
+        auto const fresh = digest_of(text);
+        auto const facts = invariants::InForceFacts{in_force, news.copy.sequence, digest, fresh};
+        auto const first = document == nullptr;
+        in_force = news.copy.sequence;
+        digest = fresh;
+        document = text.data();
+        if (!first && !invariants::check(facts)) return false;
+    }
+    if (!leased || compared_term == partition.votes.decided.term) return true;
+    compared_term = partition.votes.decided.term;
+    if (partition.committed->sequence != in_force) return true;
+    auto const told = digest_of(partition.committed->document);
+    return invariants::check(invariants::InForceFacts{in_force, partition.committed->sequence, digest, told});
+}
+
+}  // namespace dockrock
--- a/source/control/snapshot.cpp
+++ b/source/control/snapshot.cpp
@@ -52,6 +52,8 @@
     fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence ? old.rules
         : form == nullptr ? compile_rules(configuration.copy.sequence, configuration.copy.document)
                           : compile_relayed(configuration.copy, *form);
+    if (old.rules && !invariants::check(invariants::InForceFacts{old.rules->sequence, fresh->rules->sequence}))
+        fresh->rules = old.rules;
     fresh->list = old.list;
     read_list(configuration.live, fresh->list);
     for (auto const& model : fresh->rules->checked.configuration.models)
--- a/source/process/measures.cpp
+++ b/source/process/measures.cpp
@@ -61,6 +61,7 @@
     first_pieces.write(text, "first_piece_seconds");
     whole_answers.write(text, "answer_seconds");
     waits.write(text, "waiting_seconds");
+    write_violations(text);
 }
 
 }  // namespace dockrock
--- a/source/process/measures.hpp
+++ b/source/process/measures.hpp
@@ -38,4 +38,9 @@
     auto write(std::string& text) -> void;
 };
 
+// Violated invariants of this process: to the log, as metrics, and for `status`.
+auto log_violations() -> void;
+auto write_violations(std::string& text) -> void;
+auto violations_object() -> json::object;
+
 }  // namespace dockrock
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -123,9 +123,9 @@
             burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
     if (!output.kept.empty()) take_feed(output.kept);
-    proven_at = control.news[configuration_partition].proven_at;
     losses_bearable.look(control, now);
     if (output.news) publish_snapshot();
+    proven_at = control.news[configuration_partition].proven_at;  // of what is in force now
 }
 
 auto Node::publish_snapshot() -> void {
@@ -133,6 +133,7 @@
     auto fresh = make_snapshot(control, *old, form == nullptr ? nullptr : &form->documents);
     if (fresh->rules != old->rules)
         write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
+    learn_versions(*fresh, *old);
     snapshot = fresh;
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -16,6 +16,7 @@
 #include "control/weights_duty.hpp"
 #include "process/measures.hpp"
 #include "process/settings.hpp"
+#include "process/snapshot_holder.hpp"
 #include "process/storage.hpp"
 #include "process/transport.hpp"
 #include "process/work_queue.hpp"
@@ -27,17 +28,6 @@
 
 namespace leaf = boost::leaf;
 
-// One atomic pointer. (The library's std::atomic of a shared pointer unlocks
-// without ordering in the version we build with; its free functions do not.)
-struct SnapshotHolder {
-    SnapshotPointer pointer;
-    auto load() const -> SnapshotPointer { return std::atomic_load(&pointer); }
-    auto operator=(SnapshotPointer fresh) -> SnapshotHolder& {
-        std::atomic_store(&pointer, std::move(fresh));
-        return *this;
-    }
-};
-
 // A ticket's place while it waits for a replica.
 struct Slot {
     asio::steady_timer signal;
@@ -137,7 +127,8 @@
     WorkQueue control_work;               // one at a time: the control machines
     std::vector<WorkQueue> ticket_works;  // one for each worker: interpreting tickets
     std::atomic<std::size_t> next_ticket_work{0};
-    std::unique_ptr<tcp::acceptor> acceptor;  // on accept_strand alone, once running
+    std::array<std::atomic<std::uint64_t>, partition_count> fences_sent{};  // the highest of each
+    std::unique_ptr<tcp::acceptor> acceptor;                                // on accept_strand alone, once running
     asio::strand<asio::io_context::executor_type> accept_strand{context.get_executor()};
     ReplicaPool pool;                                     // on the one thread of a relaying node
     std::array<std::unique_ptr<tcp::acceptor>, 3> doors;  // by RelayDoor
@@ -205,7 +196,14 @@
     auto read_whole_list(HttpConnection& connection) -> awaitable<std::optional<ListReading>>;
     auto weights_loop() -> awaitable<void>;
     auto step_weights() -> void;
-    auto lease_checked(int partition, std::uint64_t fence) -> awaitable<bool>;
+    auto lease_checked(int partition, std::uint64_t fence) -> awaitable<std::optional<invariants::OrderFacts>>;
+    // The last looks at what leaves; false where it breaks an invariant and is to be held back.
+    auto refusal_leaves(int status) const -> bool;
+    auto refusal_is_sure(int status) const -> bool;
+    auto request_leaves(Course const& course, CourseFacts const& facts) const -> bool;
+    auto still_right(Course const& course) const -> bool;  // the last checks once more
+    auto order_leaves(int partition, invariants::OrderFacts facts, Microseconds wait) -> bool;
+    auto learn_versions(Snapshot& fresh, Snapshot const& old) const -> void;
     auto send_duty_order(DutyOrder order) -> awaitable<void>;
     auto ask_duty_report(DutyReport asked) -> awaitable<void>;
     auto poll_metrics(std::string& text) const -> void;
--- /dev/null
+++ b/source/process/node_invariants.cpp
@@ -0,0 +1,94 @@
+// The last looks at what leaves a node: refusals, requests, orders; and how a violation is told.
+// docs/consensus.md section 5.
+#include "base/invariant_checks.hpp"
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "process/node.hpp"
+
+namespace dockrock {
+
+namespace {
+
+constexpr Microseconds log_interval = one_second;  // of one invariant
+// From the write to the replica's start; of the margin that is left once a look each second and a connect passed.
+constexpr Microseconds version_flight = 800 * one_millisecond;
+
+// Logs the first at once and then one a second, with how many there were.
+auto log_violation(Invariant which, InvariantFacts facts) -> void {
+    static std::array<std::atomic<Microseconds>, invariant_count> logged_at{};
+    auto& last = logged_at[static_cast<std::size_t>(which)];
+    auto before = last.load();
+    auto const now = clock_now();
+    if (before != 0 && now - before < log_interval) return;
+    if (!last.compare_exchange_strong(before, now)) return;
+    auto const text = [](std::string_view name) { return json::string_view(name.data(), name.size()); };
+    auto line = fields("invariant", text(name_of(which)), "violations", invariants::count(which));
+    for (auto const& fact : facts) line[text(fact.name)] = fact.value;
+    write_log(Level::failure, "invariant-violated", std::move(line));
+}
+
+}  // namespace
+
+auto log_violations() -> void { invariants::set_sink(log_violation); }
+
+auto violations_object() -> json::object {
+    json::object counts;
+    for (auto index = std::size_t{0}; index < invariant_count; ++index)
+        counts[json::string_view(invariant_names[index].data(), invariant_names[index].size())] =
+            invariants::count(static_cast<Invariant>(index));
+    return counts;
+}
+
+auto write_violations(std::string& text) -> void {
+    text += "# TYPE dockrock_invariant_violations_total counter\n";
+    for (auto index = std::size_t{0}; index < invariant_count; ++index)
+        text += "dockrock_invariant_violations_total{invariant=\"" + std::string(invariant_names[index]) + "\"} " +
+            std::to_string(invariants::count(static_cast<Invariant>(index))) + "\n";
+}
+
+auto Node::refusal_leaves(int status) const -> bool {
+    return invariants::check(invariants::RefusalFacts{status, proof_age(clock_now()), settings.bounds.apply});
+}
+
+// What only a configuration justifies is told under a proof of it, or not at all.
+auto Node::refusal_is_sure(int status) const -> bool {
+    auto const fresh = proof_age(clock_now()) <= proof_limit();
+    return (fresh || !invariants::rests_on_configuration(status)) && refusal_leaves(status);
+}
+
+auto Node::request_leaves(Course const& course, CourseFacts const& facts) const -> bool {
+    auto const& ticket = course.ticket;
+    auto const once = invariants::check(invariants::RunOnceFacts{ticket.body.run_once, course.may_have_run});
+    auto const sent = invariants::check(
+        invariants::SendFacts{facts.proof_age, facts.proof_limit, facts.listed, facts.rules, course.rules});
+    auto const current = snapshot.load();
+    if (current->versions_named.by_model.empty()) return once && sent;
+    auto const held = current->replica_weights.find(course.placement.replica);
+    if (held == current->replica_weights.end()) return once && sent;
+    auto const bound = settings.bounds.weights - version_flight;
+    auto fresh = true;
+    for (auto const& [model, version] : held->second.versions)
+        fresh = current->versions_named.check(model, version, facts.now, bound) && fresh;
+    return once && sent && fresh;
+}
+
+// `wait`: what a new holder owes to receivers that check no fence.
+auto Node::order_leaves(int partition, invariants::OrderFacts facts, Microseconds wait) -> bool {
+    auto& highest = fences_sent[static_cast<std::size_t>(partition)];
+    facts.lease_age = clock_now() - facts.lease_age;
+    facts.highest_fence = highest.load();
+    facts.wait = facts.term <= 1 ? 0 : wait;
+    if (!invariants::check(facts)) return false;
+    auto known = highest.load();
+    while (known < facts.fence && !highest.compare_exchange_weak(known, facts.fence)) {}
+    return true;
+}
+
+auto Node::learn_versions(Snapshot& fresh, Snapshot const& old) const -> void {
+    fresh.versions_named = old.versions_named;
+    auto const now = clock_now();
+    for (auto const& [model, version] : fresh.target_versions)
+        fresh.versions_named.learn(model, version, now, settings.bounds.weights);
+}
+
+}  // namespace dockrock
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -135,16 +135,18 @@
 }
 
 auto Node::send_order(Order order) -> awaitable<void> {
-    auto leased = std::make_shared<std::atomic<int>>(-1);
-    in_control([this, leased, order] { *leased = may_order(control, order, clock_now()) ? 1 : 0; });
-    for (auto count = 0; leased->load() < 0 && count < 50; ++count) co_await pause(5);
-    if (leased->load() != 1) co_return;
-    ++counters.orders;
+    auto connection = HttpConnection(co_await asio::this_coro::executor);
+    if (!co_await connection.open_to(order.address, 500 * one_millisecond)) co_return;
     auto const body = json::serialize(fields(
         "weights", order.weights, "fence", order.fence, "holder", settings.control_address, "incarnation",
         order.incarnation));
     auto const posted = http_ask(http::verb::post, "/weights", body);
-    auto const answer = co_await http_call(order.address, posted, 500 * one_millisecond);
+    // These receivers check the fence, so a new holder waits for nobody.
+    auto const lease = co_await lease_checked(order.partition, order.fence);
+    if (!lease || !order_leaves(order.partition, *lease, 0)) co_return;
+    ++counters.orders;
+    auto const answer = co_await connection.call(order.address, posted, 500 * one_millisecond);
+    connection.close();
     write_log(
         Level::information, "weights-ordered",
         fields("replica", order.replica, "weights", order.weights, "fence", order.fence, "status", answer.status));
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -11,10 +11,10 @@
 // For the last checks. They hold what matching held: a try that matching allows
 // and the checks refuse would go round without end (design 8.3).
 auto Node::facts_for(std::string const& replica) const -> CourseFacts {
-    auto const current = snapshot.load();
     auto facts = CourseFacts();
     facts.now = clock_now();
-    facts.proof_age = proof_age(facts.now);
+    facts.proof_age = proof_age(facts.now);  // before the snapshot that it is to stand for is looked at
+    auto const current = snapshot.load();
     facts.proof_limit = proof_limit();
     facts.rules = current->rules->sequence;
     for (auto const& entry : current->list.replicas)
@@ -22,6 +22,12 @@
     return facts;
 }
 
+// Opening a connection takes time in which rules, list and proof go on. Nothing is written yet.
+auto Node::still_right(Course const& course) const -> bool {
+    auto const facts = facts_for(course.placement.replica);
+    return course.may_be_sent(facts) && request_leaves(course, facts);
+}
+
 auto Node::try_ended(
     std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
     -> void {
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -13,6 +13,7 @@
 constexpr Microseconds report_limit = 400 * one_millisecond;
 constexpr Microseconds check_age = 5 * one_millisecond;  // of the lease, when an order is written
 constexpr auto checks = 3;
+constexpr Microseconds holder_margin = 200 * one_millisecond;  // on top of the time between two holders' orders
 
 auto pause(Microseconds length) -> awaitable<void> {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
@@ -53,7 +54,7 @@
     if (settings.data_folder.empty()) co_return;  // the duty lies with the core
     in_control([this] {
         weights_duty.at_once = static_cast<std::size_t>(settings.weights_at_once);
-        weights_duty.wait = settings.bounds.lease + 200 * one_millisecond;
+        weights_duty.wait = settings.bounds.lease + holder_margin;
     });
     while (!finished) {
         co_await pause((weights_under_way ? 25 : 200) * one_millisecond);
@@ -63,18 +64,20 @@
 
 // True only where the lease was seen held a moment ago: a node that was
 // frozen in between looks again.
-auto Node::lease_checked(int partition, std::uint64_t fence) -> awaitable<bool> {
+auto Node::lease_checked(int partition, std::uint64_t fence) -> awaitable<std::optional<invariants::OrderFacts>> {
     for (auto count = 0; count < checks; ++count) {
         auto const seen = std::make_shared<std::atomic<Microseconds>>(-1);
-        in_control([this, seen, partition, fence] {
+        auto const facts = std::make_shared<invariants::OrderFacts>();
+        in_control([this, seen, facts, partition, fence] {
             auto const now = clock_now();
+            *facts = order_facts(control, partition, fence, now);
             *seen = may_order(control, partition, fence, now) ? now : 0;
         });
         for (auto waited = 0; seen->load() < 0 && waited < 100; ++waited) co_await pause(one_millisecond);
-        if (seen->load() == 0) co_return false;
-        if (seen->load() > 0 && clock_now() - seen->load() <= check_age) co_return true;
+        if (seen->load() == 0) co_return std::nullopt;
+        if (seen->load() > 0 && clock_now() - seen->load() <= check_age) co_return *facts;
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
 auto Node::send_duty_order(DutyOrder order) -> awaitable<void> {
@@ -86,7 +89,8 @@
         boost::system::error_code ignored;
         connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         auto const call = form->order_call(written(order, control.membership.self.identity));
-        if (co_await lease_checked(order.partition, order.fence)) {
+        auto const lease = co_await lease_checked(order.partition, order.fence);
+        if (lease && order_leaves(order.partition, *lease, settings.bounds.lease + holder_margin)) {
             ++counters.orders;
             auto const answer = co_await connection.call(order.address, call, order_limit);
             status = answer.status;
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -21,6 +21,7 @@
     }
     auto const& name = settings.node_name.empty() ? settings.http_address : settings.node_name;
     start_log(settings.log_file, name, level_of(settings.log_level));
+    log_violations();
     auto const node = std::make_unique<Node>();
     node->settings = settings;
     node->settings_file = program.settings_file;
--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -25,6 +25,12 @@
     return Step::finished;
 }
 
+// By the end alone, not by what is decided of it.
+auto surely_not_run(TryEnd end) -> bool {
+    return end == TryEnd::did_not_run || end == TryEnd::seen_before || end == TryEnd::not_sent ||
+        end == TryEnd::not_written;
+}
+
 }  // namespace
 
 auto Course::request_facts() const -> RetryRequest {
@@ -132,6 +138,7 @@
 
 auto Course::ended(TryEnd end, std::string_view reason, RetryLimits limits) -> CourseStep {
     if (end == TryEnd::did_not_run && reason == "seen") end = TryEnd::seen_before;
+    may_have_run += surely_not_run(end) ? 0 : 1;
     limits.tries_left = ticket.tries - try_number;
     CourseStep step;
     step.reason = std::string(reason);
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -53,6 +53,7 @@
     Placement placement;
     int try_number = 1;
     RetryRequest history;  // what the tries so far have left behind
+    int may_have_run = 0;  // tries so far, counted apart from the decisions, for the check of what is sent
     bool claim_held = false;
     Microseconds claimed_at = 0;
     std::uint64_t claim_term = 0;
@@ -66,6 +67,10 @@
     // `limits` but for the tries, which are counted here.
     auto ended(TryEnd end, std::string_view reason, RetryLimits limits = RetryLimits{}) -> CourseStep;
     auto gone() const -> CourseStep;
+    // The last checks once more, after what took time: a connection that is opened.
+    auto may_be_sent(CourseFacts const& facts) const -> bool {
+        return facts.rules == rules && facts.listed && facts.proof_age <= facts.proof_limit;
+    }
     auto needs_claim() const -> bool { return ticket.body.run_once && !ticket.body.identity.empty(); }
 
    private:
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -3,9 +3,11 @@
 #include <catch2/catch.hpp>
 
 #include "fleet.hpp"
+#include "invariant_guard.hpp"
 
 using namespace dockrock;
 using namespace dockrock::simulation;
+using namespace dockrock::testing;
 
 namespace {
 
@@ -102,13 +104,19 @@
 }
 
 TEST_CASE("planted faults of the fleet are caught, each by its own check") {
-    CHECK(caught([](auto& given) { given.planted_repeat_unknown = true; }, "ran twice") >= 1);
+    {
+        auto const expected = ExpectedViolations{Invariant::run_once_sent_once};
+        CHECK(caught([](auto& given) { given.planted_repeat_unknown = true; }, "ran twice") >= 1);
+    }
     CHECK(caught([](auto& given) { given.planted_skip_claims = true; }, "ran twice") >= 1);
     CHECK(caught([](auto& given) { given.planted_shed_after_run = true; }, "ran was shed") >= 1);
     CHECK(caught([](auto& given) { given.planted_skip_pieces = true; }, "stitched") >= 1);
     CHECK(caught([](auto& given) { given.planted_skip_walls = true; }, "wall") >= 1);
     CHECK(caught([](auto& given) { given.planted_stale_weights = true; }, "other weights") >= 1);
-    CHECK(caught([](auto& given) { given.planted_skip_lease = true; }, "two holders") >= 1);
+    {
+        auto const expected = ExpectedViolations{Invariant::order_under_lease};
+        CHECK(caught([](auto& given) { given.planted_skip_lease = true; }, "two holders") >= 1);
+    }
     auto const crowded = [](auto& given) {  // replicas refuse what nine nodes overcommit
         given.granting.multiplier = 20;
         given.tickets_each_second = 250;
@@ -125,7 +133,10 @@
         given.planted_skip_freshness = true;
         given.length = 40 * one_second;
     };
-    CHECK(caught(stale, "revoked key", 24) + caught(stale, "new work on leaving", 24) >= 1);
+    {
+        auto const expected = ExpectedViolations{Invariant::send_under_proof, Invariant::refusal_under_proof};
+        CHECK(caught(stale, "revoked key", 24) + caught(stale, "new work on leaving", 24) >= 1);
+    }
     auto const cut = [](auto& given) {
         given.planned_only = true;
         given.planted_cut_on_stop = true;
--- a/tests/hollow/hollow.cpp
+++ b/tests/hollow/hollow.cpp
@@ -94,5 +94,7 @@
             options.time_limit = limit.getValue() * 1'000'000'000;
             write_run(std::cout, measure_placement(shape, seed, options));
         }
-    return 0;
+    auto const violated = dockrock::invariants::total();
+    if (violated > 0) std::cerr << violated << " violations of invariants\n";
+    return violated == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/tests/invariants_leader_test.cpp
@@ -0,0 +1,95 @@
+// What a leader tells, looked at once more: planted violations of its lease, its terms and its
+// copies are counted and held back. docs/consensus.md section 5.
+#include <catch2/catch.hpp>
+
+#include "consensus/answer_checks.hpp"
+#include "control/partition_watch.hpp"
+#include "invariant_guard.hpp"
+
+using namespace dockrock;
+using namespace dockrock::testing;
+
+namespace {
+
+constexpr auto now = 10 * one_second;
+auto const self = std::string("a");
+
+// A leader of term 2 with a committed copy that its follower reported, leased until a little later.
+auto leader() -> Partition {
+    Partition partition;
+    partition.votes.decided = Record{2, self, {"b"}, {"a", "b", "c", "d"}};
+    partition.follow(now);
+    partition.copy.sequence = partition.synced = partition.progress["b"].has = {2, 5};
+    partition.committed = partition.copy;
+    for (auto const* voter : {"a", "b"}) partition.grants[voter] = now - partition.times.lease_duration + 1;
+    return partition;
+}
+
+auto answer() -> CallDone { return {"origin", 1, 200, "text", "\"2.5\""}; }
+
+auto read_from(Partition const& partition, Microseconds at) -> int {
+    auto random = Random();
+    auto const context = Context{at, self, random, {}, {}, {}, {}, {}, {}};
+    return checked_read(partition, context, answer()).status;
+}
+
+}  // namespace
+
+TEST_CASE("planted: a read without grants that block every majority is held back", "[invariants]") {
+    CHECK(read_from(leader(), now) == 200);
+    auto alone = leader();
+    alone.grants.erase("b");
+    auto sick = leader();
+    sick.healthy = false;
+    auto follower = leader();
+    follower.votes.decided.leader = "b";
+    for (auto const* partition : {&alone, &sick, &follower}) {
+        auto const expected = ExpectedViolations{Invariant::read_under_lease};
+        CHECK(read_from(*partition, now) == 503);
+    }
+    auto const expected = ExpectedViolations{Invariant::read_under_lease};
+    CHECK(read_from(leader(), now + 1) == 503);
+}
+
+TEST_CASE("planted: an acknowledgement that a member has not synced is held back", "[invariants]") {
+    auto const told = [](Partition const& partition, Sequence const& covered) {
+        return checked_outcome(partition, covered, answer());
+    };
+    CHECK(told(leader(), {2, 5}).status == 200);
+    auto not_reported = leader();
+    not_reported.progress["b"].has = {2, 4};
+    CHECK(told(not_reported, {2, 4}).status == 200);
+    CHECK(told(not_reported, {1, 9}).status == 200);  // all members had it before the record was decided
+    auto not_synced = leader();
+    not_synced.synced = {2, 4};
+    auto not_committed = leader();
+    not_committed.committed->sequence = {2, 4};
+    auto sealed = leader();
+    sealed.votes.sealed = 2;
+    for (auto const* partition : {&not_reported, &not_synced, &not_committed, &sealed}) {
+        auto const expected = ExpectedViolations{Invariant::acknowledged_is_durable};
+        auto const done = told(*partition, {2, 5});
+        CHECK(done.status == 504);
+        CHECK(done.etag.empty());
+        CHECK(done.token == 1);
+    }
+    auto refusal = answer();
+    refusal.status = 412;
+    CHECK(checked_outcome(not_reported, {2, 5}, refusal).status == 412);
+}
+
+TEST_CASE("planted: a term that falls, and a lease beside a successor, are caught", "[invariants]") {
+    auto const partition = leader();
+    auto news = PartitionNews();
+    auto watch = PartitionWatch();
+    CHECK(watch.look(partition, news, self, now));
+    {
+        auto const expected = ExpectedViolations{Invariant::one_lease};
+        news.record = Record{3, "b", {"a"}, {"a", "b", "c", "d"}};
+        CHECK_FALSE(watch.look(partition, news, self, now));
+    }
+    CHECK(watch.other_holder_at == now);
+    auto const expected = ExpectedViolations{Invariant::one_lease};
+    news.record = Record();
+    CHECK_FALSE(watch.look(partition, news, self, now));
+}
--- a/tests/live/fleet.py
+++ b/tests/live/fleet.py
@@ -194,6 +194,11 @@
             if line and line[0] != "#"
         }
 
+    def running_nodes(self):
+        """Where each node that runs now tells its metrics."""
+        started = [name for name in self.names if name in self.processes]
+        return {name: self.http[name] for name in started if self.processes[name].running()}
+
     def start_caller(self, label, rate, seconds, seed=1, targets=None, kinds=None, tenants=None, extra=None):
         plan = {
             "targets": targets or [self.http[name] for name in self.edges],
--- a/tests/live/prove.py
+++ b/tests/live/prove.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import fleet as fleet_module
 import verdict
+from invariant_watch import InvariantWatch
 from records import summary, wall_domains
 from observe import describe
 from scenarios import SCENARIOS
@@ -22,6 +23,7 @@
         chosen["settings"] = {"resting": False}
     fleet = fleet_module.Fleet(options.deployment, folder, options.build, options.port, options=chosen)
     facts = {"nodes": len(fleet.names)}
+    watch = InvariantWatch(fleet.running_nodes).start()
     try:
         fleet.start()
         SCENARIOS[scenario](fleet, options, facts)
@@ -29,10 +31,12 @@
         describe(fleet)
         facts.setdefault("stuck", []).append(str(stuck))
     finally:
+        facts["violated"] = watch.stop()
+        facts["watched"] = len(watch.looked)
         facts["died"] = fleet.died()
         fleet.stop()
     once = {kind["name"] for kind in fleet.deployment["kinds"] if kind["run_once"]}
-    facts.setdefault("must_judge", MUST_JUDGE.get(scenario, [1, 3, 8]))
+    facts.setdefault("must_judge", MUST_JUDGE.get(scenario, [1, 3, 8]) + [13])
     facts.setdefault("wall_domains", wall_domains(fleet.configuration()))
     verdicts, records = verdict.judge(folder, once, facts)
     print("== %s, %s, seed %d" % (options.deployment, scenario, options.seed))
--- a/tests/live/verdict.py
+++ b/tests/live/verdict.py
@@ -116,14 +116,8 @@
         self.rule(6, "acknowledged configuration in force within 2 s, never back", slow, bool(times), seen)
 
     def read_back(self):
-        reads = self.facts.get("reads", 0)
-        self.rule(
-            7,
-            "losers and refused never in force; read-back",
-            self.facts.get("wrong_reads", []),
-            reads,
-            "%d reads" % reads,
-        )
+        reads, wrong = self.facts.get("reads", 0), self.facts.get("wrong_reads", [])
+        self.rule(7, "losers and refused never in force; read-back", wrong, reads, "%d reads" % reads)
 
     def walls(self):
         domains = self.facts.get("wall_domains", {})  # tenant name -> domain, worked out from the tree itself
@@ -221,6 +215,10 @@
             "%d of %d answered" % (answered, calls),
         )
 
+    def invariants(self):
+        bad, watched = self.facts.get("violated", []), self.facts.get("watched", 0)
+        self.rule(13, "no node met a violated invariant", bad, bool(watched), "%d nodes watched" % watched)
+
     def judge(self):
         for step in (
             self.run_once,
@@ -236,6 +234,7 @@
             self.extra_tries,
             self.holders,
             self.whole,
+            self.invariants,
         ):
             step()
         return self.verdicts
--- a/tests/live/verdict_test.py
+++ b/tests/live/verdict_test.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import verdict
+from invariant_watch import METRIC, counted
 from records import wall_domains
 
 SECOND = 1_000_000
@@ -57,6 +58,7 @@
         "wall_domains": domains,
         "revoked": [("gone", 0)],
         "back_after_loss": [5.0],
+        "watched": 13,
     }
     calls.append({"identity": "gone/x", "tenant": "gone", "kind": "review", "began": 9 * SECOND, "outcome": "refused"})
     return {"calls": calls, "replicas": replicas, "platform": platform, "facts": facts}
@@ -130,6 +132,7 @@
         ),
         set_fact("back_after_loss", [12.5]),
     ],
+    13: [set_fact("violated", ["n: one-lease 1"])],
     0: [set_fact("died", ["n"]), lambda world: [call.update(outcome="lost") for call in world["calls"]]],
 }
 
@@ -154,6 +157,8 @@
     failures += ["an empty run passes"] if empty[0] != verdict.BROKEN else []
     strict = judged({"calls": [], "replicas": {"r0": []}, "platform": [], "facts": {"must_judge": [4]}})
     failures += ["a rule that must be judged was not, and passed"] if strict[4] != verdict.BROKEN else []
+    told = "dockrock_ready 1\n" + METRIC + 'one-lease"} 2\n'
+    failures += ["a node's counts of violated invariants are misread"] if counted(told) != {"one-lease": 2} else []
     for item in failures:
         print(item)
     print(
--- a/tests/platform/day.py
+++ b/tests/platform/day.py
@@ -16,6 +16,7 @@
 from processes import Process, call, wait_until  # noqa: E402
 
 FRONT, READY, CONTROL, REPLICA = 8689, 8687, 8683, 8080
+PORTS = [7360, 7375]  # of a node's own; it tells its metrics at the last
 ZONES = ["north", "east", "south", "west"]
 BOUNDS = {
     "seedLagS": 3, "reuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchupS": 4, "drainMs": 3000, "graceS": 8,
@@ -99,7 +100,7 @@
         table = {
             "nodeName": name, "role": "keeper" if core else "door", "mclass": "core" if core else "edge",
             "serves": ["ctl"] if core else ["edge"], "ip": self.ips[name], "zone": ZONES[place % 4], "region": "home",
-            "portRange": [7360, 7375], "seeds": [self.address(seed, CONTROL) for seed in self.cores[:3]],
+            "portRange": PORTS, "seeds": [self.address(seed, CONTROL) for seed in self.cores[:3]],
             "bootstrap": name not in self.started_before, "counted": core, "discovery": "cloud", "entry": "vip",
             "beatMs": 1200, "contracts": PARTS,
         }  # fmt: skip
@@ -161,6 +162,11 @@
         counts = self.do("counts")[1]
         return not counts["sending"] and counts["open"] == 0
 
+    def running_nodes(self):
+        """Where each node that runs now tells its metrics."""
+        started = [name for name in self.cores + self.edges if name in self.processes]
+        return {name: self.address(name, PORTS[1]) for name in started if self.processes[name].running()}
+
     def died(self):
         names = self.cores + self.edges + ["platform"]
         started = [self.processes[name] for name in names if name in self.processes]
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -11,6 +11,7 @@
 import time
 
 from day import ROOT, Day
+from invariant_watch import InvariantWatch
 from day_requests import configuration
 from day_scenarios import ANY, MUST_JUDGE, SCENARIOS
 from day_scenarios_requests import MUST_JUDGE_REQUESTS, PLANTED, REQUESTS
@@ -27,14 +28,19 @@
     node = CARELESS + [fault] if planted else options.node
     day = Day(folder, options.build, options.net, options.edges, options.cores, node=node)
     began = time.monotonic()
+    watch = InvariantWatch(day.running_nodes).start()
     try:
         day.start(configuration(day, 1))
         SCENARIOS[scenario](day, options.seconds)
         day.settle()
+        violated = watch.stop()
+        day.expect("no node met a violated invariant", not violated, violated)
+        day.expect("nodes were watched for violated invariants", planted or watch.looked, len(watch.looked))
         broken = day.judge(ANY + MUST_JUDGE.get(name, []))
     except (TimeoutError, RuntimeError) as failure:
         broken = ["%s: %s" % (type(failure).__name__, failure)]
     finally:
+        watch.over.set()
         day.stop()
     if planted:
         missed = must_break - set(broken)
--- a/tests/request_wire_helpers.hpp
+++ b/tests/request_wire_helpers.hpp
@@ -90,7 +90,17 @@
         arrival.now = clock_now();
         return judge_relayed(rules, arrival);
     }
+    // What the node knows right before it writes: the replica is listed, and the proof is of now.
+    auto know(bool drain) -> void {
+        auto fresh = std::make_shared<Snapshot>();
+        fresh->rules = std::make_shared<Rules>();
+        fresh->list.replicas.push_back({"life-1", "", "s", "area", 4, 1'000});
+        fresh->list.replicas.back().drain = drain;
+        node->snapshot = fresh;
+        node->proven_at = clock_now();
+    }
     auto course_of(RelayVerdict const& verdict) -> Course {
+        know(false);
         auto course = Course();
         course.ticket = verdict.verdict.ticket;
         course.placement.replica = "life-1";
--- a/tests/request_wire_test.cpp
+++ b/tests/request_wire_test.cpp
@@ -232,3 +232,15 @@
         wire.session->end_watch();
     }
 }
+
+TEST_CASE("a replica that leaves while its connection is opened gets nothing, and another try may follow") {
+    auto wire = Wire(saying(answer_text("id-1", "whole")));
+    auto const verdict = wire.judged(false, false);
+    auto course = wire.course_of(verdict);
+    auto answer = RelayAnswer();
+    wire.know(true);
+    auto const result = wire.send(Wire::request("id-1", 4), course, answer, verdict);
+    CHECK(result.end == TryEnd::not_written);
+    CHECK(result.reason == "moved-on");
+    CHECK(course.ended(result.end, result.reason).step == Step::enter);
+}
--- a/tests/simulation/fleet.cpp
+++ b/tests/simulation/fleet.cpp
@@ -168,6 +168,13 @@
         if (replica->events.size() > 12) replica->events.erase(replica->events.begin(), replica->events.begin() + 6);
 }
 
+// As a node looks at it right before it writes.
+auto Fleet::check_ordered(std::size_t index, Order const& order) -> void {
+    auto order_seen = order_facts(world.nodes[index]->control, order.partition, order.fence, local(index));
+    order_seen.lease_age = 0;
+    invariants::check(order_seen);
+}
+
 // Some orders come very late: their sender may have lost its duty meanwhile,
 // and their receiver its memory of the fence.
 auto Fleet::send_orders(std::size_t index) -> void {
@@ -177,6 +184,7 @@
         auto const target = random.below(replicas.size());
         auto order = Order{replicas[target]->name, "", "w0", std::to_string(replicas[target]->life), 1, 0};
         order.fence = replicas[target]->fence;
+        check_ordered(index, order);
         later(link(), [this, target, order, holder = control.settings.control_address] {
             take_order(target, order, holder);
         });
@@ -184,6 +192,7 @@
     for (auto const& order : plane.orders.due(control, *plane.snapshot, plane.reports, local(index))) {
         if (!may_order(control, order, local(index))) continue;
         ++result.orders;
+        check_ordered(index, order);
         auto const target = static_cast<std::size_t>(std::strtoul(order.replica.c_str() + 1, nullptr, 10));
         auto const wait = random.below(10) == 0 ? static_cast<Microseconds>(random.below(6'000'000)) : link();
         later(wait, [this, target, order, holder = control.settings.control_address] {
--- a/tests/simulation/fleet.hpp
+++ b/tests/simulation/fleet.hpp
@@ -155,6 +155,9 @@
     auto decide(std::size_t index, Decisions const& decisions) -> void;
     auto facts(std::size_t index, std::string const& replica) -> CourseFacts;
     auto send(std::size_t index, std::uint64_t number) -> void;
+    auto check_refused(std::size_t index, int status) -> void;
+    auto check_sent(std::size_t index, Course const& course) -> void;
+    auto check_ordered(std::size_t index, Order const& order) -> void;
     auto ended(std::size_t index, std::uint64_t number, std::string const& replica, TryEnd end, std::string reason)
         -> void;
     auto finish(std::uint64_t number, std::string outcome) -> void;
--- a/tests/simulation/fleet_tickets.cpp
+++ b/tests/simulation/fleet_tickets.cpp
@@ -22,6 +22,7 @@
     askings.at(number).arrived = true;
     auto verdict = judge_ticket(index, number);
     askings.at(number).reason = verdict.reason;
+    if (verdict.kind != Verdict::Kind::enter && proof_age(index) <= proof_limit) check_refused(index, verdict.status);
     if (verdict.kind != Verdict::Kind::enter || plane.stopping) return finish(number, "shed");
     auto& run = plane.courses[number];
     run.course.ticket = std::move(verdict.ticket);
@@ -73,7 +74,10 @@
         }
         case Step::send: return send(index, number);
         case Step::answer_shed:
-        case Step::answer_refused: askings.at(number).reason = step.reason; return finish(number, "shed");
+        case Step::answer_refused:
+            if (step.step == Step::answer_refused) check_refused(index, step.status);
+            askings.at(number).reason = step.reason;
+            return finish(number, "shed");
         case Step::answer_unknown:
         case Step::answer_failure:
         case Step::answer_seen: return finish(number, "unknown");
@@ -124,6 +128,7 @@
 
 auto Fleet::send(std::size_t index, std::uint64_t number) -> void {
     auto const& course = planes[index].courses.at(number).course;
+    check_sent(index, course);
     if (course.try_number > 1) extra_try_times.push_back(world.now);
     auto const target = static_cast<std::size_t>(std::strtoul(course.placement.replica.c_str() + 1, nullptr, 10));
     later(
@@ -138,6 +143,20 @@
         });
 }
 
+auto Fleet::check_refused(std::size_t index, int status) -> void {
+    constexpr auto bound = 2 * one_second;
+    auto const age = world.nodes[index]->control.proof_age(configuration_partition, local(index));
+    invariants::check(invariants::RefusalFacts{status, age, bound});
+}
+
+// As a node looks at it right before it writes.
+auto Fleet::check_sent(std::size_t index, Course const& course) -> void {
+    auto const known = facts(index, course.placement.replica);
+    auto const age = world.nodes[index]->control.proof_age(configuration_partition, known.now);
+    invariants::check(invariants::SendFacts{age, known.proof_limit, known.listed, known.rules, course.rules});
+    invariants::check(invariants::RunOnceFacts{course.ticket.body.run_once, course.may_have_run});
+}
+
 auto Fleet::ended(std::size_t index, std::uint64_t number, std::string const& replica, TryEnd end, std::string reason)
     -> void {
     auto& plane = planes[index];
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -32,6 +32,7 @@
         now = std::max(now, event.at);
         event.work();
         ++events_run;
+        check_invariants();
         if (unchecked) check();
         unchecked = false;
     }
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -83,6 +83,7 @@
     Sequence highest_acknowledged;
     std::vector<std::string> violations;
     std::vector<std::string> trace;
+    std::uint64_t invariants_met = invariants::met_on_this_thread();  // violated so far, by the code's own checks
     bool unchecked = false;  // something happened to the control machines since the last check
     // what a fleet hangs on the control machines
     std::function<void(std::size_t)> when_started;
@@ -155,6 +156,7 @@
     auto take_disk_later(std::size_t index) -> void;
     auto index_of(std::string const& address) const -> std::size_t;
     auto check() -> void;
+    auto check_invariants() -> void;
     auto put_on_disk(SimulatedNode& node, SavedPartition const& saved) -> void;
     auto check_node(SimulatedNode& node) -> void;
     auto check_copies() -> void;
--- a/tests/simulation/world_checks.cpp
+++ b/tests/simulation/world_checks.cpp
@@ -176,6 +176,18 @@
     }
 }
 
+// What the code itself saw violated in the last event; each invariant once, to leave room for what follows of it.
+auto World::check_invariants() -> void {
+    auto const met = invariants::met_on_this_thread();
+    if (met == invariants_met) return;
+    invariants_met = met;
+    auto const& text = invariants::last_on_this_thread();
+    auto const name = "invariant " + text.substr(0, text.find(' '));
+    auto const told = std::any_of(
+        violations.begin(), violations.end(), [&](auto const& known) { return known.find(name) != std::string::npos; });
+    if (!told) violation("invariant " + text);
+}
+
 auto World::check_node(SimulatedNode& node) -> void {
     for (auto const& partition : node.control.partitions) {
         if (partition.votes.decided.term == 0) continue;
