--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -123,10 +123,10 @@
             burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
     if (!output.kept.empty()) take_feed(output.kept);
-    proven_at = control.news[configuration_partition].proven_at;
     losses_bearable.look(control, now);
     auto const first_heard = form != nullptr && weights_guard.heard != WeightsGuard::heard_by(control);
     if (output.news || first_heard) publish_snapshot();
+    proven_at = control.news[configuration_partition].proven_at;  // of what is in force now
 }
 
 auto Node::publish_snapshot() -> void {
@@ -134,6 +134,7 @@
     auto fresh = make_snapshot(control, *old, form == nullptr ? nullptr : &form->documents);
     if (fresh->rules != old->rules)
         write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
+    learn_versions(*fresh, *old);
     snapshot = fresh;
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
