--- a/tests/platform/careless_node.py
+++ b/tests/platform/careless_node.py
@@ -3,7 +3,9 @@
 It is there to show that the stand-ins find such a node out. Not product. Its argument names the fault:
 twice: a fifth of the requests go out once more; resend: again after a lost connection; promise: 503 after
 one; reuse: connections are kept and what comes next is taken for the answer; smuggle: the same, and the
-rest of a body isn't sent once an answer waits."""
+rest of a body isn't sent once an answer waits; stale: it looks for a newer configuration only now and then;
+forgets: changes are lost before the end; falls: it ends by itself; none: nothing more, though weights are
+never rolled out and races are all won."""
 
 import http.client
 import http.server
@@ -14,6 +16,7 @@
 import select
 import sys
 import threading
+import time
 import tomllib
 
 SETTINGS = tomllib.loads(pathlib.Path(os.environ["DOCKROCK_NODE_FILE"]).read_text())
@@ -21,6 +24,8 @@
 FAULT = sys.argv[1] if len(sys.argv) > 1 else "twice"
 KEPT, LOCK = {}, threading.Lock()  # idle connections by address
 HELD_BACK = 100  # bytes of a long body
+SEEN = {"at": 0.0, "text": ""}  # the configuration as last looked at
+LOOKED_EVERY, FALLS_AFTER, KEPT_VERSIONS = 8.0, 6.0, 3
 SINGLE = {"connection", "keep-alive", "transfer-encoding", "content-length"}
 
 
@@ -31,6 +36,22 @@
     return [entry["addr"] for entry in entries if entry["svc"] == service]
 
 
+def known():
+    """The configuration by which this process acts."""
+    if FAULT != "stale" or not SEEN["text"] or time.monotonic() - SEEN["at"] > LOOKED_EVERY:
+        SEEN.update(at=time.monotonic(), text=SHARED.read_text())
+    return SEEN["text"]
+
+
+def take(body):
+    """One file for all; a forgetful fleet keeps its first versions only."""
+    forgotten = FAULT == "forgets" and SHARED.exists() and json.loads(SHARED.read_text())["ver"] > KEPT_VERSIONS
+    if not forgotten:
+        fresh = SHARED.with_suffix(".%d-%d" % (os.getpid(), threading.get_ident()))
+        fresh.write_bytes(body)
+        os.replace(fresh, SHARED)
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
@@ -61,10 +82,12 @@
             return self.reply(200 if SHARED.exists() else 503)
         if self.path == "/-/config":
             if self.command == "GET":
-                return self.reply(200 if SHARED.exists() else 404, SHARED.read_bytes() if SHARED.exists() else b"{}")
-            SHARED.write_bytes(body)
+                return self.reply(200 if SHARED.exists() else 404, known().encode() if SHARED.exists() else b"{}")
+            take(body)
+            return self.reply(200)
+        if self.path == "/-/version-put":
             return self.reply(200)
-        configuration = json.loads(SHARED.read_text())
+        configuration = json.loads(known())
         routes = configuration["routes"]
         found = [route for route in routes if self.path.startswith(route["pfx"])]
         if not found:
@@ -116,3 +139,5 @@
     servers.append(threading.Thread(target=server.serve_forever))
 for thread in servers:
     thread.start()
+if FAULT == "falls" and SETTINGS["role"] == "door":
+    threading.Timer(FALLS_AFTER * (1 + random.random()), os._exit, (3,)).start()
--- a/tests/platform/day.py
+++ b/tests/platform/day.py
@@ -117,13 +117,15 @@
         table["cloud"] = {"addr": self.list, "perS": 47.0, "duties": [], "lagMs": self.lag}
         return table
 
+    def environment(self, name, path):
+        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        return {**environment, "DOCKROCK_NODE_FILE": str(path)}
+
     def start_node(self, name):
         path = self.folder / (name + ".toml")
         path.write_text(toml(self.settings(name)))
         self.started_before.add(name)
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
-        environment["DOCKROCK_NODE_FILE"] = str(path)
-        self.processes[name] = Process(name, self.node, self.folder, environment)
+        self.processes[name] = Process(name, self.node, self.folder, self.environment(name, path))
         self.processes[name].start()
         if name in self.edges:
             self.do("started", front=self.address(name, FRONT))
--- a/tests/platform/stand_ins/client.cpp
+++ b/tests/platform/stand_ins/client.cpp
@@ -54,13 +54,14 @@
 
 auto note_sent(
     Clients& clients, Requesting const& requesting, std::string const& identity, std::string const& node,
-    Call const& call) -> void {
+    Call const& call, bool kept) -> void {
     auto const& kind = requesting.kind;
     auto sent = Sent{identity, now(), node, kind.method, kind.host, kind.path, requesting.key, digest_of(call.body)};
     sent.repeatable = is_repeatable(kind);
     sent.stream = kind.type == "stream";
     sent.resume = kind.resume;
     sent.last_event = requesting.last_event;
+    sent.kept = kept;
     clients.record.sent.push_back(sent);
 }
 
@@ -76,6 +77,7 @@
     answer.complete = reply.failure == Failure::none && reply.status > 0;
     answer.malformed = reply.failure == Failure::malformed;
     answer.extra = reply.extra;
+    answer.closed = reply.failure == Failure::cut;
     clients.record.answers.push_back(std::move(answer));
 }
 
@@ -86,8 +88,8 @@
     return std::clamp<Milliseconds>(wish, 1, left / 3 + 1);
 }
 
-auto one_try(Clients& clients, Requesting const& requesting, Milliseconds until, bool fresh) -> awaitable<Reply> {
-    auto const node = clients.entry->choose(clients.random);
+auto one_try(Clients& clients, Requesting const& requesting, std::string node, Milliseconds until, bool fresh)
+    -> awaitable<Reply> {
     auto line = fresh ? nullptr : take_line(clients, node);
     auto const reused = line != nullptr;
     if (!line) line = co_await open_line(node, std::min(connect_limit, std::max<Milliseconds>(1, until - now())));
@@ -97,7 +99,7 @@
     auto const identity = hex_of(clients.random());
     auto const call =
         call_of(requesting, identity, std::max<Milliseconds>(1, until - now()), chance(clients.random, 0.3));
-    note_sent(clients, requesting, identity, node, call);
+    note_sent(clients, requesting, identity, node, call, reused);
     auto const& kind = requesting.kind;
     auto const silence = kind.type == "stream" ? std::max({least_silence, 4 * kind.target, 8 * kind.gap}) : until;
     reply = co_await exchange(line, call, kind.host, until, silence);
@@ -149,8 +151,12 @@
     auto place = std::uniform_real_distribution<double>(0.0, total)(random);
     auto chosen = std::size_t{0};
     while (chosen + 1 < clients.kinds.size() && (place -= clients.kinds[chosen].weight) > 0.0) ++chosen;
-    auto requesting = Requesting{clients.kinds[chosen], "", "", "", 0};
-    auto const& kind = requesting.kind;
+    return draw_request_of(clients, clients.kinds[chosen]);
+}
+
+auto draw_request_of(Clients& clients, Kind const& kind) -> Requesting {
+    auto& random = clients.random;
+    auto requesting = Requesting{kind, "", "", "", 0};
     auto const& keys = kind.keys.empty() ? clients.keys : kind.keys;
     if (!keys.empty()) requesting.key = keys[static_cast<std::size_t>(random() % keys.size())];
     auto const subject =
@@ -168,7 +174,8 @@
     auto const until = begun + requesting.kind.deadline;
     auto outcome = std::string("failed");
     for (auto attempt = 0; attempt < most_tries && now() < until; ++attempt) {
-        auto const reply = co_await one_try(clients, requesting, until, attempt > 0);
+        auto const reply =
+            co_await one_try(clients, requesting, clients.entry->choose(clients.random), until, attempt > 0);
         if (reply.first > 0 && attempt == 0) clients.first_pieces.push_back(reply.first - begun);
         if (reply.failure == Failure::none && reply.status / 100 == 2) co_return "served";
         if (holds(promises, reply.status)) outcome = "refused";
@@ -181,6 +188,11 @@
     co_return outcome;
 }
 
+auto probe(Clients& clients, Requesting requesting, std::string node) -> awaitable<std::int64_t> {
+    auto const reply = co_await one_try(clients, requesting, node, now() + requesting.kind.deadline, false);
+    co_return reply.failure == Failure::none ? reply.status : 0;
+}
+
 auto send_traffic(Clients& clients) -> awaitable<void> {
     auto const executor = co_await asio::this_coro::executor;
     auto due = static_cast<double>(now());
--- a/tests/platform/stand_ins/client.hpp
+++ b/tests/platform/stand_ins/client.hpp
@@ -51,9 +51,12 @@
     std::int64_t last_event = 0;
 };
 auto draw_request(Clients& clients) -> Requesting;
+auto draw_request_of(Clients& clients, Kind const& kind) -> Requesting;
 auto is_repeatable(Kind const& kind) -> bool;
 auto may_try_again(Kind const& kind, Reply const& reply) -> bool;
 auto ask(Clients& clients, Requesting requesting) -> awaitable<std::string>;  // how it ended
+// One try at one node, on a kept connection where there is one; its status, 0 without an answer.
+auto probe(Clients& clients, Requesting requesting, std::string node) -> awaitable<std::int64_t>;
 auto send_traffic(Clients& clients) -> awaitable<void>;
 
 }  // namespace dockrock::platform_stand_in
--- a/tests/platform/stand_ins/judge.hpp
+++ b/tests/platform/stand_ins/judge.hpp
@@ -45,15 +45,23 @@
         if (!kept) of(rule).broken.push_back(what);
     }
     auto calm(Milliseconds from, Milliseconds to) const -> bool;  // no trouble from `contact` before
+    auto in_touch(std::string const& node, Milliseconds from, Milliseconds to) const -> bool;
+    // Until when a node may act by an older configuration; nothing: it is bound by no time.
+    auto apply_bound(std::string const& node, Milliseconds from, Milliseconds to) const -> std::optional<Milliseconds>;
+    auto smooth_since(Milliseconds at) const -> std::optional<Milliseconds>;  // nothing: it is rough
 };
 
 auto judge_answers(Court& court) -> void;        // MIXED, ORDER, REFUSED
 auto judge_runs(Court& court) -> void;           // UNASKED, TWICE, WALL, STALE, VERSION
 auto judge_configuration(Court& court) -> void;  // ROUTE, CONFIG, LOST
 auto judge_going_back(Court& court) -> void;     // CONFIG: a node that returns to an older one
+auto judge_glances(Court& court) -> void;        // CONFIG: what any node shows at any time
+auto judge_repeated(Court& court) -> void;       // CONFIG: a change that was taken, sent again
+auto judge_kept(Court& court) -> void;           // LOST: kept connections closed without an answer
 auto judge_fleet(Court& court) -> void;          // DRAIN, BUDGET, ONE
 auto judge(Record const& record, Bounds const& bounds) -> Verdicts;
 auto state_of(Verdict const& verdict) -> std::string_view;  // held, BROKEN, not judged
-auto write_verdicts(Verdicts const& verdicts) -> json::array;
+constexpr auto first_words = std::int64_t{5};               // of what broke a rule, told in its verdict
+auto write_verdicts(Verdicts const& verdicts, std::int64_t most = first_words) -> json::array;
 
 }  // namespace dockrock::platform_stand_in
--- a/tests/platform/stand_ins/judge_configuration.cpp
+++ b/tests/platform/stand_ins/judge_configuration.cpp
@@ -43,8 +43,9 @@
         court.judge(
             Rule::config, any(in_force(court, sent.at, run.at, court.bounds.revoke), by_key),
             run.name + ": ran with a revoked key");
-    if (!court.calm(sent.at, run.at)) return;
-    auto const applied = in_force(court, sent.at, run.at, court.bounds.apply);
+    auto const bound = court.apply_bound(sent.node, sent.at, run.at);
+    if (!bound) return;
+    auto const applied = in_force(court, sent.at, run.at, *bound);
     court.judge(
         Rule::config, any(applied, by_service) && any(applied, by_key),
         run.name + ": only an older configuration allows " + sent.target + " at " + run.service);
@@ -52,8 +53,9 @@
 
 auto judge_denied(Court& court, Answer const& answer, Sent const& sent) -> void {
     if (answer.status != 401 && answer.status != 403 && answer.status != 404) return;
-    if (!court.calm(sent.at, answer.at)) return;
-    auto const list = in_force(court, sent.at, answer.at, court.bounds.apply);
+    auto const bound = court.apply_bound(sent.node, sent.at, answer.at);
+    if (!bound) return;
+    auto const list = in_force(court, sent.at, answer.at, *bound);
     auto const allows = [&](Configuration const* item) {
         return route_of(*item, sent.host, sent.target) != nullptr &&
             allows_key(*item, sent.host, sent.target, sent.key);
@@ -107,6 +109,7 @@
     struct Shown {
         Milliseconds at = 0;
         std::int64_t version = 0;
+        Milliseconds born = 0;  // the life that took the request
     };
     auto runs = std::vector<Run const*>();
     for (auto const& run : court.record.runs)
@@ -126,14 +129,15 @@
         }
         auto born = Milliseconds{0};
         for (auto const& start : court.record.starts)
-            if (start.node == sent.node && start.at <= run->at) born = std::max(born, start.at);
+            if (start.node == sent.node && start.at <= sent.at) born = std::max(born, start.at);
         for (auto const& before : shown[sent.node])
-            if (newest > 0 && before.at >= born && sent.at > before.at + court.bounds.revert)
+            if (newest > 0 && before.born == born && sent.at > before.at + court.bounds.revert)
                 court.judge(
                     Rule::config, newest >= before.version,
                     sent.node + " went back from " + std::to_string(before.version) + " to " + std::to_string(newest));
-        if (oldest > 0 && (shown[sent.node].empty() || shown[sent.node].back().version < oldest))
-            shown[sent.node].push_back({run->at, oldest});
+        auto const& last = shown[sent.node];
+        if (oldest > 0 && (last.empty() || last.back().version < oldest || last.back().born != born))
+            shown[sent.node].push_back({run->at, oldest, born});
     }
 }
 
--- a/tests/platform/stand_ins/judge_fleet.cpp
+++ b/tests/platform/stand_ins/judge_fleet.cpp
@@ -6,8 +6,6 @@
 namespace dockrock::platform_stand_in {
 
 namespace {
-constexpr auto first_words = std::size_t{5};  // of what broke a rule, told in its verdict
-
 // Judged by each arrival at a leaving replica, and once for each such replica
 // by the requests that were sent after the bound and came elsewhere.
 auto judge_leaving(Court& court) -> void {
@@ -19,7 +17,9 @@
         for (auto const& arrival : court.record.arrivals) {
             if (arrival.replica != leaving.replica || arrival.at <= leaving.shown) continue;
             auto const late = arrival.at > leaving.shown + court.bounds.drain && arrival.status != 421;
-            if (late && !court.calm(leaving.shown, arrival.at)) continue;
+            auto const sent = court.sent.find(arrival.identity);
+            auto const node = sent == court.sent.end() ? std::string() : sent->second->node;
+            if (late && !court.in_touch(node, leaving.shown, arrival.at)) continue;
             court.judge(
                 Rule::drain, !late,
                 arrival.identity + " at " + leaving.replica + " after " + std::to_string(arrival.at - leaving.shown) +
@@ -76,9 +76,12 @@
         if (order.status != 200 && order.status != 202) continue;
         court.judge(Rule::one, order.fence >= taken.highest, order.replica + ": a lower fence was taken");
         auto const turns = !taken.holder.empty() && taken.holder != order.holder;
-        court.judge(
-            Rule::one, !turns || order.at - taken.at > court.bounds.lease,
-            order.replica + ": holders take turns within the lease");
+        auto const since = court.smooth_since(order.at);
+        if (turns && (!since || *since > taken.at)) court.judge(Rule::one, true, order.replica);  // not in touch
+        else
+            court.judge(
+                Rule::one, !turns || order.at - taken.at > court.bounds.lease,
+                order.replica + ": holders take turns within the lease");
         taken.highest = std::max(taken.highest, order.fence);
         taken.holder = order.holder;
         taken.at = order.at;
@@ -86,12 +89,6 @@
 }
 }  // namespace
 
-auto Court::calm(Milliseconds from, Milliseconds to) const -> bool {
-    return std::none_of(record.troubles.begin(), record.troubles.end(), [&](Span const& trouble) {
-        return trouble.from <= to && trouble.to + bounds.contact >= from;
-    });
-}
-
 auto judge_fleet(Court& court) -> void {
     judge_leaving(court);
     auto services = std::set<std::string>();
@@ -111,6 +108,9 @@
     judge_runs(court);
     judge_configuration(court);
     judge_going_back(court);
+    judge_glances(court);
+    judge_repeated(court);
+    judge_kept(court);
     judge_fleet(court);
     return court.verdicts;
 }
@@ -120,7 +120,7 @@
     return verdict.judged > 0 ? "held" : "not judged";
 }
 
-auto write_verdicts(Verdicts const& verdicts) -> json::array {
+auto write_verdicts(Verdicts const& verdicts, std::int64_t most) -> json::array {
     auto lines = json::array();
     for (auto place = std::size_t{0}; place < verdicts.size(); ++place) {
         auto const& verdict = verdicts[place];
@@ -131,7 +131,7 @@
         line["broken"] = verdict.broken.size();
         auto told = json::array();
         for (auto const& what : verdict.broken)
-            if (told.size() < first_words) told.push_back(json::value(what));
+            if (static_cast<std::int64_t>(told.size()) < most) told.push_back(json::value(what));
         line["first"] = told;
         lines.push_back(line);
     }
--- a/tests/platform/stand_ins/judge_runs.cpp
+++ b/tests/platform/stand_ins/judge_runs.cpp
@@ -52,13 +52,17 @@
     }
 }
 
-auto judge_version(Court& court, Run const& run) -> void {
+// The time counts within one stretch without trouble in the core or on a link.
+auto judge_version(Court& court, Run const& run, Sent const& sent) -> void {
+    auto const since = court.smooth_since(run.at);
+    if (!since || !court.in_touch(sent.node, sent.at, run.at)) return;
     for (auto const& named : court.record.versions) {
-        if (named.model != run.model || named.acknowledged + court.bounds.version >= run.at) continue;
-        if (!court.calm(named.acknowledged, run.at)) continue;
+        auto const began = std::max(named.acknowledged, *since);
+        if (named.model != run.model || began + court.bounds.version >= run.at) continue;
         court.judge(
             Rule::version, run.version >= named.version,
-            run.name + ": begun on " + std::to_string(run.version) + ", named " + std::to_string(named.version));
+            run.identity + ": begun on " + std::to_string(run.version) + ", named " + std::to_string(named.version) +
+                ", " + std::to_string(run.at - began) + " ms after");
     }
 }
 
@@ -77,9 +81,10 @@
 auto judge_runs(Court& court) -> void {
     judge_early(court);
     for (auto const& run : court.record.runs) {
-        if (auto const* sent = judge_asked(court, run); sent != nullptr) judge_tenant(court, run, *sent);
+        auto const* sent = judge_asked(court, run);
+        if (sent != nullptr) judge_tenant(court, run, *sent);
+        if (sent != nullptr) judge_version(court, run, *sent);
         judge_memory(court, run);
-        judge_version(court, run);
     }
 }
 
--- a/tests/platform/stand_ins/operator.cpp
+++ b/tests/platform/stand_ins/operator.cpp
@@ -10,6 +10,7 @@
 struct Clear {
     Reply reply;
     bool unclear_before = false;  // an earlier send may have been taken
+    Milliseconds taken = 0;       // when a node first said so; that answer may have been lost
     Milliseconds took = 0;
 };
 
@@ -33,7 +34,13 @@
         auto const extra = static_cast<Milliseconds>(call.body.size() / 200);  // a large body takes longer
         clear.reply = co_await call_once(node, call, caller.options.silence + extra);
         clear.took = now() - begun;
-        auto const status = clear.reply.status;
+        auto status = clear.reply.status;
+        if (chance(caller.random, caller.options.lost) && clear.reply.failure != Failure::not_connected) {
+            if (clear.reply.failure == Failure::none && status / 100 == 2 && clear.taken == 0) clear.taken = now();
+            clear.reply = Reply();
+            clear.reply.failure = Failure::silent;
+            status = 0;
+        }
         auto const whole = clear.reply.failure == Failure::none;
         if (whole && (status / 100 == 2 || ends_call(status))) co_return clear;
         if (whole && status / 100 == 4 && status != 408 && status != 429 && ++refused >= other_refusals)
@@ -53,6 +60,15 @@
             return patched(change.document, asked.document);
     return patched({}, asked.document);
 }
+auto change_call(Asked const& asked) -> Call {
+    auto call = Call();
+    call.method = asked.whole ? http::verb::put : http::verb::patch;
+    call.target = "/-/config";
+    call.headers.emplace_back("If-Match", std::to_string(asked.base));
+    call.headers.emplace_back("Content-Type", "application/json");
+    call.body = json::serialize(asked.document);
+    return call;
+}
 }  // namespace
 
 auto send_change(Operator& caller, Asked asked) -> awaitable<Settled> {
@@ -62,16 +78,16 @@
     change.base = asked.base;
     change.valid = asked.valid;
     change.sent = now();
-    auto call = Call();
-    call.method = asked.whole ? http::verb::put : http::verb::patch;
-    call.target = "/-/config";
-    call.headers.emplace_back("If-Match", std::to_string(asked.base));
-    call.headers.emplace_back("Content-Type", "application/json");
-    call.body = json::serialize(asked.document);
+    auto const call = change_call(asked);
     auto const clear = co_await send_until_clear(caller, call);
     auto const status = clear.reply.status;
     change.answered = now();
-    if (status / 100 == 2) change.outcome = Outcome::acknowledged;
+    if (clear.taken > 0)
+        caller.record.repeated.push_back({change.configuration.version, status, clear.taken, change.answered});
+    if (status / 100 == 2) {
+        change.outcome = Outcome::acknowledged;
+        caller.newest = asked;
+    }
     // Refused after a send without a clear answer, a valid change may have been taken by that send.
     if (status / 100 == 4 && !(clear.unclear_before && asked.valid)) change.outcome = Outcome::refused;
     if (!asked.valid && change.outcome == Outcome::unclear) change.outcome = Outcome::refused;  // never in force
@@ -92,6 +108,25 @@
     co_return Settled{clear.reply.status, clear.took};
 }
 
+auto send_again(Operator& caller) -> awaitable<Settled> {
+    auto const asked = caller.newest;
+    auto const sent = now();
+    auto const clear = co_await send_until_clear(caller, change_call(asked));
+    caller.record.repeated.push_back({number_of(asked.document, "ver"), clear.reply.status, sent, now()});
+    co_return Settled{clear.reply.status, clear.took};
+}
+
+auto glance(Operator& caller, std::string node) -> awaitable<std::int64_t> {
+    auto call = Call();
+    call.target = "/-/config";
+    auto const sent = now();
+    auto const reply = co_await call_once(node, call, caller.options.silence);
+    auto seen = Glance{node, sent, now(), reply.failure == Failure::none ? reply.status : 0, {}};
+    if (seen.status == 200) seen.document = read_object(reply.body);
+    caller.record.glances.push_back(seen);
+    co_return seen.status;
+}
+
 auto read_back(Operator& caller, Milliseconds limit) -> awaitable<std::optional<json::object>> {
     auto const until = now() + limit;
     auto found = std::optional<json::object>();
--- a/tests/platform/stand_ins/platform.cpp
+++ b/tests/platform/stand_ins/platform.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 constexpr auto far_future = Milliseconds{1} << 60U;
-using Steer = awaitable<Answered> (*)(Platform&, json::object);
 
 auto chosen(Platform& platform, json::object const& call) -> std::vector<ReplicaPointer> {
     auto found = std::vector<ReplicaPointer>();
@@ -187,9 +186,9 @@
     platform.record.starts.push_back({text_of(call, "front"), now()});
     co_return Answered{200, {}};
 }
-auto do_verdicts(Platform& platform, json::object) -> awaitable<Answered> {
+auto do_verdicts(Platform& platform, json::object call) -> awaitable<Answered> {
     auto object = json::object();
-    object["rules"] = write_verdicts(judge(platform.record, platform.bounds));
+    object["rules"] = write_verdicts(judge(platform.record, platform.bounds), number_of(call, "most", first_words));
     co_return Answered{200, object};
 }
 
@@ -233,6 +232,7 @@
     if (name == "verdicts") co_return co_await do_verdicts(platform, std::move(call));
     for (auto const& [known, steer] : steers)
         if (known == name) co_return co_await steer(platform, std::move(call));
+    if (auto const steer = soak_steer(name); steer != nullptr) co_return co_await steer(platform, std::move(call));
     co_return Answered{404, {}};
 }
 
--- a/tests/platform/stand_ins/platform.hpp
+++ b/tests/platform/stand_ins/platform.hpp
@@ -24,6 +24,8 @@
 using Answered = std::pair<std::int64_t, json::object>;
 
 auto add_replica(Platform& platform, json::object const& options) -> ReplicaPointer;
+using Steer = awaitable<Answered> (*)(Platform&, json::object);
+auto soak_steer(std::string_view name) -> Steer;  // nothing: no such name
 // One control call: {"do": NAME, ...}. The names are those of the table in platform.cpp.
 auto control(Platform& platform, json::object call) -> awaitable<Answered>;
 auto control_names() -> std::vector<std::string_view>;
--- a/tests/platform/stand_ins/record.hpp
+++ b/tests/platform/stand_ins/record.hpp
@@ -13,6 +13,7 @@
     std::uint64_t body = 0;  // digest
     bool repeatable = false, stream = false, resume = false;
     std::int64_t last_event = 0;
+    bool kept = false;  // on a connection that had served before
 };
 struct Answer {
     std::string identity;
@@ -22,6 +23,7 @@
     bool complete = false;   // it looked so to the client
     bool malformed = false;  // bytes that are no answer
     bool extra = false;      // bytes after the answer, or an answer while none was due
+    bool closed = false;     // the connection ended where an answer was due
 };
 struct UsedPart {  // kept memory that a run built on
     std::string tenant;
@@ -74,9 +76,27 @@
     Milliseconds at = 0;
     std::optional<json::object> document;  // nothing: it did not come
 };
+struct Glance {  // at the configuration, through one node
+    std::string node;
+    Milliseconds sent = 0, at = 0;
+    std::int64_t status = 0;
+    std::optional<json::object> document;
+};
+struct Repeated {  // a change that a node had taken, sent again as it was
+    std::int64_t version = 0, status = 0;
+    Milliseconds sent = 0, at = 0;
+};
+struct Ended {  // a replica
+    std::string replica;
+    Milliseconds at = 0;
+};
 struct Span {
     Milliseconds from = 0, to = 0;
 };
+struct NodeSpan {
+    std::string node;  // "*": every one
+    Milliseconds from = 0, to = 0;
+};
 struct Start {  // of a node's process
     std::string node;
     Milliseconds at = 0;
@@ -95,11 +115,18 @@
     std::vector<ReadBack> reads;
     std::vector<Span> troubles;  // an open one ends in the far future
     std::vector<Start> starts;
+    std::vector<Glance> glances;
+    std::vector<Repeated> repeated;
+    std::vector<Ended> ended;
+    // Told by whoever made the troubles, with the time that each needs to be over.
+    std::vector<NodeSpan> away;   // not in touch
+    std::vector<NodeSpan> apart;  // not even with an unsettled core left out of account
+    std::vector<Span> rough;      // the core unsettled, or a link in trouble
 };
 
 struct Bounds {
     Milliseconds contact = 3000, drain = 3000, apply = 2000, revert = 250, revoke = 5000, lease = 3000,
-                 version = 15'000;
+                 version = 15'000, skew = 5000;
     Milliseconds retry_window = 10'000;
     double retry_ratio = 0.2, retry_slack = 58.0;
     bool revoked = true, fenced = true;
@@ -107,7 +134,7 @@
 constexpr auto bound_fields = std::tuple(
     field("contactMs", &Bounds::contact), field("drainMs", &Bounds::drain), field("applyMs", &Bounds::apply),
     field("revertMs", &Bounds::revert), field("revokeMs", &Bounds::revoke), field("leaseMs", &Bounds::lease),
-    field("verMs", &Bounds::version), field("retryWindowMs", &Bounds::retry_window),
+    field("verMs", &Bounds::version), field("skewMs", &Bounds::skew), field("retryWindowMs", &Bounds::retry_window),
     field("retryRatio", &Bounds::retry_ratio), field("retrySlack", &Bounds::retry_slack),
     field("revoked", &Bounds::revoked), field("fenced", &Bounds::fenced));
 
--- a/tests/platform/stand_ins/replica.cpp
+++ b/tests/platform/stand_ins/replica.cpp
@@ -168,6 +168,7 @@
 
 auto Replica::end() -> void {
     alive = false;
+    around.record.ended.push_back({id, now()});
     boost::system::error_code ignored;
     if (acceptor) acceptor->close(ignored);
     for (auto const& connection : std::set<ConnectionPointer>(connections)) reset(connection);
--- a/tests/platform/stand_ins/replica.hpp
+++ b/tests/platform/stand_ins/replica.hpp
@@ -44,6 +44,8 @@
     double forget = 0.0;        // a rested connection is forgotten: what comes on it is reset
     Milliseconds rested = 400;  // how long a connection has been idle to be forgotten
     double slow = 1.0;          // times as long
+    double lost_orders = 0.0;   // taken, and no answer comes
+    double late_orders = 0.0;   // taken, and the answer comes late
     bool silent = false, unwell = false, no_events = false;
 };
 constexpr auto fault_fields = std::tuple(
@@ -51,6 +53,7 @@
     field("extra", &Faults::extra), field("late", &Faults::late), field("fail", &Faults::fail),
     field("closing", &Faults::closing), field("early", &Faults::early), field("unframed", &Faults::unframed),
     field("forget", &Faults::forget), field("restedMs", &Faults::rested), field("slow", &Faults::slow),
+    field("lostOrders", &Faults::lost_orders), field("lateOrders", &Faults::late_orders),
     field("silent", &Faults::silent), field("unwell", &Faults::unwell), field("noEvents", &Faults::no_events));
 
 struct Replica;
--- a/tests/platform/stand_ins/replica_control.cpp
+++ b/tests/platform/stand_ins/replica_control.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 constexpr auto known_modes = std::array<std::string_view, 3>{"queue", "shed", "retain"};
-constexpr auto longest_hold = Milliseconds{1000}, look_every = Milliseconds{10};
+constexpr auto longest_hold = Milliseconds{1000}, look_every = Milliseconds{10}, late_order = Milliseconds{2500};
 
 auto change_version(ReplicaPointer replica, std::int64_t version, std::string mode) -> awaitable<void> {
     if (mode == "shed") ++replica->sheds;
@@ -60,6 +60,8 @@
         auto loading = change_version(replica, number_of(order, "ver"), text_of(order, "mode"));
         asio::co_spawn(executor, std::move(loading), asio::detached);
     }
+    if (replica->hit(replica->faults.lost_orders)) co_return false;
+    if (replica->hit(replica->faults.late_orders)) co_await pause(late_order);
     co_return co_await send_json(replica, connection, status, json::object());
 }
 
