--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,6 +15,8 @@
 python3 scripts/tidy.py
 python3 tests/live/verdict_test.py
 python3 tests/days/days_test.py
+python3 tests/soak/soak_test.py
+python3 tests/soak/links_test.py "$build"
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
 touch "$results/passed" "$results/failed"
@@ -78,6 +80,22 @@
   day $scenario $net
   net=$((net + 1))
 done
+soak() {  # name, then what the soak is told: docs/soak.md
+  while [ "$(jobs -rp | wc -l)" -ge "$at_once" ]; do wait -n || true; done
+  (
+    if python3 tests/soak/soak.py --build "$build" "${@:2}" > "$results/soak-$1" 2>&1; then
+      echo "soak-$1" >> "$results/passed"
+    else
+      echo "soak-$1" >> "$results/failed"
+    fi
+    cat "$results/soak-$1"
+  ) &
+}
+soak core --shape core --seed 3 --seconds 25
+soak configuration --shape configuration --seed 2 --seconds 25
+soak mixed --shape mixed --seed 1 --seconds 25
+soak planted-stale --planted stale --seed 2 --seconds 25
+soak planted-falls --planted falls --seed 1 --seconds 12
 wait
 # Faults that are known and not mended yet: KNOWN-RED.txt, a line each: test, cause, issue.
 known=0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,7 +18,8 @@
 from run import Run
 from soak_verdict import STORIES, broken_rules
 
-NETS, FIRST_NET = 100, 140  # third parts of the loopback addresses, apart from those of other live tests
+# Third parts of the loopback addresses, apart from those of other live tests and of the other shapes.
+NETS, FIRST_NET = 25, 140
 LIVE_STATES = {"held": "kept", "BROKEN": "BROKEN", "not judged": "not exercised"}
 
 
@@ -102,7 +103,8 @@
         return 2
     broken, net = {}, options.net
     for seed in range(int(first), int(last or first) + 1):
-        options.net = FIRST_NET + seed % NETS if net is None else net
+        shape = sorted(SHAPES).index(options.shape)
+        options.net = FIRST_NET + NETS * shape + seed % NETS if net is None else net
         if found := soak(options, seed):
             broken[seed] = found
     for seed, rules in broken.items():
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -33,7 +33,7 @@
         self.ledger, self.busy, self.busy_lock = Ledger(), set(), threading.Lock()
         self.moved_seeds, self.own_ends, self.lives = {}, [], {name: 0 for name in self.ips}
         self.knows_patches = node is None  # the careless node takes whole documents only
-        self.violations, self.restarting, self.began = {}, threading.Lock(), clock()
+        self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
 
     def replica_options(self, place, **more):
         slow = {"slots": 4, "queue": 8, "stepMs": 40, "loadMs": 500} if more.get("model") != "" else {}
@@ -47,6 +47,11 @@
             "DOCKROCK_LINKS_IP": self.ips[name],
         }  # fmt: skip
 
+    def start_stand_in(self):
+        super().start_stand_in()
+        if not self.processes["platform"].running():
+            raise RuntimeError("the addresses of net %d are taken by another run" % self.net)
+
     def disk_file(self, name):
         return self.folder / (name + ".faults")
 
@@ -57,8 +62,16 @@
         return table
 
     def start_node(self, name):
-        self.lives[name] += 1
-        super().start_node(name)
+        with self.starting:
+            if self.closed:
+                return
+            self.lives[name] += 1
+            super().start_node(name)
+
+    def stop(self):
+        with self.starting:
+            self.closed = True
+        super().stop()
 
     def traffic(self, rate, seconds=600):
         self.do("traffic", kinds=kinds(), keys=KEYS, rate=rate, forMs=int(1000 * seconds))
--- /dev/null
+++ b/tests/soak/soak_test.py
@@ -0,0 +1,144 @@
+"""The soak's own parts under test: courses, who is in touch, links that hang, verdict lines, planted faults."""
+
+import json
+import pathlib
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from course import HARMS_CORE, HEAVY, SHAPES, draw
+from links import Links, both_ways, one_way
+from planted import PLANTED, found_out
+from soak_verdict import broken_rules, invariants, own_ends, recovery
+from touch import FOREVER, Ledger, harmed_cores, majority_gone, spans
+from troubles import Troubles
+
+CORES, EDGES, CONTACT = ["c1", "c2", "c3", "c4"], ["e1", "e2"], 3000
+SEEDS = range(60)
+
+
+def harm(start, end, nodes=(), pairs=(), lossy=False):
+    return {"kind": "x", "nodes": list(nodes), "pairs": list(pairs), "lossy": lossy, "from": start, "to": end}
+
+
+def told(*harms):
+    return spans(list(harms), CORES, EDGES, CONTACT)
+
+
+def courses_repeat_and_overlap():
+    for shape in SHAPES:
+        kinds = set()
+        for seed in SEEDS:
+            course = draw(seed, shape, 60)
+            assert course == draw(seed, shape, 60) and course
+            assert all(trouble["at"] < 60 for trouble in course)
+            kinds |= {trouble["kind"] for trouble in course}
+            for trouble in draw(seed, shape, 1000):  # the last of a cut-off course may stand alone
+                others = [other for other in draw(seed, shape, 1000) if other is not trouble and other != trouble
+                          and other["at"] <= trouble["at"] + trouble["lasts"]
+                          and other["at"] + other["lasts"] >= trouble["at"]]  # fmt: skip
+                assert 1 <= len(others) <= 2 or trouble["at"] > 980, (shape, seed, trouble, others)
+            if seed > 3:
+                break
+        for seed in SEEDS:
+            kinds |= {trouble["kind"] for trouble in draw(seed, shape, 300)}
+        assert kinds == set(SHAPES[shape]), (shape, kinds ^ set(SHAPES[shape]))
+
+
+def disks_are_lost_one_at_a_time():
+    for seed in SEEDS:
+        course = draw(seed, "core", 200)
+        for trouble in course:
+            if trouble["kind"] != "wipe_disk":
+                continue
+            for other in course:
+                near = abs(other["at"] - trouble["at"]) < 1.3 and other is not trouble
+                assert not (near and other["kind"] in HARMS_CORE), (seed, trouble, other)
+    assert HEAVY <= HARMS_CORE
+
+
+def every_kind_is_known():
+    known = set(Troubles(None).steps)
+    assert set().union(*SHAPES.values()) == known, known ^ set().union(*SHAPES.values())
+
+
+def an_edge_in_trouble_is_out_of_touch():
+    found = told(harm(100, 200, ["e1"]))
+    assert found == {"away": [{"node": "e1", "from": 100, "to": 3200}], "apart": [{"node": "e1", "from": 100,
+                     "to": 3200}], "rough": []}  # fmt: skip
+
+
+def a_core_node_in_trouble_unsettles_all():
+    found = told(harm(100, 200, ["c1"]))
+    assert found["away"] == [{"node": "*", "from": 100, "to": 3200}]
+    assert found["apart"] == [] and found["rough"] == [{"from": 100, "to": 3200}]
+    two = told(harm(100, 200, ["c1"]), harm(150, 300, ["c2"]))
+    assert two["apart"] == [{"node": "*", "from": 150, "to": 3200}], two
+
+
+def cuts_by_their_ends():
+    edge_core = told(harm(100, 200, pairs=[("c1", "e1")]))
+    assert [span["node"] for span in edge_core["away"]] == ["e1"] and edge_core["rough"] == [{"from": 100, "to": 200}]
+    edges = told(harm(100, 200, pairs=[("e1", "e2")]))  # a path is left through the core
+    assert edges["away"] == [] and edges["rough"] == [{"from": 100, "to": 200}]
+    core = told(harm(100, 200, pairs=[("c1", "c2"), ("c1", "c4"), ("c2", "c3"), ("c3", "c4")]))
+    assert core["away"][0]["node"] == "*" and core["apart"][0]["node"] == "*"
+    lossy = told(harm(100, 200, pairs=[("e1", "e2")], lossy=True))
+    assert sorted(span["node"] for span in lossy["away"]) == ["e1", "e2"]
+    assert harmed_cores(harm(1, 2, pairs=[("c1", "e1")]), CORES) == set()
+
+
+def troubles_that_never_end_are_never_over():
+    found = told(harm(100, FOREVER, ["c1"]), harm(300, FOREVER, ["c2"]))
+    assert found["away"][0]["to"] == FOREVER and found["apart"][0]["to"] == FOREVER
+    assert majority_gone([harm(100, 200, ["c1"]), harm(300, 400, ["c2"])], CORES) == []
+
+
+def ledgers_note_before_and_after():
+    ledger = Ledger()
+    noted = ledger.begin("pause", nodes=["e1"])
+    assert ledger.harms[0]["to"] == FOREVER
+    ledger.end(noted)
+    assert ledger.harms[0]["from"] <= ledger.harms[0]["to"] < FOREVER
+
+
+def links_keep_the_worst_of_overlapping_rules():
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="dockrock-links-"))
+    links = Links(folder, {"a": "127.1.9.1", "b": "127.1.9.2", "c": "127.1.9.3"})
+    links.put("lossy", both_ways(["a"], ["b", "c"], 0.2))
+    links.put("cut", one_way(["a"], ["b"]))
+    assert links.path("b").read_text() == "127.1.9.1 1\n" and links.path("a").read_text().count("0.2") == 2
+    links.heal("cut")
+    assert links.path("b").read_text() == "127.1.9.1 0.2\n"
+    links.heal("lossy")
+    assert links.path("b").read_text() == "" and links.path("a").read_text() == ""
+
+
+def verdict_lines():
+    assert own_ends([], 5)["state"] == "held"
+    assert own_ends([{"node": "e1", "at": 4, "code": -11}], 5)["state"] == "BROKEN"
+    assert recovery(3.0, 12)["state"] == "held" and recovery(None, 12)["state"] == "BROKEN"
+    assert invariants({})["state"] == "not judged"
+    name = "dockrock_invariant_violations_total"
+    assert invariants({("c1", 1, name): 0.0})["state"] == "held"
+    lines = [invariants({("c1", 1, name + '{invariant="I3"}'): 2.0}), recovery(1.0, 12)]
+    assert broken_rules(lines) == ["INVARIANTS"]
+
+
+def planted_faults_are_found_by_their_words():
+    for name, (_, _, rule, words) in PLANTED.items():
+        assert found_out(name, [{"rule": rule, "first": ["x " + words + " y"]}])
+        assert not found_out(name, [{"rule": rule, "first": ["x"]}, {"rule": "OTHER", "first": [words]}])
+
+
+def main():
+    for test in (courses_repeat_and_overlap, disks_are_lost_one_at_a_time, every_kind_is_known,
+                 an_edge_in_trouble_is_out_of_touch, a_core_node_in_trouble_unsettles_all, cuts_by_their_ends,
+                 troubles_that_never_end_are_never_over, ledgers_note_before_and_after,
+                 links_keep_the_worst_of_overlapping_rules, verdict_lines,
+                 planted_faults_are_found_by_their_words):  # fmt: skip
+        test()
+    print(json.dumps({"soak tests": "passed"}))
+
+
+main()
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -6,8 +6,8 @@
 from links import both_ways, one_way
 
 BACK_FAULTS = {
-    "lost_orders": {"lostOrders": 0.6}, "late_orders": {"lateOrders": 0.6}, "late_answers": {"late": 0.15, "extra": 0.1},
-    "broken_answers": {"cut": 0.1, "reset": 0.06, "garble": 0.04}, "slow_replicas": {"slow": 2.5},
+    "lost_orders": {"lostOrders": 0.6}, "late_orders": {"lateOrders": 0.6}, "slow_replicas": {"slow": 2.5},
+    "late_answers": {"late": 0.15, "extra": 0.1}, "broken_answers": {"cut": 0.1, "reset": 0.06, "garble": 0.04},
 }  # fmt: skip
 USUAL_RATE, OVERLOAD = 40, 150
 LOST_ACKNOWLEDGEMENTS = 0.5
