--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -10,6 +10,8 @@
 from families import AWAY_S, FAMILIES, HUNDREDS_OF_CHANGES
 from moments import CLOSING_KINDS, MIXES, MOMENTS
 from site_file import described_kinds, read_site
+from stale_news import CUT_WAYS, ENDINGS
+from weights import COMPANY, NAMING_GAP_S
 from write_days import SETS, days_of
 
 SITE_TEXT = """
@@ -24,7 +26,7 @@
   { kind = "core_cut", for_s = 4.0, how = "leader" },
   { kind = "unheard_of", x = 2.0 },
 ]
-timing = { catch_up_s = 3.0 }
+timing = { catch_up_s = 3.0, version_ms = 14000.0 }
 tolerate = { machines = 2 }
 [[day]]
 name = "calm"
@@ -50,7 +52,7 @@
 
 
 def test_site_is_read(site):
-    assert (site.core_count, site.tolerate, site.catch_up_s) == (5, 2, 3.0)
+    assert (site.core_count, site.tolerate, site.catch_up_s, site.version_s) == (5, 2, 3.0, 14.0)
     assert site.load["one"] == 0.8, "the day of trouble gives the load"
     assert site.kinds() == ["ack_lost", "core_cut", "hup", "node_kill", "unheard_of"]
     assert described_kinds("Each entry has: x\n") == ()
@@ -113,6 +115,56 @@
     assert away and all(item["how"] == "power" for item in away if item["kind"] == "node_kill"), "back at once"
 
 
+def times(day, kind):
+    return [item["at"] for item in day.in_order(lambda item: item["kind"] == kind)]
+
+
+def test_versions_follow_one_another(site):
+    days = days_of(site, 7, ["weights"])
+    assert len(days) == 2 * len(COMPANY)
+    for day in days:
+        named, lost = times(day, "version_bump"), times(day, "herd_kill")
+        assert 2 <= len(named) <= 3, day.name
+        gaps = [later - sooner for sooner, later in zip(named, named[1:])]
+        assert all(NAMING_GAP_S[0] - 0.02 <= gap <= NAMING_GAP_S[1] + 0.02 for gap in gaps), day.name
+        bound = named[0] + site.version_s
+        assert named[-1] < lost[0] < bound, "%s: edges are not lost between the namings and the bound" % day.name
+        burst = next(item for item in day.faults() if item["kind"] == "burst")
+        assert burst["at"] - named[0] <= 3.02 and 15.0 <= burst["for_s"] <= 20.0, day.name
+        assert min(times(day, "config_change")) > bound and day.length_s > bound + site.catch_up_s, day.name
+    givers = [item for day in days for item in day.faults() if "giver" in item.get("how", "")]
+    assert {item["kind"] for item in givers} == {"node_kill", "core_cut", "node_freeze"}
+
+
+def test_news_goes_on_past_the_cut(site):
+    days = days_of(site, 7, ["stale_news"])
+    assert len(days) == len(ENDINGS) * len(CUT_WAYS)
+    for day in days:
+        cut = next(item for item in day.faults() if item["kind"] == "node_cut")
+        well = cut["at"] + cut["for_s"]
+        assert 8.0 <= cut["for_s"] <= 12.0 and "reset" not in cut.get("how", ""), day.name
+        changes = times(day, "config_change")
+        assert changes[0] < cut["at"] and changes[-1] > well + 10.0, day.name
+        assert max(later - sooner for sooner, later in zip(changes, changes[1:])) < 2.0, day.name
+        added = [item for item in day.plan() if item.get("how") == "idle"]
+        assert 2 * len(added) > len(changes), "%s adds few routes" % day.name
+        back = [item["at"] for item in day.faults() if item["kind"] == "herd_kill"]
+        assert all(0.0 < at - well < 4.0 for at in back), day.name
+    assert sum(bool(times(day, "herd_kill")) for day in days) > len(days) / 2
+
+
+def test_both_at_once_twice(site):
+    days = days_of(site, 7, ["both"])
+    assert len(days) == len(ENDINGS)
+    for day in days:
+        cuts, named = times(day, "node_cut"), times(day, "version_bump")
+        assert len(cuts) == 2 and len(named) >= 4, day.name
+        for cut in cuts:
+            assert any(abs(at - cut) < 0.02 for at in named), "%s: not at once" % day.name
+        assert cuts[1] > cuts[0] + site.version_s, day.name
+        assert day.closing["kind"] == "wipe_after_ack", "the other machines lose power too"
+
+
 def main():
     with tempfile.TemporaryDirectory() as folder:
         site = orchard(pathlib.Path(folder))
--- a/tests/days/site_file.py
+++ b/tests/days/site_file.py
@@ -7,6 +7,8 @@
 # Fields of a standard day that say how the day is loaded and judged; a written day takes them over.
 LOAD_FIELDS = ("one", "zero", "goal", "floor_classes", "floor_zones", "labels", "small", "traffic", "wall")
 
+DEFAULT_VERSION_MS = 15000.0  # for sites without replicas that load weights
+
 
 @dataclass(frozen=True)
 class Site:
@@ -14,6 +16,7 @@
     length_s: float
     tolerate: int  # counted machines that may be lost at once
     catch_up_s: float  # how long a machine that came back still counts as lost
+    version_s: float  # the bound within which work has to begin on the newest weights
     core_count: int
     load: dict  # LOAD_FIELDS of one standard day
     listed: tuple  # the entries under `troubles`
@@ -47,6 +50,7 @@
         length_s=document["length_s"],
         tolerate=document["tolerate"]["machines"],
         catch_up_s=document["timing"]["catch_up_s"],
+        version_s=document["timing"].get("version_ms", DEFAULT_VERSION_MS) / 1000.0,
         core_count=sum(machine["count"] for machine in document["machines"] if machine["class"] == "core"),
         load=load_of(document["day"]),
         listed=tuple(document.get("troubles", ())),
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -13,8 +13,11 @@
 from families import FAMILIES
 from moments import alone, closings, mixes, pairs
 from site_file import read_site
+from stale_news import both, stale_news
+from weights import weights
 
-SETS = {"alone": alone, "pairs": pairs, "closings": closings, "mixes": mixes, **FAMILIES}
+LATE = {"weights": weights, "stale_news": stale_news, "both": both}
+SETS = {"alone": alone, "pairs": pairs, "closings": closings, "mixes": mixes, **FAMILIES, **LATE}
 
 
 def days_of(site, seed, names):
