--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -1,7 +1,6 @@
 // One try of a relayed request: sent once, its answer passed on as it comes.
 // docs/platform.md section 5.
-#include <charconv>
-
+#include "connection/chunk.hpp"
 #include "connection/relay_session.hpp"
 #include "connection/replica_exchange.hpp"
 #include "process/clock.hpp"
@@ -15,18 +14,6 @@
 constexpr Microseconds forgotten_within = 10 * one_millisecond;  // a reset that fast follows no work
 constexpr Microseconds past_deadline = 200 * one_millisecond;    // an answer under way may still come whole
 
-auto chunk_of(std::string const& bytes, bool last) -> std::string {
-    std::string text;
-    if (!bytes.empty()) {
-        auto size = std::array<char, 16>{};
-        auto const end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
-        text.reserve(bytes.size() + 32);
-        text.append(size.data(), end).append("\r\n").append(bytes).append("\r\n");
-    }
-    if (last) text.append("0\r\n\r\n");
-    return text;
-}
-
 auto reason_of(http::response_header<> const& head) -> std::string {
     if (head.result_int() == 421) return "weights";  // another life, or other weights
     return head.result_int() == 400 ? "bad" : "busy";
