Sight: news unanswered or late, proof ages of refusals, peers dialled anew

No change of logic: the metrics count questions for news that were asked, not answered in time, answered late, and the greatest age; the log names partition, node and age. Peers that are dialled anew are logged and counted, connections lost are counted, and the status lists peers.

--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -26,6 +26,15 @@
         states[static_cast<std::size_t>(std::clamp(member.state, 0, 2))], "incarnation", member.incarnation);
 }
 
+auto write_peers(Transport& transport, Microseconds now) -> json::array {
+    json::array peers;
+    for (auto const& peer : transport.peers_seen(now))
+        peers.push_back(fields(
+            "address", peer.address, "connections", peer.connections, "heard_since_dialled", peer.heard,
+            "dialled_before_microseconds", peer.dialled_before));
+    return peers;
+}
+
 auto weights_problem() -> json::object {
     Problems problems;
     problems.push_back({"/weights", "must be a text of 1 to 128 characters"});
@@ -60,7 +69,7 @@
         "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
         etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
         now - node.control.news[configuration_partition].live_at, "open_tickets", node.open_tickets.load(), "members",
-        std::move(members), "partitions", std::move(partitions));
+        std::move(members), "peers", write_peers(node.transport, now), "partitions", std::move(partitions));
 }
 
 }  // namespace
@@ -211,6 +220,10 @@
     line("messages_dropped_total", transport.dropped.load());
     line("messages_received_total", transport.received.load());
     line("messages_malformed_total", transport.malformed.load());
+    line("peer_dials_total", transport.dials.load());
+    line("peer_redials_total", transport.redials.load());
+    line("peer_connections_lost_total", transport.connections_lost.load());
+    sight.write(text);
     line("open_tickets", open_tickets.load());
     line("resting", resting_now ? 1 : 0);
     line("ready", ready(now) ? 1 : 0);
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -112,6 +112,11 @@
     client.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+auto RelaySession::note_refusal(int status, Sequence const& sequence) -> void {
+    auto const now = clock_now();
+    if (status != 503) node.sight.refused(status, sequence, node.proof_age(now), now);
+}
+
 auto RelaySession::handle(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     auto const now = clock_now();
@@ -129,6 +134,7 @@
     if (judged.verdict.kind == Verdict::Kind::answer) {
         ++node.counters.refused;
         auto const status = judged.verdict.status;
+        note_refusal(status, current->rules->sequence);
         co_return co_await refuse(request, status, judged.verdict.reason, status == 503 ? soon : "");
     }
     ++node.open_tickets;
@@ -204,6 +210,7 @@
             case Step::answer_shed: ++node.counters.shed; co_return co_await refuse(request, 503, step.reason, soon);
             case Step::answer_refused:
                 ++node.counters.refused;
+                note_refusal(step.status, course.rules);
                 co_return co_await refuse(request, step.status, step.reason, step.status == 503 ? soon : "");
             case Step::answer_failure: co_return co_await write_all(answer.failure_head) && answer.keep;
             case Step::claim:
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -148,6 +148,11 @@
         asio::use_awaitable);
 }
 
+auto Session::note_refusal(int status, Sequence const& sequence) -> void {
+    auto const now = clock_now();
+    if (status != 503) node.sight.refused(status, sequence, node.proof_age(now), now);
+}
+
 auto Session::handle_ticket(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     // A node that has just started waits a little for its first configuration.
@@ -159,6 +164,7 @@
     node.last_ticket = clock_now();
     if (verdict.kind == Verdict::Kind::answer) {
         ++node.counters.refused;
+        note_refusal(verdict.status, current->rules->sequence);
         auto body = fields("outcome", "shed", "error", verdict.reason);
         if (!verdict.problems.empty()) body["problems"] = write_problems(verdict.problems);
         auto headers = Headers();
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -80,7 +80,8 @@
     std::vector<std::pair<std::string, LoadSum>> load_sums;     // from the relay
     std::vector<KeptFeed::Taken> kept;                          // changes of kept prompts, in order
     std::vector<ClaimDone> claims;
-    bool news = false;  // something a snapshot is made of changed
+    std::vector<NewsNote> notes;  // for the log
+    bool news = false;            // something a snapshot is made of changed
 };
 
 struct Control {
@@ -96,6 +97,7 @@
         Microseconds since = 0;
     };
     std::vector<WaitingAsk> waiting_asks;
+    NewsCounts news_counts;
     struct PendingCall {
         Call call;
         Microseconds since = 0;
@@ -207,13 +209,14 @@
     auto answer_overdue(Microseconds now, ControlOutput& output) -> void;
     auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto note_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto relays_news(int partition, Microseconds now) const -> bool;
     auto hold_limit(int partition) const -> Microseconds {
         return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
     }
-    auto ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool;
+    auto ask_overdue(PartitionNews& item, int partition, Microseconds now, ControlOutput& output) -> bool;
     auto news_target(PartitionNews& item, int partition, Microseconds now) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto on_call_forward(Microseconds now, CallForward const& forward, ControlOutput& output) -> void;
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -93,7 +93,7 @@
 
 auto Control::take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
     auto& item = news[static_cast<std::size_t>(answer.partition)];
-    if (answer.token != item.ask_token || item.ask_token == 0) return;
+    if (answer.token != item.ask_token || item.ask_token == 0) return note_late(now, answer, output);
     item.ask_token = 0;
     item.unanswered = 0;
     if (answer.record.term > item.record.term) item.record = answer.record;
@@ -106,6 +106,19 @@
     if (settings.core && load_choice.relayed) answer_waiting(now, answer.partition, output);
 }
 
+auto Control::note_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
+    auto const& past = news[static_cast<std::size_t>(answer.partition)].past_asks;
+    auto const asked =
+        std::find_if(past.begin(), past.end(), [&](auto const& ask) { return ask.token == answer.token; });
+    if (asked == past.end()) {
+        ++news_counts.unknown;
+        return;
+    }
+    ++news_counts.late;
+    news_counts.latest = std::max(news_counts.latest, now - asked->asked_at);
+    output.notes.push_back({answer.partition, asked->whom, now - asked->asked_at, true});
+}
+
 auto Control::take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
     if (!answer.copy || !(answer.copy->sequence > item.copy.sequence)) return;  // never back to an older one
     auto made = apply_news(item, *answer.copy);
@@ -134,10 +147,13 @@
 }
 
 // Whether the partition may be asked about now: nothing is under way, or too long.
-auto Control::ask_overdue(PartitionNews& item, int partition, Microseconds now) -> bool {
+auto Control::ask_overdue(PartitionNews& item, int partition, Microseconds now, ControlOutput& output) -> bool {
     if (item.ask_token == 0) return true;
     if (now - item.asked_at < (partition == configuration_partition ? times.ask_limit : times.service_ask_limit))
         return false;
+    ++news_counts.unanswered;
+    output.notes.push_back({partition, item.asked_whom, now - item.asked_at, false});
+    pass_by(item);
     if (item.asked_relay) item.direct_until = now + times.direct;
     else ++item.unanswered;
     return true;
@@ -169,9 +185,10 @@
         if (resting && index != configuration_partition && index != resting_partition) continue;
         if (resting && now - item.asked_at < times.resting_interval) continue;
         if (index == resting_partition && !settings.rests && !settings.core) continue;
-        if (!ask_overdue(item, static_cast<int>(index), now)) continue;
+        if (!ask_overdue(item, static_cast<int>(index), now, output)) continue;
         auto const target = news_target(item, static_cast<int>(index), now);
         if (target.empty()) continue;
+        ++news_counts.asked;
         item.ask_token = random.next() | 1U;
         item.asked_at = now;
         item.asked_whom = target;
--- a/source/control/partition_news.cpp
+++ b/source/control/partition_news.cpp
@@ -6,12 +6,19 @@
 
 namespace {
 constexpr auto past_kept = std::size_t{8};
+constexpr auto asks_kept = std::size_t{8};
 constexpr auto least_saved = std::size_t{64};  // a difference that saves less is not worth it
 constexpr auto past_bytes = std::size_t{4} << 20U;
 }  // namespace
 
 auto digest_of(std::string_view text) -> std::uint64_t { return text_digest(text); }
 
+auto pass_by(PartitionNews& item) -> void {
+    if (item.ask_token == 0) return;
+    item.past_asks.push_back({item.ask_token, item.asked_whom, item.asked_at});
+    if (item.past_asks.size() > asks_kept) item.past_asks.pop_front();
+}
+
 auto remember(PartitionNews& item) -> void {
     if (item.copy.document.empty()) return;
     item.past.emplace_back(item.copy.sequence, item.copy.document);
--- a/source/control/partition_news.hpp
+++ b/source/control/partition_news.hpp
@@ -7,6 +7,30 @@
 
 namespace dockrock {
 
+// What became of a question: nothing in time, or an answer after another question had been asked.
+struct NewsNote {
+    int partition = 0;
+    std::string whom;
+    Microseconds age = 0;  // since it was asked
+    bool late = false;
+};
+
+// The same, counted since the start.
+struct NewsCounts {
+    std::uint64_t asked = 0;
+    std::uint64_t unanswered = 0;
+    std::uint64_t late = 0;
+    std::uint64_t unknown = 0;  // answers to no question that is remembered
+    Microseconds latest = 0;    // the greatest age of a late answer
+};
+
+// A question that was asked anew.
+struct PastAsk {
+    std::uint64_t token = 0;
+    std::string whom;
+    Microseconds asked_at = 0;
+};
+
 // What a node holds of a partition as news (design 8).
 struct PartitionNews {
     Record record;
@@ -23,11 +47,14 @@
     Microseconds direct_until = 0;  // the owner is asked, not the relay
     Microseconds asked_at = 0;
     std::string asked_whom;
-    std::uint64_t told_term = 0;  // as leader: the term that all members were told of
+    std::deque<PastAsk> past_asks;  // the last few questions that were not answered in time
+    std::uint64_t told_term = 0;    // as leader: the term that all members were told of
     int unanswered = 0;
 };
 
 auto digest_of(std::string_view text) -> std::uint64_t;
+// The question under way is asked anew; it stays remembered for a while.
+auto pass_by(PartitionNews& item) -> void;
 // Whole, or as the difference from what the asker holds, whichever is smaller.
 auto copy_for(PartitionNews const& item, NewsAsk const& ask) -> NewsCopy;
 // The same; the difference that many ask for is made once.
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -124,6 +124,7 @@
     }
     if (!output.kept.empty()) take_feed(output.kept);
     proven_at = control.news[configuration_partition].proven_at;
+    sight.take(control.news_counts, output.notes);
     losses_bearable.look(control, now);
     if (output.news) publish_snapshot();
 }
@@ -132,7 +133,11 @@
     auto const old = snapshot.load();
     auto fresh = make_snapshot(control, *old, form == nullptr ? nullptr : &form->documents);
     if (fresh->rules != old->rules)
-        write_log(Level::information, "configuration-in-force", fields("sequence", etag_of(fresh->rules->sequence)));
+        write_log(
+            Level::information, "configuration-in-force",
+            fields(
+                "sequence", etag_of(fresh->rules->sequence), "proof_age_microseconds",
+                control.proof_age(configuration_partition, clock_now())));
     snapshot = fresh;
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -15,6 +15,7 @@
 #include "control/resting.hpp"
 #include "control/weights_duty.hpp"
 #include "process/measures.hpp"
+#include "process/news_sight.hpp"
 #include "process/settings.hpp"
 #include "process/storage.hpp"
 #include "process/transport.hpp"
@@ -67,11 +68,9 @@
     std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0},
         tries{0}, did_not_run{0}, connect_failures{0};
     std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
-    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0};
-    std::atomic<std::uint64_t> strangers{0};  // answers that belonged to no request
-    std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
-    std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
-        save_batches{0}, disk_failures{0}, disk_repairs{0};
+    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0}, strangers{0};  // answers of no request
+    std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0}, calls{0}, orders{0}, list_reads{0},
+        list_failures{0}, wakeups{0}, saves{0}, save_batches{0}, disk_failures{0}, disk_repairs{0};
     std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
     std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
 };
@@ -103,6 +102,7 @@
     SnapshotHolder snapshot;
     Counters counters;
     Measures measures;
+    NewsSight sight;
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
@@ -121,9 +121,9 @@
     Microseconds started_at = 0;
     std::map<std::uint64_t, std::function<void(ClaimDone)>> claim_waiters;  // inside control_work
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;    // inside control_work
-    std::array<std::uint64_t, partition_count> logged_epochs{};             // inside control_work
+    std::array<std::uint64_t, partition_count> logged_epochs{};             // these three inside control_work
     std::array<bool, partition_count> logged_owned{};
-    bool load_relayed = false;                 // inside control_work; the table holds the same
+    bool load_relayed = false;                 // the table holds the same
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -3,6 +3,8 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include "process/log.hpp"
+
 namespace dockrock {
 
 namespace {
@@ -11,8 +13,10 @@
 constexpr Microseconds unused_limit = 120 * one_second;
 
 // Runs on a thread of the library; nng_close waits for it.
-auto count_connections(nng_pipe, nng_pipe_ev event, void* counter) -> void {
-    *static_cast<std::atomic<int>*>(counter) += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+auto count_connections(nng_pipe, nng_pipe_ev event, void* counted) -> void {
+    auto& connections = *static_cast<Transport::Peer::Connections*>(counted);
+    connections.count += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
+    if (event == NNG_PIPE_EV_REM_POST) ++*connections.lost;
 }
 
 }  // namespace
@@ -50,8 +54,14 @@
     if (stopping) return;
     auto [place, fresh] = peers.try_emplace(address);
     auto& peer = place->second;
-    auto const stuck = peer.heard && *peer.connections == 0 && now - peer.dialed_at > dial_patience;
-    if (!fresh && stuck) nng_close(peer.socket);
+    auto const stuck = peer.heard && peer.connections->count == 0 && now - peer.dialed_at > dial_patience;
+    if (!fresh && stuck) {
+        ++redials;
+        write_log(
+            Level::information, "peer-dialled-anew",
+            fields("address", address, "dialled_before_microseconds", now - peer.dialed_at));
+        nng_close(peer.socket);
+    }
     if ((fresh || stuck) && !dial(address, peer, now)) {
         peers.erase(place);
         return;
@@ -69,7 +79,8 @@
     ++dials;
     peer.dialed_at = now;
     peer.heard = false;
-    *peer.connections = 0;
+    peer.connections->count = 0;
+    peer.connections->lost = &connections_lost;
     nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, 64);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, 50);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, 400);
@@ -85,6 +96,14 @@
     if (found != peers.end()) found->second.heard = true;
 }
 
+auto Transport::peers_seen(Microseconds now) -> std::vector<PeerSeen> {
+    auto const guard = std::lock_guard(lock);
+    std::vector<PeerSeen> seen;
+    for (auto const& [address, peer] : peers)
+        seen.push_back({address, peer.connections->count, peer.heard, now - peer.dialed_at});
+    return seen;
+}
+
 auto Transport::let_go_unused(Microseconds now) -> void {
     for (auto other = peers.begin(); other != peers.end();) {
         if (now - other->second.used_at < unused_limit) {
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -13,6 +13,14 @@
 
 namespace dockrock {
 
+// A peer's connection, as the status tells of it.
+struct PeerSeen {
+    std::string address;
+    int connections = 0;
+    bool heard = false;  // since it was dialled
+    Microseconds dialled_before = 0;
+};
+
 struct Transport {
     using Heard = std::function<void(Frame&&)>;
 
@@ -24,7 +32,11 @@
         Microseconds used_at = 0;
         Microseconds dialed_at = 0;
         bool heard = false;  // since it was dialled: it is up, whatever became of the attempt
-        std::unique_ptr<std::atomic<int>> connections = std::make_unique<std::atomic<int>>(0);
+        struct Connections {
+            std::atomic<int> count{0};
+            std::atomic<std::uint64_t>* lost = nullptr;
+        };
+        std::unique_ptr<Connections> connections = std::make_unique<Connections>();
     };
     std::map<std::string, Peer> peers;
     std::thread reader;
@@ -34,10 +46,13 @@
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> dials{0};
+    std::atomic<std::uint64_t> redials{0};
+    std::atomic<std::uint64_t> connections_lost{0};
 
     auto start(std::string const& address, std::string const& fleet_name, Heard heard)
         -> std::string;  // empty, or what failed
     auto send(std::string const& address, std::string const& frame, Microseconds now) -> void;
+    auto peers_seen(Microseconds now) -> std::vector<PeerSeen>;
     auto stop() -> void;
 
    private:
