Connections between nodes that hang are noticed by the frames themselves

Cause: what is sent into a cut is repeated by the system after pauses that double, and the connection counts as one meanwhile; nng sets no limit on that. A note goes before each frame (40 bytes): life, number, and what was last heard of the receiver. A peer that is heard without what was sent 0.4 s ago, or under another life, or that is doubted, is dialled anew by the next frame, pauses doubling up to 1.6 s. A lost connection attempt is made anew after 0.7 s. The test of both ways that hang now doubts what stays unanswered, as the questions for news will: where neither end is heard, silence alone says nothing.

--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -3,6 +3,9 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <random>
+
+#include "process/clock.hpp"
 #include "process/log.hpp"
 
 namespace dockrock {
@@ -10,6 +13,7 @@
 namespace {
 
 constexpr Microseconds dial_patience = 200 * one_millisecond;
+constexpr Microseconds attempt_limit = 700 * one_millisecond;  // an attempt that was lost is made anew
 constexpr Microseconds unused_limit = 120 * one_second;
 
 // Runs on a thread of the library; nng_close waits for it.
@@ -23,6 +27,8 @@
 
 auto Transport::start(std::string const& address, std::string const& fleet_name, Heard heard) -> std::string {
     fleet = fleet_name;
+    auto device = std::random_device();
+    life = ((static_cast<std::uint64_t>(device()) << 32U) ^ device()) | 1U;
     if (auto const failure = nng_pull0_open(&listener); failure != 0) return nng_strerror(failure);
     nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, frame_limit);
     nng_socket_set_int(listener, NNG_OPT_RECVBUF, 256);
@@ -35,15 +41,8 @@
             auto const failure = nng_recv(listener, &bytes, &size, NNG_FLAG_ALLOC);
             if (failure == NNG_ECLOSED) return;
             if (failure != 0) continue;
-            auto frame = unpack_frame(std::string_view(bytes, size));
+            if (!hear(std::string_view(bytes, size), heard)) ++malformed;
             nng_free(bytes, size);
-            if (!frame || frame->fleet != fleet) {
-                ++malformed;
-                continue;
-            }
-            ++received;
-            mark_heard(frame->sender_address);
-            heard(std::move(*frame));
         }
     });
     return "";
@@ -54,26 +53,44 @@
     if (stopping) return;
     auto [place, fresh] = peers.try_emplace(address);
     auto& peer = place->second;
-    auto const stuck = peer.heard && peer.connections->count == 0 && now - peer.dialed_at > dial_patience;
-    if (!fresh && stuck) {
+    auto& link = links[address];
+    auto const anew = !fresh && dial_due(peer, link, now);
+    if (anew) {
         ++redials;
         write_log(
             Level::information, "peer-dialled-anew",
-            fields("address", address, "dialled_before_microseconds", now - peer.dialed_at));
+            fields(
+                "address", address, "connections", peer.connections->count.load(), "hangs", link.hangs,
+                "dialled_before_microseconds", now - peer.dialed_at));
         nng_close(peer.socket);
     }
-    if ((fresh || stuck) && !dial(address, peer, now)) {
-        peers.erase(place);
-        return;
+    if (fresh || anew) {
+        link.dialled();
+        if (!dial(address, peer, now)) {
+            peers.erase(place);
+            return;
+        }
     }
     peer.used_at = now;
-    if (nng_send(peer.socket, const_cast<char*>(frame.data()), frame.size(), NNG_FLAG_NONBLOCK) == 0) ++sent;
-    else ++dropped;
+    auto const noted = put_note({life, last_number + 1, link.heard_life, link.heard_number}, frame);
+    if (nng_send(peer.socket, const_cast<char*>(noted.data()), noted.size(), NNG_FLAG_NONBLOCK) == 0) {
+        link.sent(++last_number, noted.size(), now);
+        ++sent;
+    } else {
+        ++dropped;
+    }
     let_go_unused(now);
 }
 
 // An attempt that was lost on its way is repeated by the system after a second, and later each time after twice
-// as long. A peer that is heard meanwhile is up: it is dialled anew, what waited for it is let go.
+// as long; so is what was sent into a cut, on a connection that still counts as one. A peer that is heard is up:
+// it is dialled anew where it was not reached yet, or says that nothing of ours arrives. What waited is let go.
+auto Transport::dial_due(Peer const& peer, PeerLink const& link, Microseconds now) const -> bool {
+    auto const since = now - peer.dialed_at;
+    if (peer.connections->count > 0) return link.another_life || (link.hangs && since > dial_patience);
+    return since > attempt_limit || ((peer.heard || link.hangs) && since > dial_patience);
+}
+
 auto Transport::dial(std::string const& address, Peer& peer, Microseconds now) -> bool {
     if (nng_push0_open(&peer.socket) != 0) return false;
     ++dials;
@@ -90,12 +107,29 @@
     return true;
 }
 
-auto Transport::mark_heard(std::string const& address) -> void {
+auto Transport::mark_heard(std::string const& address, LinkNote const& note) -> void {
     auto const guard = std::lock_guard(lock);
+    links[address].heard(note, life, clock_now());
     auto const found = peers.find(address);
     if (found != peers.end()) found->second.heard = true;
 }
 
+auto Transport::hear(std::string_view bytes, Heard const& heard) -> bool {
+    auto const note = take_note(bytes);
+    if (!note) return false;
+    auto frame = unpack_frame(bytes);
+    if (!frame || frame->fleet != fleet) return false;
+    ++received;
+    mark_heard(frame->sender_address, *note);
+    heard(std::move(*frame));
+    return true;
+}
+
+auto Transport::doubt(std::string const& address, Microseconds now) -> void {
+    auto const guard = std::lock_guard(lock);
+    if (auto const found = links.find(address); found != links.end()) found->second.doubted(now);
+}
+
 auto Transport::peers_seen(Microseconds now) -> std::vector<PeerSeen> {
     auto const guard = std::lock_guard(lock);
     std::vector<PeerSeen> seen;
@@ -111,6 +145,7 @@
             continue;
         }
         nng_close(other->second.socket);
+        links.erase(other->first);
         other = peers.erase(other);
     }
 }
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "base/frame.hpp"
+#include "base/peer_link.hpp"
 #include "membership/membership.hpp"
 
 namespace dockrock {
@@ -39,6 +40,9 @@
         std::unique_ptr<Connections> connections = std::make_unique<Connections>();
     };
     std::map<std::string, Peer> peers;
+    std::map<std::string, PeerLink> links;  // by address, also of those that are only heard
+    std::uint64_t life = 0;                 // of this process; drawn at the start
+    std::uint64_t last_number = 0;          // of all frames of this life
     std::thread reader;
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> sent{0};
@@ -52,12 +56,16 @@
     auto start(std::string const& address, std::string const& fleet_name, Heard heard)
         -> std::string;  // empty, or what failed
     auto send(std::string const& address, std::string const& frame, Microseconds now) -> void;
+    // It was asked something and did not answer in time.
+    auto doubt(std::string const& address, Microseconds now) -> void;
     auto peers_seen(Microseconds now) -> std::vector<PeerSeen>;
     auto stop() -> void;
 
    private:
     auto dial(std::string const& address, Peer& peer, Microseconds now) -> bool;
-    auto mark_heard(std::string const& address) -> void;
+    auto mark_heard(std::string const& address, LinkNote const& note) -> void;
+    auto dial_due(Peer const& peer, PeerLink const& link, Microseconds now) const -> bool;
+    auto hear(std::string_view bytes, Heard const& heard) -> bool;
     auto let_go_unused(Microseconds now) -> void;
 };
 
--- /dev/null
+++ b/tests/peer_link_test.cpp
@@ -0,0 +1,113 @@
+// What the notes before the frames tell of a connection. docs/design.md section 3.
+#include "base/peer_link.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dockrock;
+
+namespace {
+
+constexpr auto own_life = std::uint64_t{7};
+constexpr auto their_life = std::uint64_t{9};
+constexpr auto patience = LinkTimes().patience;
+
+auto note(std::uint64_t number, std::uint64_t heard, std::uint64_t life = their_life, std::uint64_t of = own_life)
+    -> LinkNote {
+    return {life, number, of, heard};
+}
+
+}  // namespace
+
+TEST_CASE("a note comes back as it was put, and one with any byte changed does not") {
+    auto const put = put_note({1, 2, 3, ~std::uint64_t{0}}, "frame");
+    auto bytes = std::string_view(put);
+    auto const taken = take_note(bytes);
+    REQUIRE(taken);
+    CHECK(bytes == "frame");
+    CHECK(taken->life == 1);
+    CHECK(taken->number == 2);
+    CHECK(taken->heard_life == 3);
+    CHECK(taken->heard_number == ~std::uint64_t{0});
+    for (auto place = std::size_t{0}; place + bytes.size() < put.size(); ++place) {
+        auto changed = put;
+        changed[place] = static_cast<char>(changed[place] ^ 1);
+        auto rest = std::string_view(changed);
+        CHECK_FALSE(take_note(rest));
+    }
+    auto few = std::string_view(put).substr(0, 39);
+    CHECK_FALSE(take_note(few));
+}
+
+TEST_CASE("a connection hangs where its other end is heard for long without what was sent") {
+    auto link = PeerLink();
+    link.sent(1, 0, 0);
+    link.heard(note(1, 0), own_life, patience);  // not later than the patience
+    CHECK_FALSE(link.hangs);
+    link.heard(note(2, 0), own_life, patience + 1);
+    CHECK(link.hangs);
+    link.heard(note(3, 1), own_life, patience + 2);  // it came after all
+    CHECK_FALSE(link.hangs);
+    CHECK(link.waiting == 0);
+}
+
+TEST_CASE("a peer that says nothing is given up on a doubt alone, and the later each time") {
+    auto link = PeerLink();
+    auto now = Microseconds{0};
+    link.sent(1, 0, now);
+    link.doubted(now + patience);
+    CHECK_FALSE(link.hangs);
+    auto number = std::uint64_t{1};
+    for (auto const doublings : {0, 1, 2, 2}) {
+        auto const limit = patience << doublings;
+        link.doubted(now + limit);
+        CHECK_FALSE(link.hangs);
+        link.doubted(now + limit + 1);
+        CHECK(link.hangs);
+        now += limit + 1;
+        link.dialled();
+        CHECK_FALSE(link.hangs);
+        link.sent(++number, 0, now);
+    }
+    link.heard(note(1, number), own_life, now + 1);
+    link.sent(++number, 0, now);
+    link.doubted(now + patience + 1);
+    CHECK(link.hangs);  // what arrived ended the doublings
+}
+
+TEST_CASE("what is watched goes on with what was sent behind it, and large frames are given their time") {
+    auto link = PeerLink();
+    link.sent(1, 0, 0);
+    link.sent(2, std::size_t{4} << 20U, 1'000);
+    link.heard(note(1, 1), own_life, 2'000);
+    CHECK(link.waiting == 2);
+    CHECK_FALSE(link.overdue(4 * one_second));
+    CHECK(link.overdue(5 * one_second));
+    link.heard(note(2, 2), own_life, 5 * one_second);
+    CHECK(link.waiting == 0);
+    CHECK_FALSE(link.overdue(60 * one_second));
+}
+
+TEST_CASE("a peer under another life hangs until it says that it heard this one, whatever its former life had heard") {
+    auto link = PeerLink();
+    link.sent(1, 0, 0);
+    link.heard(note(5, 1), own_life, 1'000);
+    CHECK_FALSE(link.hangs);
+    link.heard(note(1, 0, 10, 0), own_life, 2'000);
+    CHECK(link.hangs);
+    CHECK(link.another_life);
+    link.heard(note(6, 1), own_life, 3'000);  // what is left of the former life
+    CHECK(link.hangs);
+    CHECK(link.heard_life == 10);
+    CHECK(link.heard_number == 1);
+    link.dialled();
+    link.sent(2, 0, 4'000);
+    link.heard(note(2, 2, 10), own_life, 5'000);
+    CHECK_FALSE(link.hangs);
+}
+
+TEST_CASE("words to a former life of this node are no word that its frames arrive") {
+    auto link = PeerLink();
+    link.sent(1, 0, 0);
+    link.heard(note(1, 40, their_life, own_life + 1), own_life, patience + 1);
+    CHECK(link.hangs);
+}
--- a/tests/stalled_connection_test.cpp
+++ b/tests/stalled_connection_test.cpp
@@ -52,14 +52,17 @@
     }
 };
 
-// Both tell each other something now and then; whether `to` heard `from` in time.
+// Both tell each other something now and then, and doubt what stays unanswered, as the questions for news do;
+// whether `to` heard `from` in time.
 auto arrives(End& from, End& to, std::chrono::milliseconds limit) -> bool {
     auto const before = to.heard.now();
     auto const until = std::chrono::steady_clock::now() + limit;
     while (std::chrono::steady_clock::now() < until) {
         from.send(to);
         if (to.heard.reaches(before + 1, pace)) return true;
+        from.transport.doubt(to.address, clock_now());
         to.send(from);
+        to.transport.doubt(from.address, clock_now());
     }
     return false;
 }
