--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -186,7 +186,7 @@
                     auto& item = news[static_cast<std::size_t>(body.partition)];
                     if (body.record.term > item.record.term) {
                         item.record = body.record;
-                        item.ask_token = 0;  // the old leader's answer is not waited for
+                        pass_by(item, false);  // the old leader's answer is not waited for
                         item.unanswered = 0;
                     }
                 }
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -39,33 +39,6 @@
     bool rests = true;                 // this node may be told to rest
 };
 
-struct NewsTimes {
-    Microseconds hold_limit = 300 * one_millisecond;
-    Microseconds ask_limit = 500 * one_millisecond;
-    // The other parts decide nothing by their age: a change is told at once either way.
-    Microseconds service_hold_limit = 700 * one_millisecond;
-    Microseconds service_ask_limit = 900 * one_millisecond;
-    Microseconds direct = 2 * one_second;  // how long a relay is passed by that was silent or behind
-    Microseconds resting_interval = one_second;
-    Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
-    Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
-    Microseconds list_interval = 300 * one_millisecond;
-    Microseconds list_fallback = 1'200 * one_millisecond;
-    Microseconds call_limit = 4 * one_second;
-    Microseconds call_unsent_limit = 2'500 * one_millisecond;
-    Microseconds call_refused_limit = 800 * one_millisecond;  // of a node out of contact
-    Microseconds call_resend = 700 * one_millisecond;
-    Microseconds call_each_mebibyte = 500 * one_millisecond;  // of a body, on top of each of the three
-    Microseconds claim_limit = 4 * one_second;
-    Microseconds claim_resend = 150 * one_millisecond;
-};
-
-// For operators that turn to another node after a second of silence.
-inline auto limit_calls(NewsTimes& times) -> void {
-    times.call_limit = times.call_unsent_limit = 850 * one_millisecond;
-    times.call_resend = 250 * one_millisecond;
-}
-
 struct ClaimDone {
     std::uint64_t local_token = 0;
     ClaimState state = ClaimState::not_here;  // not_here: its fate is not known
@@ -209,15 +182,18 @@
     auto answer_overdue(Microseconds now, ControlOutput& output) -> void;
     auto answer_waiting(Microseconds now, int partition, ControlOutput& output) -> void;
     auto take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
-    auto note_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_answer(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
+        -> void;
     auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
-    auto take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_live(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output) -> void;
     auto relays_news(int partition, Microseconds now) const -> bool;
     auto hold_limit(int partition) const -> Microseconds {
         return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
     }
     auto ask_overdue(PartitionNews& item, int partition, Microseconds now, ControlOutput& output) -> bool;
     auto news_target(PartitionNews& item, int partition, Microseconds now) -> std::string;
+    auto other_target(PartitionNews const& item, std::string const& asked) -> std::string;
     auto send_call(Microseconds now, std::uint64_t token, PendingCall& pending, ControlOutput& output) -> void;
     auto on_call_forward(Microseconds now, CallForward const& forward, ControlOutput& output) -> void;
     auto next_hop(PendingCall const& pending) -> std::string;
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -93,30 +93,40 @@
 
 auto Control::take_news(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
     auto& item = news[static_cast<std::size_t>(answer.partition)];
-    if (answer.token != item.ask_token || item.ask_token == 0) return note_late(now, answer, output);
-    item.ask_token = 0;
+    if (answer.token != item.ask_token || item.ask_token == 0) return take_late(now, answer, output);
+    pass_by(item, true);
     item.unanswered = 0;
-    if (answer.record.term > item.record.term) item.record = answer.record;
-    take_copy(item, answer, output);
-    if (answer.proven && answer.sequence == item.copy.sequence)
-        item.proven_at = std::max(item.proven_at, item.asked_at - answer.age);
-    take_live(item, answer, output);
+    take_answer(item, answer, item.asked_at, output);
     if (item.asked_relay && now - item.proven_at > 2 * hold_limit(answer.partition))
         item.direct_until = now + times.direct;  // a relay that is behind, or cut off from the leader
     if (settings.core && load_choice.relayed) answer_waiting(now, answer.partition, output);
 }
 
-auto Control::note_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
-    auto const& past = news[static_cast<std::size_t>(answer.partition)].past_asks;
-    auto const asked =
-        std::find_if(past.begin(), past.end(), [&](auto const& ask) { return ask.token == answer.token; });
-    if (asked == past.end()) {
+// A proof counts from when its own question was asked, however late it comes; content that is newer is always taken.
+auto Control::take_answer(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
+    -> void {
+    if (answer.record.term > item.record.term) item.record = answer.record;
+    take_copy(item, answer, output);
+    if (answer.proven && answer.sequence == item.copy.sequence)
+        item.proven_at = std::max(item.proven_at, asked_at - answer.age);
+    take_live(item, answer, asked_at, output);
+}
+
+// The question was asked anew since, or of two nodes at once.
+auto Control::take_late(Microseconds now, NewsAnswer const& answer, ControlOutput& output) -> void {
+    auto& item = news[static_cast<std::size_t>(answer.partition)];
+    auto* asked = past_ask(item, answer.token);
+    if (asked == nullptr) {
         ++news_counts.unknown;
         return;
     }
-    ++news_counts.late;
-    news_counts.latest = std::max(news_counts.latest, now - asked->asked_at);
-    output.notes.push_back({answer.partition, asked->whom, now - asked->asked_at, true});
+    if (!asked->answered) {
+        ++news_counts.late;
+        news_counts.latest = std::max(news_counts.latest, now - asked->asked_at);
+        output.notes.push_back({answer.partition, asked->whom, now - asked->asked_at, true});
+    }
+    asked->answered = true;
+    take_answer(item, answer, asked->asked_at, output);
 }
 
 auto Control::take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
@@ -131,10 +141,11 @@
     output.news = true;
 }
 
-auto Control::take_live(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+auto Control::take_live(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
+    -> void {
     // A list is told apart by its digest: the same text is as fresh as its
     // freshest reading, another one is taken where it was read later (design 8.4).
-    auto const live_at = item.asked_at - answer.live_age;
+    auto const live_at = asked_at - answer.live_age;
     if (live_at <= item.live_at) return;
     if (answer.live_digest == item.live_digest) {
         item.live_at = live_at;
@@ -153,14 +164,13 @@
         return false;
     ++news_counts.unanswered;
     output.notes.push_back({partition, item.asked_whom, now - item.asked_at, false});
-    pass_by(item);
+    pass_by(item, false);
     if (item.asked_relay) item.direct_until = now + times.direct;
     else ++item.unanswered;
     return true;
 }
 
-// A relay where there are many nodes; else the leader first, and where that does
-// not answer, anyone may relay its proof.
+// A relay where there are many nodes; else the leader, or anyone where none is known.
 auto Control::news_target(PartitionNews& item, int partition, Microseconds now) -> std::string {
     item.asked_relay = false;
     if (load_choice.relayed && !settings.core && now >= item.direct_until) {
@@ -171,9 +181,16 @@
     }
     auto const& record = best_record(partition);
     auto target = membership.address_of(record.leader);
-    if (!target.empty() && record.leader != membership.self.identity && item.unanswered % 2 == 0) return target;
+    if (!target.empty() && record.leader != membership.self.identity) return target;
+    return other_target(item, "");
+}
+
+// Anyone but this node and the one that is asked already.
+auto Control::other_target(PartitionNews const& item, std::string const& asked) -> std::string {
     auto members = membership.alive_members(item.unanswered < 6);
-    std::erase_if(members, [&](auto const& member) { return member.identity == membership.self.identity; });
+    std::erase_if(members, [&](auto const& member) {
+        return member.identity == membership.self.identity || member.control_address == asked;
+    });
     if (members.empty()) return {};
     return members[random.below(members.size())].control_address;
 }
@@ -192,11 +209,12 @@
         item.ask_token = random.next() | 1U;
         item.asked_at = now;
         item.asked_whom = target;
-        output.sends.push_back(
-            {target,
-             NewsAsk{
-                 static_cast<int>(index), item.ask_token, item.record.term, item.copy.sequence, item.live_digest,
-                 now - item.live_at, item.whole_wanted}});
+        auto const ask = NewsAsk{static_cast<int>(index), item.ask_token,     item.record.term, item.copy.sequence,
+                                 item.live_digest,        now - item.live_at, item.whole_wanted};
+        output.sends.push_back({target, ask});
+        // Where the last question was not answered, another node, whoever it is, may relay its proof.
+        auto const other = item.unanswered > 0 ? other_target(item, target) : std::string();
+        if (!other.empty()) output.sends.push_back({other, ask});
     }
 }
 
--- a/source/control/partition_news.cpp
+++ b/source/control/partition_news.cpp
@@ -13,10 +13,17 @@
 
 auto digest_of(std::string_view text) -> std::uint64_t { return text_digest(text); }
 
-auto pass_by(PartitionNews& item) -> void {
+auto pass_by(PartitionNews& item, bool answered) -> void {
     if (item.ask_token == 0) return;
-    item.past_asks.push_back({item.ask_token, item.asked_whom, item.asked_at});
+    item.past_asks.push_back({item.ask_token, item.asked_whom, item.asked_at, answered});
     if (item.past_asks.size() > asks_kept) item.past_asks.pop_front();
+    item.ask_token = 0;
+}
+
+auto past_ask(PartitionNews& item, std::uint64_t token) -> PastAsk* {
+    auto const found =
+        std::find_if(item.past_asks.begin(), item.past_asks.end(), [&](auto const& ask) { return ask.token == token; });
+    return found == item.past_asks.end() ? nullptr : &*found;
 }
 
 auto remember(PartitionNews& item) -> void {
--- a/source/control/partition_news.hpp
+++ b/source/control/partition_news.hpp
@@ -7,6 +7,33 @@
 
 namespace dockrock {
 
+struct NewsTimes {
+    Microseconds hold_limit = 300 * one_millisecond;
+    Microseconds ask_limit = 500 * one_millisecond;
+    // The other parts decide nothing by their age: a change is told at once either way.
+    Microseconds service_hold_limit = 700 * one_millisecond;
+    Microseconds service_ask_limit = 900 * one_millisecond;
+    Microseconds direct = 2 * one_second;  // how long a relay is passed by that was silent or behind
+    Microseconds resting_interval = one_second;
+    Microseconds proof_limit = 1'500 * one_millisecond;  // older: no new entry is granted (granting.hpp)
+    Microseconds shed_limit = 4 * one_second;            // older: tickets are shed at once
+    Microseconds list_interval = 300 * one_millisecond;
+    Microseconds list_fallback = 1'200 * one_millisecond;
+    Microseconds call_limit = 4 * one_second;
+    Microseconds call_unsent_limit = 2'500 * one_millisecond;
+    Microseconds call_refused_limit = 800 * one_millisecond;  // of a node out of contact
+    Microseconds call_resend = 700 * one_millisecond;
+    Microseconds call_each_mebibyte = 500 * one_millisecond;  // of a body, on top of each of the three
+    Microseconds claim_limit = 4 * one_second;
+    Microseconds claim_resend = 150 * one_millisecond;
+};
+
+// For operators that turn to another node after a second of silence.
+inline auto limit_calls(NewsTimes& times) -> void {
+    times.call_limit = times.call_unsent_limit = 850 * one_millisecond;
+    times.call_resend = 250 * one_millisecond;
+}
+
 // What became of a question: nothing in time, or an answer after another question had been asked.
 struct NewsNote {
     int partition = 0;
@@ -24,11 +51,12 @@
     Microseconds latest = 0;    // the greatest age of a late answer
 };
 
-// A question that was asked anew.
+// A question that is no longer waited for: asked anew, or answered.
 struct PastAsk {
     std::uint64_t token = 0;
     std::string whom;
     Microseconds asked_at = 0;
+    bool answered = false;
 };
 
 // What a node holds of a partition as news (design 8).
@@ -47,14 +75,16 @@
     Microseconds direct_until = 0;  // the owner is asked, not the relay
     Microseconds asked_at = 0;
     std::string asked_whom;
-    std::deque<PastAsk> past_asks;  // the last few questions that were not answered in time
+    std::deque<PastAsk> past_asks;  // the last few questions that are no longer waited for
     std::uint64_t told_term = 0;    // as leader: the term that all members were told of
     int unanswered = 0;
 };
 
 auto digest_of(std::string_view text) -> std::uint64_t;
-// The question under way is asked anew; it stays remembered for a while.
-auto pass_by(PartitionNews& item) -> void;
+// The question under way is no longer waited for; it stays remembered for a while.
+auto pass_by(PartitionNews& item, bool answered) -> void;
+// Of all that are remembered; null: no such question.
+auto past_ask(PartitionNews& item, std::uint64_t token) -> PastAsk*;
 // Whole, or as the difference from what the asker holds, whichever is smaller.
 auto copy_for(PartitionNews const& item, NewsAsk const& ask) -> NewsCopy;
 // The same; the difference that many ask for is made once.
