--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -1,5 +1,6 @@
 // What operators and the platform ask of a node. docs/interfaces.md.
 #include "connection/losses.hpp"
+#include "connection/peers_status.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
 
@@ -26,15 +27,6 @@
         states[static_cast<std::size_t>(std::clamp(member.state, 0, 2))], "incarnation", member.incarnation);
 }
 
-auto write_peers(Transport& transport, Microseconds now) -> json::array {
-    json::array peers;
-    for (auto const& peer : transport.peers_seen(now))
-        peers.push_back(fields(
-            "address", peer.address, "connections", peer.connections, "heard_since_dialled", peer.heard,
-            "dialled_before_microseconds", peer.dialled_before));
-    return peers;
-}
-
 auto weights_problem() -> json::object {
     Problems problems;
     problems.push_back({"/weights", "must be a text of 1 to 128 characters"});
@@ -165,7 +157,11 @@
         if (weights == nullptr || !weights->is_string() || weights->as_string().empty() ||
             weights->as_string().size() > 128)
             co_return co_await answer(request, 400, weights_problem());
-        if (!node.snapshot.load()->rules->models.contains(service))
+        auto const proven = node.proven_at.load();
+        auto const known = node.snapshot.load()->rules->models.contains(service);
+        if (!known && !node.may_refuse(proven))
+            co_return co_await answer(request, 503, fields("error", "no fresh configuration here"), retry_header("1"));
+        if (!known)
             co_return co_await answer(request, 404, fields("error", "no model of this name in the configuration"));
         call = {
             partition_of_service(service), identity, "weights", header(request, "If-Match"),
--- /dev/null
+++ b/source/connection/peers_status.hpp
@@ -0,0 +1,10 @@
+#pragma once
+// The connections to other nodes, as the status tells of them. docs/operators.md.
+#include "base/json_structs.hpp"
+#include "process/transport.hpp"
+
+namespace dockrock {
+
+auto write_peers(Transport& transport, Microseconds now) -> json::array;
+
+}  // namespace dockrock
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -129,11 +129,13 @@
     for (auto count = 0;
          count < 30 && node.snapshot.load()->rules->empty() && clock_now() - node.started_at < 4 * one_second; ++count)
         co_await pause(50 * one_millisecond);
+    auto const proven = node.proven_at.load();
     auto const current = node.snapshot.load();
     auto judged = judge_relayed(current->rules->services, arrival_of(request, now));
     if (judged.verdict.kind == Verdict::Kind::answer) {
         ++node.counters.refused;
         auto const status = judged.verdict.status;
+        if (!node.may_refuse(proven)) co_return co_await refuse(request, 503, "no fresh configuration", soon);
         note_refusal(status, current->rules->sequence);
         co_return co_await refuse(request, status, judged.verdict.reason, status == 503 ? soon : "");
     }
@@ -184,11 +186,12 @@
         switch (step.step) {
             case Step::enter: step = co_await wait_for_place(course); break;
             case Step::interpret: {
+                auto const facts = node.facts_for(course.placement.replica);
                 auto const current = node.snapshot.load();
                 auto later = judge_relayed(current->rules->services, arrival_of(request, course.ticket.arrived_at));
                 auto const verdict = later.verdict;
                 if (verdict.kind == Verdict::Kind::enter) judged = std::move(later);
-                step = course.judged(verdict, current->rules->sequence, node.facts_for(course.placement.replica));
+                step = course.judged(verdict, current->rules->sequence, facts);
                 break;
             }
             case Step::send: {
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -1,5 +1,6 @@
 #include "connection/session.hpp"
 
+#include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
 
@@ -42,7 +43,7 @@
 }
 
 auto Session::serve() -> awaitable<void> {
-    socket.set_option(tcp::no_delay(true));
+    probe_silence(socket);
     while (!node.finished) {
         if (buffer.size() == 0) {  // idle between tickets; a resting or stopping node lets go sooner
             auto const quick = node.stopping || node.resting_now;
@@ -160,8 +161,11 @@
          count < 30 && node.snapshot.load()->rules->mappings.empty() && clock_now() - node.started_at < 4 * one_second;
          ++count)
         co_await wait_for(std::chrono::milliseconds(50));
+    auto const proven = node.proven_at.load();
     auto [verdict, current] = co_await interpret_now(request);
     node.last_ticket = clock_now();
+    if (verdict.kind == Verdict::Kind::answer && !node.may_refuse(proven))
+        co_return co_await shed(request, "not-fresh", 1);
     if (verdict.kind == Verdict::Kind::answer) {
         ++node.counters.refused;
         note_refusal(verdict.status, current->rules->sequence);
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -111,9 +111,9 @@
             case Step::enter: step = co_await enter_buffer(course); break;
             case Step::claim: step = co_await claim(course); break;
             case Step::interpret: {
+                auto const facts = node.facts_for(course.placement.replica);
                 auto [later, current] = co_await interpret_now(request);
-                step =
-                    course.judged(std::move(later), current->rules->sequence, node.facts_for(course.placement.replica));
+                step = course.judged(std::move(later), current->rules->sequence, facts);
                 break;
             }
             case Step::send: step = co_await send_try(request, course, usable); break;
--- a/source/control/list_pace.hpp
+++ b/source/control/list_pace.hpp
@@ -12,6 +12,12 @@
     std::size_t members = 1;   // nodes held alive
 };
 
+// A list that was read whole, as the product's own text.
+struct ListReading {
+    std::string text;
+    std::size_t pages = 0;
+};
+
 struct ListPace {
     Microseconds interval = 900 * one_millisecond;
     Microseconds fallback = 2 * one_second;       // a list older than this is read by the node itself
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -123,12 +123,17 @@
             burden.take_sum(relay, {sum.number, sum.base, sum.echo, sum.echo_age, sum.nodes, sum.body}, now);
     }
     if (!output.kept.empty()) take_feed(output.kept);
-    proven_at = control.news[configuration_partition].proven_at;
     sight.take(control.news_counts, output.notes);
+    for (auto const& note : output.notes)
+        if (!note.late) transport.doubt(note.whom, now);
     losses_bearable.look(control, now);
     if (output.news) publish_snapshot();
+    take_proof();
 }
 
+// After what it proves: whoever reads the proof and then the snapshot holds at least what is proven.
+auto Node::take_proof() -> void { proven_at = control.news[configuration_partition].proven_at; }
+
 auto Node::publish_snapshot() -> void {
     auto const old = snapshot.load();
     auto fresh = make_snapshot(control, *old, form == nullptr ? nullptr : &form->documents);
@@ -139,6 +144,7 @@
                 "sequence", etag_of(fresh->rules->sequence), "proof_age_microseconds",
                 control.proof_age(configuration_partition, clock_now())));
     snapshot = fresh;
+    take_proof();
     judge_resting(clock_now());
     auto const guard = std::lock_guard(table.lock);
     if (form != nullptr) take_services(*fresh);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -75,12 +75,6 @@
     std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
 };
 
-// A list that was read whole, as the product's own text.
-struct ListReading {
-    std::string text;
-    std::size_t pages = 0;
-};
-
 // A replica or store whose events are read.
 struct KeptSource {
     std::string address;
@@ -175,6 +169,10 @@
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
     auto facts_for(std::string const& replica) const -> CourseFacts;
+    auto refusal_limit() const -> Microseconds { return refusal_limit_of(settings.bounds); }
+    // Looked at before the snapshot that it stands for (design 8.3).
+    auto may_refuse(Microseconds proven) const -> bool;
+    auto take_proof() -> void;
     auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -11,17 +11,20 @@
 // For the last checks. They hold what matching held: a try that matching allows
 // and the checks refuse would go round without end (design 8.3).
 auto Node::facts_for(std::string const& replica) const -> CourseFacts {
-    auto const current = snapshot.load();
     auto facts = CourseFacts();
     facts.now = clock_now();
-    facts.proof_age = proof_age(facts.now);
+    facts.proof_age = proof_age(facts.now);  // before the snapshot: what it proves is then in it
     facts.proof_limit = proof_limit();
+    facts.refusal_limit = refusal_limit();
+    auto const current = snapshot.load();
     facts.rules = current->rules->sequence;
     for (auto const& entry : current->list.replicas)
         if (entry.name == replica) facts.listed = !entry.drain;
     return facts;
 }
 
+auto Node::may_refuse(Microseconds proven) const -> bool { return clock_now() - proven <= refusal_limit(); }
+
 auto Node::try_ended(
     std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
     -> void {
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -62,6 +62,10 @@
     return {entry, std::max(entry, bounds.revoke - 200 * one_millisecond)};
 }
 
+auto refusal_limit_of(FleetBounds const& bounds) -> Microseconds {
+    return bounds.apply - std::min(bounds.apply / 4, 200 * one_millisecond);
+}
+
 // The slack is one for the whole fleet, and each node may spend its store at one
 // moment. A store below one pays for nothing, so one is the least; a slack of 26
 // for each stored try leaves it to 26 nodes. A start, not measured.
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -58,6 +58,8 @@
     Microseconds shed = 0;   // older: whoever waits is shed at once
 };
 auto proof_limits_of(FleetBounds const& bounds) -> ProofLimits;
+// Older: what the configuration refuses may be allowed by a newer one that has to be in force (design 8.3).
+auto refusal_limit_of(FleetBounds const& bounds) -> Microseconds;
 // A node that stops takes requests that are read until this moment. Later ones might outlast the stop limit and be
 // cut; refused at once, they run elsewhere.
 inline constexpr Microseconds longest_stop_entry = 2'900 * one_millisecond;
--- a/source/ticket/course.cpp
+++ b/source/ticket/course.cpp
@@ -101,6 +101,11 @@
     CourseStep step;
     step.give_back = placement.replica;
     if (verdict.kind != Verdict::Kind::enter) {
+        if (facts.proof_age > facts.refusal_limit) {  // a newer configuration may allow it
+            step = give_up("not-fresh", 1);
+            step.give_back = placement.replica;
+            return step;
+        }
         step.step = step_for(retry::without_another_try(request_facts()));
         if (step.step == Step::answer_shed) step.step = Step::answer_refused;
         step.release_claim = claim_held && !history.may_have_run;
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -41,6 +41,7 @@
     Microseconds now = 0;
     Microseconds proof_age = 0;
     Microseconds proof_limit = dockrock::proof_limit;
+    Microseconds refusal_limit = dockrock::refusal_limit;  // older: the rules may refuse nothing
     Sequence rules;
     bool listed = false;  // the placed replica is on the list, without a drain mark
 };
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -12,6 +12,7 @@
 // Where nothing else is set (design 8.3).
 inline constexpr Microseconds proof_limit = 1'500 * one_millisecond;
 inline constexpr Microseconds proof_shed_limit = 4 * one_second;
+inline constexpr Microseconds refusal_limit = 1'800 * one_millisecond;
 
 struct FetchPlan {
     std::string source;  // address of a peer replica or of the store; empty: recompute
