--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -1,5 +1,6 @@
 // What operators and the platform ask of a node. docs/interfaces.md.
 #include "connection/losses.hpp"
+#include "connection/peers_status.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
 
@@ -60,7 +61,7 @@
         node.ready(now), "resting", node.resting_now.load(), "stopping", node.stopping.load(), "configuration_in_force",
         etag_of(current->rules->sequence), "replicas_listed", current->list.replicas.size(), "list_age_microseconds",
         now - node.control.news[configuration_partition].live_at, "open_tickets", node.open_tickets.load(), "members",
-        std::move(members), "partitions", std::move(partitions));
+        std::move(members), "peers", write_peers(node.transport, now), "partitions", std::move(partitions));
 }
 
 }  // namespace
@@ -156,7 +157,11 @@
         if (weights == nullptr || !weights->is_string() || weights->as_string().empty() ||
             weights->as_string().size() > 128)
             co_return co_await answer(request, 400, weights_problem());
-        if (!node.snapshot.load()->rules->models.contains(service))
+        auto const proven = node.proven_at.load();
+        auto const known = node.snapshot.load()->rules->models.contains(service);
+        if (!known && !node.may_refuse(proven))
+            co_return co_await answer(request, 503, fields("error", "no fresh configuration here"), retry_header("1"));
+        if (!known)
             co_return co_await answer(request, 404, fields("error", "no model of this name in the configuration"));
         call = {
             partition_of_service(service), identity, "weights", header(request, "If-Match"),
@@ -211,6 +216,10 @@
     line("messages_dropped_total", transport.dropped.load());
     line("messages_received_total", transport.received.load());
     line("messages_malformed_total", transport.malformed.load());
+    line("peer_dials_total", transport.dials.load());
+    line("peer_redials_total", transport.redials.load());
+    line("peer_connections_lost_total", transport.connections_lost.load());
+    sight.write(text);
     line("open_tickets", open_tickets.load());
     line("resting", resting_now ? 1 : 0);
     line("ready", ready(now) ? 1 : 0);
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -110,9 +110,9 @@
             case Step::enter: step = co_await enter_buffer(course); break;
             case Step::claim: step = co_await claim(course); break;
             case Step::interpret: {
+                auto const facts = node.facts_for(course.placement.replica);
                 auto [later, current] = co_await interpret_now(request);
-                step =
-                    course.judged(std::move(later), current->rules->sequence, node.facts_for(course.placement.replica));
+                step = course.judged(std::move(later), current->rules->sequence, facts);
                 break;
             }
             case Step::send: step = co_await send_try(request, course, usable); break;
@@ -122,6 +122,7 @@
             case Step::answer_refused:
                 if (!node.refusal_leaves(step.status)) co_return co_await shed(request, "not-fresh", 1);
                 ++node.counters.refused;
+                note_refusal(step.status, course.rules);
                 co_return co_await answer(request, step.status, fields("outcome", "shed", "error", step.reason));
             case Step::answer_seen: co_return co_await answer(request, 409, seen_body());
             case Step::finished: co_return usable;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -16,6 +16,7 @@
 #include "control/weights_duty.hpp"
 #include "control/weights_guard.hpp"
 #include "process/measures.hpp"
+#include "process/news_sight.hpp"
 #include "process/settings.hpp"
 #include "process/snapshot_holder.hpp"
 #include "process/storage.hpp"
@@ -58,22 +59,14 @@
     std::atomic<std::uint64_t> tickets{0}, answered{0}, shed{0}, unknown{0}, refused{0}, broken{0}, callers_gone{0},
         tries{0}, did_not_run{0}, connect_failures{0};
     std::atomic<std::uint64_t> kept_tokens{0}, prefix_tokens{0}, fetched_tokens{0}, fetches{0};
-    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0};
-    std::atomic<std::uint64_t> strangers{0};  // answers that belonged to no request
-    std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0};
-    std::atomic<std::uint64_t> calls{0}, orders{0}, list_reads{0}, list_failures{0}, wakeups{0}, saves{0},
-        save_batches{0}, disk_failures{0}, disk_repairs{0};
+    std::atomic<std::uint64_t> part_calls{0}, part_events{0}, part_gaps{0}, strangers{0};  // answers of no request
+    std::atomic<std::uint64_t> claims_granted{0}, claims_seen{0}, claims_unknown{0}, calls{0}, orders{0}, list_reads{0},
+        list_failures{0}, wakeups{0}, saves{0}, save_batches{0}, disk_failures{0}, disk_repairs{0};
     std::atomic<std::uint64_t> list_calls{0}, list_limited{0}, weights_reports{0}, weights_report_failures{0};
     std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
     std::atomic<std::uint64_t> weights_behind{0}, weights_overdue{0}, weights_oldest{0}, weights_withheld{0};  // now
 };
 
-// A list that was read whole, as the product's own text.
-struct ListReading {
-    std::string text;
-    std::size_t pages = 0;
-};
-
 // A replica or store whose events are read.
 struct KeptSource {
     std::string address;
@@ -95,6 +88,7 @@
     SnapshotHolder snapshot;
     Counters counters;
     Measures measures;
+    NewsSight sight;
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
     std::atomic<bool> stopping{false};
@@ -113,9 +107,9 @@
     Microseconds started_at = 0;
     std::map<std::uint64_t, std::function<void(ClaimDone)>> claim_waiters;  // inside control_work
     std::map<std::uint64_t, std::function<void(CallDone)>> call_waiters;    // inside control_work
-    std::array<std::uint64_t, partition_count> logged_epochs{};             // inside control_work
+    std::array<std::uint64_t, partition_count> logged_epochs{};             // these three inside control_work
     std::array<bool, partition_count> logged_owned{};
-    bool load_relayed = false;                 // inside control_work; the table holds the same
+    bool load_relayed = false;                 // the table holds the same
     Resting resting;                           // inside control_work
     std::atomic<Microseconds> awake_until{0};  // a ticket woke this node
     Orders orders;                             // inside control_work
@@ -166,6 +160,10 @@
         std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
         -> void;
     auto facts_for(std::string const& replica) const -> CourseFacts;
+    auto refusal_limit() const -> Microseconds { return refusal_limit_of(settings.bounds); }
+    // Looked at before the snapshot that it stands for (design 8.3).
+    auto may_refuse(Microseconds proven) const -> bool;
+    auto take_proof() -> void;
     auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
     auto ready(Microseconds now) const -> bool;
@@ -199,7 +197,6 @@
     auto lease_checked(int partition, std::uint64_t fence) -> awaitable<std::optional<invariants::OrderFacts>>;
     // The last looks at what leaves; false where it breaks an invariant and is to be held back.
     auto refusal_leaves(int status) const -> bool;
-    auto refusal_is_sure(int status) const -> bool;
     auto request_leaves(Course const& course, CourseFacts const& facts) const -> bool;
     auto still_right(Course const& course) const -> bool;  // the last checks once more
     auto order_leaves(int partition, invariants::OrderFacts facts, Microseconds wait) -> bool;
--- a/source/process/node_invariants.cpp
+++ b/source/process/node_invariants.cpp
@@ -50,12 +50,6 @@
     return invariants::check(invariants::RefusalFacts{status, proof_age(clock_now()), settings.bounds.apply});
 }
 
-// What only a configuration justifies is told under a proof of it, or not at all.
-auto Node::refusal_is_sure(int status) const -> bool {
-    auto const fresh = proof_age(clock_now()) <= proof_limit();
-    return (fresh || !invariants::rests_on_configuration(status)) && refusal_leaves(status);
-}
-
 auto Node::request_leaves(Course const& course, CourseFacts const& facts) const -> bool {
     auto const& ticket = course.ticket;
     auto const once = invariants::check(invariants::RunOnceFacts{ticket.body.run_once, course.may_have_run});
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -13,9 +13,10 @@
 auto Node::facts_for(std::string const& replica) const -> CourseFacts {
     auto facts = CourseFacts();
     facts.now = clock_now();
-    facts.proof_age = proof_age(facts.now);  // before the snapshot that it is to stand for is looked at
-    auto const current = snapshot.load();
+    facts.proof_age = proof_age(facts.now);  // before the snapshot: what it proves is then in it
     facts.proof_limit = proof_limit();
+    facts.refusal_limit = refusal_limit();
+    auto const current = snapshot.load();
     facts.rules = current->rules->sequence;
     for (auto const& entry : current->list.replicas)
         if (entry.name == replica) facts.listed = !entry.drain;
@@ -28,6 +29,8 @@
     return course.may_be_sent(facts) && request_leaves(course, facts);
 }
 
+auto Node::may_refuse(Microseconds proven) const -> bool { return clock_now() - proven <= refusal_limit(); }
+
 auto Node::try_ended(
     std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
     -> void {
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -9,10 +9,19 @@
 #include <thread>
 
 #include "base/frame.hpp"
+#include "base/peer_link.hpp"
 #include "membership/membership.hpp"
 
 namespace dockrock {
 
+// A peer's connection, as the status tells of it.
+struct PeerSeen {
+    std::string address;
+    int connections = 0;
+    bool heard = false;  // since it was dialled
+    Microseconds dialled_before = 0;
+};
+
 struct Transport {
     using Heard = std::function<void(Frame&&)>;
 
@@ -24,9 +33,16 @@
         Microseconds used_at = 0;
         Microseconds dialed_at = 0;
         bool heard = false;  // since it was dialled: it is up, whatever became of the attempt
-        std::unique_ptr<std::atomic<int>> connections = std::make_unique<std::atomic<int>>(0);
+        struct Connections {
+            std::atomic<int> count{0};
+            std::atomic<std::uint64_t>* lost = nullptr;
+        };
+        std::unique_ptr<Connections> connections = std::make_unique<Connections>();
     };
     std::map<std::string, Peer> peers;
+    std::map<std::string, PeerLink> links;  // by address, also of those that are only heard
+    std::uint64_t life = 0;                 // of this process; drawn at the start
+    std::uint64_t last_number = 0;          // of all frames of this life
     std::thread reader;
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> sent{0};
@@ -34,15 +50,22 @@
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> dials{0};
+    std::atomic<std::uint64_t> redials{0};
+    std::atomic<std::uint64_t> connections_lost{0};
 
     auto start(std::string const& address, std::string const& fleet_name, Heard heard)
         -> std::string;  // empty, or what failed
     auto send(std::string const& address, std::string const& frame, Microseconds now) -> void;
+    // It was asked something and did not answer in time.
+    auto doubt(std::string const& address, Microseconds now) -> void;
+    auto peers_seen(Microseconds now) -> std::vector<PeerSeen>;
     auto stop() -> void;
 
    private:
     auto dial(std::string const& address, Peer& peer, Microseconds now) -> bool;
-    auto mark_heard(std::string const& address) -> void;
+    auto mark_heard(std::string const& address, LinkNote const& note) -> void;
+    auto dial_due(Peer const& peer, PeerLink const& link, Microseconds now) const -> bool;
+    auto hear(std::string_view bytes, Heard const& heard) -> bool;
     auto let_go_unused(Microseconds now) -> void;
 };
 
