--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -14,7 +14,7 @@
 PATCHED = 0.4  # share of the changes of routes
 CHANGE_EVERY = (0.5, 1.4)
 READ_EVERY = 0.12
-NAMES = {"weights": (3, (0.8, 2.5), (9, 14)), "mixed": (2, (0.5, 2.0), (6, 12)), "core": (2, (0.5, 2.0), (5, 9)),
+NAMES = {"weights": (4, (0.8, 2.5), (9, 14)), "mixed": (2, (0.5, 2.0), (6, 12)), "core": (2, (0.5, 2.0), (5, 9)),
          "configuration": (1, (1.0, 1.0), (12, 18))}  # names in a row, seconds between them, seconds of rest
 REVOKED_PROBES, REVOKED_EVERY = 12, 0.7
 PROBE_DEADLINE = 2500
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -19,7 +19,7 @@
 MEMORY = pathlib.Path("/dev/shm")
 USUAL = {"replicas": 6, "out": 60, "rate": 40, "overload": 150}
 # Long streams at many replicas, so that a roll-out takes most of its bound.
-SHAPED = {"weights": {"replicas": 16, "out": 300, "rate": 22, "overload": 60}}
+SHAPED = {"weights": {"replicas": 18, "out": 400, "rate": 20, "overload": 60}}
 FIRST_SUCCESSOR = 60  # its place among the addresses
 
 
