Core nodes learn decided records from the news; the list's part of control apart

Cause: of the members that a record names the only one left may not have been told of it: its leader died right after the decision, the others lost their disks. The news brought the record and only the news kept it. Change: a core node whose news names a higher term learns that record as if its leader had told it.

--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -178,6 +178,7 @@
         ControlOutput& output) -> void;
     auto drain(Context& context, ControlOutput& output) -> void;
     auto publish(Microseconds now, ControlOutput& output) -> void;
+    auto learn_record(Microseconds now, Partition& partition, Record const& record, ControlOutput& output) -> void;
     auto ask_news(Microseconds now, ControlOutput& output) -> void;
     auto answer_news(Microseconds now, WaitingAsk const& waiting, ControlOutput& output, bool may_wait) -> void;
     auto next_is_held(PartitionNews const& item, int partition, Microseconds now) const -> bool;
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -4,12 +4,21 @@
 
 namespace dockrock {
 
+// A record is decided whoever tells it. Of the members that it names the only one left may be one that
+// was not told by its leader: it has to know, or nobody proposes the next record (consensus.md 3.3).
+auto Control::learn_record(Microseconds now, Partition& partition, Record const& record, ControlOutput& output)
+    -> void {
+    with_parts(now, output, [&](Context& context) { partition.learn(context, record); });
+}
+
 // The leased leader's committed copy is the news; nothing else ever is.
 auto Control::publish(Microseconds now, ControlOutput& output) -> void {
     for (auto index = std::size_t{0}; index < partition_count; ++index) {
         auto& partition = partitions[index];
         auto& item = news[index];
         if (partition.votes.decided.term > item.record.term) item.record = partition.votes.decided;
+        else if (settings.core && item.record.term > partition.votes.decided.term)
+            learn_record(now, partition, item.record, output);
         if (!watches[index].look(partition, item, membership.self.identity, now)) continue;
         if (!partition.committed || !partition.has_lease(membership.self.identity, now)) continue;
         auto const changed = partition.committed->sequence > item.copy.sequence;
@@ -221,28 +230,4 @@
     }
 }
 
-auto Control::wants_list(Microseconds now) const -> bool {
-    if (leads(configuration_partition, now)) return now - last_list_read >= times.list_interval;
-    if (resting) return false;
-    return now - news[configuration_partition].live_at > times.list_fallback && now - last_list_read >= one_second / 2;
-}
-
-// A list that was read whole, or the word of a partition's leader. What can't be read
-// never reaches this machine, so silence undoes no mark (design 8).
-auto Control::live_read(int partition, Microseconds now, Microseconds asked_at, std::string const& text)
-    -> ControlOutput {
-    ControlOutput output;
-    if (partition == configuration_partition) last_list_read = now;
-    auto& item = news[static_cast<std::size_t>(partition)];
-    if (asked_at <= item.live_at) return output;  // overtaken by a later reading
-    item.live_at = asked_at;
-    auto const digest = digest_of(text);
-    if (digest == item.live_digest) return output;
-    item.live = text;
-    item.live_digest = digest;
-    output.news = true;
-    answer_waiting(now, partition, output);
-    return output;
-}
-
 }  // namespace dockrock
