One piece where two stood: notes of refusals, error bodies, the lease's age, a test's ear

Cause: parts that were written side by side. Both kinds of session noted a refusal in the same words, and the product's looked twice whether one may leave; the body of an error stood three times in source/consensus; the age of a lease that was looked at stood as two constants of 5 ms; two tests of transports had the same struct of frames heard; and two types had nearly one name, VersionsNamed (the check's own account, now OverdueCheck) and NamedVersions. Left on purpose: surely_not_run beside retry::ran_or_may_have, and OverdueCheck beside NamedVersions, as a check that reads what it checks would not see its faults. No change of behaviour, no assertion changed.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -114,11 +114,6 @@
     client.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-auto RelaySession::note_refusal(int status, Sequence const& sequence) -> void {
-    auto const now = clock_now();
-    if (status != 503) node.sight.refused(status, sequence, node.proof_age(now), now);
-}
-
 auto RelaySession::handle(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     auto const now = clock_now();
@@ -138,7 +133,7 @@
         ++node.counters.refused;
         auto const status = judged.verdict.status;
         if (!node.may_refuse(proven)) co_return co_await refuse(request, 503, "no fresh configuration", soon);
-        note_refusal(status, current->rules->sequence);
+        node.note_refusal(status, current->rules->sequence);
         co_return co_await refuse(request, status, judged.verdict.reason, status == 503 ? soon : "");
     }
     ++node.open_tickets;
@@ -215,7 +210,7 @@
             case Step::answer_shed: ++node.counters.shed; co_return co_await refuse(request, 503, step.reason, soon);
             case Step::answer_refused:
                 ++node.counters.refused;
-                note_refusal(step.status, course.rules);
+                node.note_refusal(step.status, course.rules);
                 co_return co_await refuse(request, step.status, step.reason, step.status == 503 ? soon : "");
             case Step::answer_failure: co_return co_await write_all(answer.failure_head) && answer.keep;
             case Step::claim:
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -39,7 +39,6 @@
     auto send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
         -> awaitable<TryResult>;
     auto wait_for_place(Course& course) -> awaitable<CourseStep>;
-    auto note_refusal(int status, Sequence const& sequence) -> void;
     auto refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after = std::string())
         -> awaitable<bool>;
     auto begin_watch() -> void;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -149,11 +149,6 @@
         asio::use_awaitable);
 }
 
-auto Session::note_refusal(int status, Sequence const& sequence) -> void {
-    auto const now = clock_now();
-    if (status != 503) node.sight.refused(status, sequence, node.proof_age(now), now);
-}
-
 auto Session::handle_ticket(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     // A node that has just started waits a little for its first configuration.
@@ -164,12 +159,11 @@
     auto const proven = node.proven_at.load();
     auto [verdict, current] = co_await interpret_now(request);
     node.last_ticket = clock_now();
-    if (verdict.kind == Verdict::Kind::answer && !node.may_refuse(proven))
-        co_return co_await shed(request, "not-fresh", 1);
     if (verdict.kind == Verdict::Kind::answer) {
-        if (!node.refusal_leaves(verdict.status)) co_return co_await shed(request, "not-fresh", 1);
+        if (!node.may_refuse(proven) || !node.refusal_leaves(verdict.status))
+            co_return co_await shed(request, "not-fresh", 1);
         ++node.counters.refused;
-        note_refusal(verdict.status, current->rules->sequence);
+        node.note_refusal(verdict.status, current->rules->sequence);
         auto body = fields("outcome", "shed", "error", verdict.reason);
         if (!verdict.problems.empty()) body["problems"] = write_problems(verdict.problems);
         auto headers = Headers();
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -30,7 +30,6 @@
     auto handle_ticket(HttpRequest const& request) -> awaitable<bool>;
     auto forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool>;
     auto run_ticket(HttpRequest const& request, Verdict verdict, Sequence sequence) -> awaitable<bool>;
-    auto note_refusal(int status, Sequence const& sequence) -> void;
     auto shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool>;
     auto unknown(HttpRequest const& request, std::string reason) -> awaitable<bool>;
     auto interpret_now(HttpRequest const& request) -> awaitable<std::pair<Verdict, SnapshotPointer>>;
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -122,7 +122,7 @@
             case Step::answer_refused:
                 if (!node.refusal_leaves(step.status)) co_return co_await shed(request, "not-fresh", 1);
                 ++node.counters.refused;
-                note_refusal(step.status, course.rules);
+                node.note_refusal(step.status, course.rules);
                 co_return co_await answer(request, step.status, fields("outcome", "shed", "error", step.reason));
             case Step::answer_seen: co_return co_await answer(request, 409, seen_body());
             case Step::finished: co_return usable;
--- a/source/consensus/answer_checks.cpp
+++ b/source/consensus/answer_checks.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "consensus/error_body.hpp"
+
 namespace dockrock {
 
 namespace {
@@ -11,7 +13,7 @@
 
 auto held_back(CallDone done, int status, std::string_view what) -> CallDone {
     done.status = status;
-    done.body = json::serialize(json::object{{"error", json::string_view(what.data(), what.size())}});
+    done.body = error_body(what);
     done.etag.clear();
     return done;
 }
--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "consensus/answer_checks.hpp"
+#include "consensus/error_body.hpp"
 
 namespace dockrock {
 
@@ -10,10 +11,6 @@
 constexpr auto queue_limit = std::size_t{256};
 constexpr Microseconds queued_limit = 2'500 * one_millisecond;
 
-auto error_body(std::string_view what) -> std::string {
-    return json::serialize(json::object{{"error", json::string_view(what.data(), what.size())}});
-}
-
 // Of a change that is wrong by itself no version is told.
 auto etag_told(int status, Sequence const& sequence) -> std::string {
     return status == 200 || status == 412 ? etag_of(sequence) : std::string();
--- a/source/consensus/leader_and_follower.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -1,6 +1,7 @@
 // The group: leader and followers, changes and their outcomes. docs/design.md 5.4 to 5.6.
 #include <algorithm>
 
+#include "consensus/error_body.hpp"
 #include "consensus/partition.hpp"
 
 namespace dockrock {
@@ -8,10 +9,6 @@
 namespace {
 constexpr Microseconds queued_limit = 2'500 * one_millisecond;
 constexpr Microseconds waiter_limit = 3 * one_second;
-
-auto error_body(std::string_view what) -> std::string {
-    return json::serialize(json::object{{"error", json::string_view(what.data(), what.size())}});
-}
 }  // namespace
 
 // Those who wait for changes of which nothing is known any more.
--- a/source/control/versions_named.hpp
+++ b/source/control/overdue_check.hpp
@@ -7,7 +7,7 @@
 
 namespace dockrock {
 
-struct VersionsNamed {
+struct OverdueCheck {
     struct Named {
         std::int64_t version = 0;
         Microseconds since = 0;
--- a/source/control/snapshot.hpp
+++ b/source/control/snapshot.hpp
@@ -3,7 +3,7 @@
 // whole. docs/design.md section 14.
 #include "control/control.hpp"
 #include "control/replica_weights.hpp"
-#include "control/versions_named.hpp"
+#include "control/overdue_check.hpp"
 #include "sequence/rules.hpp"
 #include "ticket/burden.hpp"
 
@@ -16,7 +16,7 @@
     std::map<std::string, std::int64_t> target_versions;  // by model, where a version was named
     WeightsWords replica_weights;                         // of the replicas listed
     std::set<std::string> resting;
-    VersionsNamed versions_named;  // for the check of what is written
+    OverdueCheck overdue_check;  // for the check of what is written
 
     auto target_version(std::string const& model) const -> std::int64_t {
         auto const found = target_versions.find(model);
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -163,6 +163,7 @@
     auto refusal_limit() const -> Microseconds { return refusal_limit_of(settings.bounds); }
     // Looked at before the snapshot that it stands for (design 8.3).
     auto may_refuse(Microseconds proven) const -> bool;
+    auto note_refusal(int status, Sequence const& sequence) -> void;
     auto take_proof() -> void;
     auto proof_limit() const -> Microseconds { return table.granting.proof_limit; }  // fixed at start
     auto proof_age(Microseconds now) const -> Microseconds { return now - proven_at.load(); }
--- a/source/process/node_invariants.cpp
+++ b/source/process/node_invariants.cpp
@@ -56,13 +56,13 @@
     auto const sent = invariants::check(
         invariants::SendFacts{facts.proof_age, facts.proof_limit, facts.listed, facts.rules, course.rules});
     auto const current = snapshot.load();
-    if (current->versions_named.by_model.empty()) return once && sent;
+    if (current->overdue_check.by_model.empty()) return once && sent;
     auto const held = current->replica_weights.find(course.placement.replica);
     if (held == current->replica_weights.end()) return once && sent;
     auto const bound = settings.bounds.weights - version_flight;
     auto fresh = true;
     for (auto const& [model, version] : held->second.versions)
-        fresh = current->versions_named.check(model, version, facts.now, bound) && fresh;
+        fresh = current->overdue_check.check(model, version, facts.now, bound) && fresh;
     return once && sent && fresh;
 }
 
@@ -79,10 +79,10 @@
 }
 
 auto Node::learn_versions(Snapshot& fresh, Snapshot const& old) const -> void {
-    fresh.versions_named = old.versions_named;
+    fresh.overdue_check = old.overdue_check;
     auto const now = clock_now();
     for (auto const& [model, version] : fresh.target_versions)
-        fresh.versions_named.learn(model, version, now, settings.bounds.weights);
+        fresh.overdue_check.learn(model, version, now, settings.bounds.weights);
 }
 
 }  // namespace dockrock
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -31,6 +31,12 @@
 
 auto Node::may_refuse(Microseconds proven) const -> bool { return clock_now() - proven <= refusal_limit(); }
 
+// What the rules refused; 503 says nothing of them.
+auto Node::note_refusal(int status, Sequence const& sequence) -> void {
+    auto const now = clock_now();
+    if (status != 503) sight.refused(status, sequence, proof_age(now), now);
+}
+
 auto Node::try_ended(
     std::string const& replica, Ticket const& ticket, TryEnd end, std::string const& reason, Microseconds sent_at)
     -> void {
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -11,7 +11,6 @@
 constexpr Microseconds connect_limit = 300 * one_millisecond;
 constexpr Microseconds order_limit = 400 * one_millisecond;  // in flight
 constexpr Microseconds report_limit = 400 * one_millisecond;
-constexpr Microseconds check_age = 5 * one_millisecond;  // of the lease, when an order is written
 constexpr auto checks = 3;
 constexpr Microseconds holder_margin = 200 * one_millisecond;  // on top of the time between two holders' orders
 
@@ -92,7 +91,7 @@
         });
         for (auto waited = 0; seen->load() < 0 && waited < 100; ++waited) co_await pause(one_millisecond);
         if (seen->load() == 0) co_return std::nullopt;
-        if (seen->load() > 0 && clock_now() - seen->load() <= check_age) co_return *facts;
+        if (seen->load() > 0 && clock_now() - seen->load() <= invariants::lease_check_age) co_return *facts;
     }
     co_return std::nullopt;
 }
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -107,8 +107,8 @@
     auto const now = clock_now();
     sender.change([&](auto& fresh) {
         fresh.replica_weights["replica"].versions = {{"model", 1}};
-        fresh.versions_named.learn("model", 2, now - bound, bound);
-        fresh.versions_named.learn("model", 3, now - one_second, bound);
+        fresh.overdue_check.learn("model", 2, now - bound, bound);
+        fresh.overdue_check.learn("model", 3, now - one_second, bound);
     });
     {
         auto const expected = ExpectedViolations{Invariant::weights_not_overdue};
@@ -116,7 +116,7 @@
     }
     sender.change([](auto& fresh) { fresh.replica_weights["replica"].versions = {{"model", 2}}; });
     CHECK(sender.leaves());
-    auto named = VersionsNamed();
+    auto named = OverdueCheck();
     for (auto version = 2; version < 30; ++version) named.learn("model", version, version * one_second, bound);
     CHECK(named.by_model.at("model").size() < 25);  // those past their bound are one
     CHECK(named.by_model.at("model").front().version == 8);
--- a/tests/stalled_connection_test.cpp
+++ b/tests/stalled_connection_test.cpp
@@ -1,11 +1,9 @@
 // Connections between nodes that hang: after a cut, or as what is left of a former life. docs/design.md section 3.
 #include <catch2/catch.hpp>
-#include <chrono>
-#include <condition_variable>
 
 #include "process/clock.hpp"
-#include "process/transport.hpp"
 #include "stalling_relay.hpp"
+#include "transport_helpers.hpp"
 
 using namespace dockrock;
 using namespace dockrock::testing;
@@ -17,28 +15,6 @@
 constexpr auto settle = std::chrono::milliseconds(2'000);  // for what has nothing in its way
 constexpr auto mended_within = std::chrono::milliseconds(900);
 
-struct Heard {
-    std::mutex lock;
-    std::condition_variable changed;
-    std::size_t count = 0;
-
-    auto hear() -> Transport::Heard {
-        return [this](Frame&&) {
-            auto const guard = std::lock_guard(lock);
-            ++count;
-            changed.notify_all();
-        };
-    }
-    auto reaches(std::size_t wanted, std::chrono::milliseconds limit) -> bool {
-        auto guard = std::unique_lock(lock);
-        return changed.wait_for(guard, limit, [&] { return count >= wanted; });
-    }
-    auto now() -> std::size_t {
-        auto const guard = std::lock_guard(lock);
-        return count;
-    }
-};
-
 // A node that others reach by way of a relay of the test's own.
 struct End {
     StallingRelay relay;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -6,12 +6,11 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
-#include <chrono>
-#include <condition_variable>
 
-#include "process/transport.hpp"
+#include "transport_helpers.hpp"
 
 using namespace dockrock;
+using namespace dockrock::testing;
 
 namespace {
 
@@ -66,25 +65,6 @@
 
 auto address_of(std::uint16_t port) -> std::string { return "127.0.0.1:" + std::to_string(port); }
 
-// Frames heard, awaited by count.
-struct Heard {
-    std::mutex lock;
-    std::condition_variable changed;
-    std::size_t count = 0;
-
-    auto hear() -> Transport::Heard {
-        return [this](Frame&&) {
-            auto const guard = std::lock_guard(lock);
-            ++count;
-            changed.notify_all();
-        };
-    }
-    auto reaches(std::size_t wanted, std::chrono::milliseconds limit) -> bool {
-        auto guard = std::unique_lock(lock);
-        return changed.wait_for(guard, limit, [&] { return count >= wanted; });
-    }
-};
-
 auto frame_from(std::string const& address) -> std::string {
     return pack_frame({fleet_name, "node at " + address, address, 1, "{}"});
 }
