Soak: planted faults have addresses of their own, so that two soaks never meet

Cause: the test command plays two soaks at a time; the planted fault 'falls' (shape mixed, seed 1) had the addresses of the soak of that shape and seed, and whichever came second ended with 'the addresses are taken'. Ruled out: a process left over from another run (the net named is that of both). Change: tests/soak/addresses.py gives each shape, seed and planted fault its net; the test command's own lines are checked for nets that meet. Planted: with the former mapping the new test fails.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,14 +12,13 @@
 import sys
 import tempfile
 
+from addresses import net_of
 from course import SHAPES
 from paths import ROOT
 from planted import NODE, PLANTED, found_out
 from run import Run
 from soak_verdict import STORIES, broken_rules
 
-# Third parts of the loopback addresses, apart from those of other live tests and of the other shapes.
-NETS, FIRST_NET = 25, 140
 LIVE_STATES = {"held": "kept", "BROKEN": "BROKEN", "not judged": "not exercised"}
 
 
@@ -103,8 +102,7 @@
         return 2
     broken, net = {}, options.net
     for seed in range(int(first), int(last or first) + 1):
-        shape = sorted(SHAPES).index(options.shape)
-        options.net = FIRST_NET + NETS * shape + seed % NETS if net is None else net
+        options.net = net_of(options.shape, seed, options.planted) if net is None else net
         if found := soak(options, seed):
             broken[seed] = found
     for seed, rules in broken.items():
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -2,10 +2,12 @@
 
 import json
 import pathlib
+import shlex
 import sys
 import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from addresses import FIRST_NET, LAST_NET, net_of
 from course import HARMS_CORE, HEAVY, SHAPES, draw
 from links import Links, both_ways, one_way
 from planted import PLANTED, found_out
@@ -131,12 +133,32 @@
         assert not found_out(name, [{"rule": rule, "first": ["x"]}, {"rule": "OTHER", "first": [words]}])
 
 
+def no_two_runs_share_addresses():
+    of_shapes = [net_of(shape, seed) for shape in SHAPES for seed in range(25)]
+    of_planted = [net_of("mixed", 1, name) for name in PLANTED]
+    nets = of_shapes + of_planted
+    assert len(set(nets)) == len(nets)
+    assert min(nets) == FIRST_NET and max(nets) <= LAST_NET
+
+
+def soaks_of_the_test_command_can_go_side_by_side():
+    script = pathlib.Path(__file__).resolve().parents[2] / "scripts" / "test.sh"
+    runs = [shlex.split(line)[2:] for line in script.read_text().splitlines() if line.startswith("soak ")]
+    nets = []
+    for words in runs:
+        told = dict(zip(words[::2], words[1::2]))
+        shape = told.get("--shape") or PLANTED[told["--planted"]][1]
+        nets.append(net_of(shape, int(told["--seed"]), told.get("--planted")))
+    assert len(nets) >= 5 and len(set(nets)) == len(nets), nets
+
+
 def main():
     for test in (courses_repeat_and_overlap, disks_are_lost_one_at_a_time, every_kind_is_known,
                  an_edge_in_trouble_is_out_of_touch, a_core_node_in_trouble_unsettles_all, cuts_by_their_ends,
                  troubles_that_never_end_are_never_over, ledgers_note_before_and_after,
                  links_keep_the_worst_of_overlapping_rules, verdict_lines,
-                 planted_faults_are_found_by_their_words):  # fmt: skip
+                 planted_faults_are_found_by_their_words, no_two_runs_share_addresses,
+                 soaks_of_the_test_command_can_go_side_by_side):  # fmt: skip
         test()
     print(json.dumps({"soak tests": "passed"}))
 
