--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -111,3 +111,36 @@
     link.heard(note(1, 40, their_life, own_life + 1), own_life, patience + 1);
     CHECK(link.hangs);
 }
+
+TEST_CASE("a former life speaks again once the present one was silent for a second") {
+    constexpr auto present = std::uint64_t{11};
+    constexpr auto between = std::uint64_t{10};  // of the peer's three lives; its words come late
+    auto link = PeerLink();
+    link.sent(1, 0, 0);
+    link.heard(note(5, 1), own_life, 1'000);
+    link.heard(note(1, 0, present, 0), own_life, 2'000);
+    link.heard(note(3, 0, between, 0), own_life, 3'000);
+    CHECK(link.heard_life == between);
+    link.heard(note(2, 0, present, 0), own_life, 3'000 + one_second);  // not longer silent than that
+    CHECK(link.heard_life == between);
+    link.heard(note(3, 0, present, 0), own_life, 3'001 + one_second);
+    CHECK(link.heard_life == present);
+    CHECK(link.heard_number == 3);
+    link.dialled();
+    link.sent(2, 0, 2 * one_second);
+    link.heard(note(4, 2, present), own_life, 2 * one_second + 1'000);
+    CHECK_FALSE(link.hangs);
+    CHECK(link.waiting == 0);
+}
+
+TEST_CASE("a life that is heard again and again keeps its former one silent") {
+    constexpr auto present = std::uint64_t{10};
+    auto link = PeerLink();
+    link.heard(note(5, 0), own_life, 0);
+    auto number = std::uint64_t{0};
+    for (auto now = Microseconds{1'000}; now < 10 * one_second; now += 500 * one_millisecond) {
+        link.heard(note(++number, 0, present), own_life, now);
+        link.heard(note(5 + number, 0), own_life, now + 499 * one_millisecond);
+        CHECK(link.heard_life == present);
+    }
+}
