Patience with a connection follows the measured round trip

Cause: a connection counted as hanging after a fixed 0.4 s, whatever the way takes, and an attempt to a peer that is heard was given up after 0.2 s each time. Over a link of 250 ms one way the first dialled healthy connections anew, and after that the second never let one be established.

Change: patience is twice the smoothed round trip, or the round trip and four deviations (RFC 6298), at least 0.4 s and at most 1.6 s. The sample is the age at which a frame was missed before it arrived, so a peer that seldom speaks does not look slow. Doublings, now of the allowance for bytes too, end with a frame that was sent while its connection stood. Attempts double to 1.4 s until a connection stands. A former life of a peer is heard again after 1 s of silence of the present one.

Ruled out: a sample of the whole time until the acknowledgement, since that holds the peer's own pauses; a sample of a frame that waited for its connection or was held by a cut.

--- a/source/base/peer_link.cpp
+++ b/source/base/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "base/peer_link.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "base/frame.hpp"
 
@@ -32,34 +33,63 @@
     return note;
 }
 
-auto PeerLink::sent(std::uint64_t number, std::size_t bytes, Microseconds now) -> void {
+auto RoundTrip::add(Microseconds sample) -> void {
+    if (!measured) {
+        smoothed = sample;
+        deviation = sample / 2;
+        measured = true;
+        return;
+    }
+    deviation += (std::abs(smoothed - sample) - deviation) / 4;
+    smoothed += (sample - smoothed) / 8;
+}
+
+auto PeerLink::sent(std::uint64_t number, std::size_t bytes, Microseconds now, bool stood) -> void {
     last_number = number;
     last_at = now;
+    last_stood = stood;
     if (waiting != 0) {
         behind_bytes += bytes;
         return;
     }
     waiting = number;
     waiting_since = now;
+    waiting_stood = stood;
     waiting_bytes = bytes;
     behind_bytes = 0;
+    missed_for = 0;
+}
+
+auto PeerLink::patience() const -> Microseconds {
+    auto const measured = std::max(times.patience, round_trip.timeout());
+    return std::min(measured << std::min(renewals, times.most_doublings), times.most_patience);
 }
 
 auto PeerLink::overdue(Microseconds now) const -> bool {
     if (waiting == 0) return false;
-    auto const doublings = std::min(renewals, times.most_doublings);
     auto const allowance = static_cast<Microseconds>(waiting_bytes) * times.each_mebibyte / mebibyte;
-    return now - waiting_since > (times.patience << doublings) + allowance;
+    return now - waiting_since > patience() + (allowance << std::min(renewals, times.most_doublings));
 }
 
 // Up to the frame that was sent last when the watched one was known to be there, the next is watched.
 auto PeerLink::arrived(std::uint64_t number) -> void {
-    renewals = 0;
+    if (waiting != 0) measure();
     hangs = another_life = false;
     waiting = number < last_number ? last_number : 0;
     waiting_since = last_at;
+    waiting_stood = last_stood;
     waiting_bytes = behind_bytes;
     behind_bytes = 0;
+    missed_for = 0;
+}
+
+// What a peer that is well may lack of ours when it is heard is the round trip, whenever it chooses to speak. A
+// frame that waited for its connection tells nothing of the way; nor does one that came after it was given up, as
+// the cut that held it is not the way either: the doubled patience of the next connection measures a slow link.
+auto PeerLink::measure() -> void {
+    if (!waiting_stood || missed_for > patience()) return;
+    round_trip.add(missed_for);
+    renewals = 0;
 }
 
 // What is left of a former life may still come after the first words of the next.
@@ -71,24 +101,32 @@
     heard_number = 0;
 }
 
+auto PeerLink::missed(Microseconds now) -> void {
+    if (waiting != 0) missed_for = std::max(missed_for, now - waiting_since);
+    if (overdue(now)) hangs = true;
+}
+
+// Of the lives between restarts in one cut the words may come in any order: a former life that goes on where the
+// present one is silent is the one that runs.
 auto PeerLink::heard(LinkNote const& note, std::uint64_t own_life, Microseconds now) -> void {
-    if (former_life != 0 && note.life == former_life) return;
+    auto const silent = now - heard_at > times.life_silence;
+    if (former_life != 0 && note.life == former_life && !silent) return;
     take_life(note.life);
+    heard_at = now;
     heard_number = std::max(heard_number, note.number);
     auto const least = waiting != 0 ? waiting : last_number;
     if (note.heard_life == own_life && least != 0 && note.heard_number >= least) return arrived(note.heard_number);
-    if (overdue(now)) hangs = true;
+    missed(now);
 }
 
-auto PeerLink::doubted(Microseconds now) -> void {
-    if (overdue(now)) hangs = true;
-}
+auto PeerLink::doubted(Microseconds now) -> void { missed(now); }
 
 auto PeerLink::dialled() -> void {
     if (hangs) ++renewals;
     hangs = another_life = false;
     waiting = 0;
     waiting_bytes = behind_bytes = 0;
+    missed_for = 0;
 }
 
 }  // namespace dockrock
--- a/source/base/peer_link.hpp
+++ b/source/base/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What of the frames to a peer has arrived there, as its own frames say. A pure
 // machine: it tells when a connection hangs. docs/design.md section 3.
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,9 +24,22 @@
 auto take_note(std::string_view& bytes) -> std::optional<LinkNote>;
 
 struct LinkTimes {
-    Microseconds patience = 400 * one_millisecond;  // with a frame that is not known to have arrived
-    Microseconds each_mebibyte = one_second;        // more, for what is on its way with it
-    int most_doublings = 2;                         // of the patience, while nothing arrives by any connection
+    Microseconds patience = 400 * one_millisecond;         // at least, with a frame that is not known to have arrived
+    Microseconds most_patience = 1'600 * one_millisecond;  // on slow links and after doublings
+    Microseconds each_mebibyte = one_second;               // more, for what is on its way with it
+    int most_doublings = 2;                                // of both, while nothing arrives by a connection that stood
+    Microseconds life_silence = one_second;                // of the present life, after which a former one is heard
+};
+
+// The smoothed round trip and its deviation, as RFC 6298 computes them.
+struct RoundTrip {
+    Microseconds smoothed = 0;
+    Microseconds deviation = 0;
+    bool measured = false;
+
+    auto add(Microseconds sample) -> void;
+    // Twice the round trip, or more where it varies.
+    auto timeout() const -> Microseconds { return smoothed + std::max(smoothed, 4 * deviation); }
 };
 
 struct PeerLink {
@@ -36,21 +50,30 @@
     Microseconds waiting_since = 0;
     std::size_t waiting_bytes = 0;  // up to that frame, and behind it
     std::size_t behind_bytes = 0;
+    bool waiting_stood = false;  // it was sent while the connection stood
+    bool last_stood = false;
+    Microseconds missed_for = 0;  // its greatest age when the peer was heard without it, or doubted
+    RoundTrip round_trip;
     std::uint64_t heard_life = 0;
     std::uint64_t former_life = 0;
+    Microseconds heard_at = 0;  // the present life
     std::uint64_t heard_number = 0;
-    int renewals = 0;  // since anything is known to have arrived
+    int renewals = 0;  // since a frame is known to have arrived that was sent while its connection stood
     bool hangs = false;
     bool another_life = false;  // it hangs as its peer was started anew since it was dialled
 
-    auto sent(std::uint64_t number, std::size_t bytes, Microseconds now) -> void;
+    // `stood`: the connection was established when the frame was sent.
+    auto sent(std::uint64_t number, std::size_t bytes, Microseconds now, bool stood = true) -> void;
     auto heard(LinkNote const& note, std::uint64_t own_life, Microseconds now) -> void;
     // A question to it was not answered in time.
     auto doubted(Microseconds now) -> void;
     auto dialled() -> void;
+    auto patience() const -> Microseconds;
     auto overdue(Microseconds now) const -> bool;
 
    private:
+    auto missed(Microseconds now) -> void;
+    auto measure() -> void;
     auto arrived(std::uint64_t number) -> void;
     auto take_life(std::uint64_t life) -> void;
 };
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -14,8 +14,15 @@
 
 constexpr Microseconds dial_patience = 200 * one_millisecond;
 constexpr Microseconds attempt_limit = 700 * one_millisecond;  // an attempt that was lost is made anew
+constexpr Microseconds longest_attempt = 1'400 * one_millisecond;
+constexpr auto most_attempt_doublings = 3;
 constexpr Microseconds unused_limit = 120 * one_second;
 
+// Where connections take longer to establish than the first patience, the doubled one lets them.
+auto attempt_patience(Microseconds first, int given_up) -> Microseconds {
+    return std::min<Microseconds>(first << std::min(given_up, most_attempt_doublings), longest_attempt);
+}
+
 // Runs on a thread of the library; nng_close waits for it.
 auto count_connections(nng_pipe, nng_pipe_ev event, void* counted) -> void {
     auto& connections = *static_cast<Transport::Peer::Connections*>(counted);
@@ -54,8 +61,11 @@
     auto [place, fresh] = peers.try_emplace(address);
     auto& peer = place->second;
     auto& link = links[address];
+    auto const stands = peer.connections->count > 0;
+    if (stands) peer.attempts = {};
     auto const anew = !fresh && dial_due(peer, link, now);
     if (anew) {
+        if (!stands) ++(peer.heard ? peer.attempts.while_heard : peer.attempts.in_silence);
         ++redials;
         write_log(
             Level::information, "peer-dialled-anew",
@@ -74,7 +84,7 @@
     peer.used_at = now;
     auto const noted = put_note({life, last_number + 1, link.heard_life, link.heard_number}, frame);
     if (nng_send(peer.socket, const_cast<char*>(noted.data()), noted.size(), NNG_FLAG_NONBLOCK) == 0) {
-        link.sent(++last_number, noted.size(), now);
+        link.sent(++last_number, noted.size(), now, peer.connections->count > 0);
         ++sent;
     } else {
         ++dropped;
@@ -88,7 +98,9 @@
 auto Transport::dial_due(Peer const& peer, PeerLink const& link, Microseconds now) const -> bool {
     auto const since = now - peer.dialed_at;
     if (peer.connections->count > 0) return link.another_life || (link.hangs && since > dial_patience);
-    return since > attempt_limit || ((peer.heard || link.hangs) && since > dial_patience);
+    auto const up = peer.heard || link.hangs;
+    return since > (up ? attempt_patience(dial_patience, peer.attempts.while_heard)
+                       : attempt_patience(attempt_limit, peer.attempts.in_silence));
 }
 
 auto Transport::dial(std::string const& address, Peer& peer, Microseconds now) -> bool {
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -33,6 +33,11 @@
         Microseconds used_at = 0;
         Microseconds dialed_at = 0;
         bool heard = false;  // since it was dialled: it is up, whatever became of the attempt
+        struct Attempts {    // given up since a connection stood, by whether the peer was heard meanwhile
+            int while_heard = 0;
+            int in_silence = 0;
+        };
+        Attempts attempts;
         struct Connections {
             std::atomic<int> count{0};
             std::atomic<std::uint64_t>* lost = nullptr;
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -2,6 +2,7 @@
 #include "base/peer_link.hpp"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace dockrock;
 
@@ -105,6 +106,97 @@
     CHECK_FALSE(link.hangs);
 }
 
+namespace {
+
+// A frame each `pace`, each acknowledged by the first note that its peer sends after it came, over a way of that long.
+auto exchange(PeerLink& link, std::uint64_t& number, Microseconds& now, Microseconds round_trip, int frames) -> void {
+    constexpr auto pace = 50 * one_millisecond;
+    auto on_the_way = std::map<Microseconds, std::uint64_t>();
+    auto arrived = std::uint64_t{0};
+    for (auto count = 0; count < frames; ++count, now += pace) {
+        link.sent(++number, 0, now);
+        on_the_way[now + round_trip] = number;
+        while (!on_the_way.empty() && on_the_way.begin()->first <= now) {
+            arrived = on_the_way.begin()->second;
+            on_the_way.erase(on_the_way.begin());
+        }
+        link.heard(note(number, arrived), own_life, now);
+        if (link.hangs) link.dialled();
+    }
+}
+
+}  // namespace
+
+TEST_CASE("patience is twice the round trip of a slow link and its least again on a quick one") {
+    auto link = PeerLink();
+    auto number = std::uint64_t{0};
+    auto now = Microseconds{0};
+    exchange(link, number, now, 20 * one_millisecond, 100);
+    CHECK(link.patience() == patience);
+    exchange(link, number, now, 500 * one_millisecond, 400);
+    CHECK(link.patience() >= 750 * one_millisecond);
+    CHECK(link.patience() <= link.times.most_patience);
+    CHECK_FALSE(link.hangs);
+    CHECK(link.renewals == 0);
+    exchange(link, number, now, 20 * one_millisecond, 100);
+    CHECK(link.patience() == patience);
+}
+
+TEST_CASE("whatever a link went through, a connection that hangs is noticed within the greatest patience") {
+    for (auto const round_trip : {0, 20, 200, 500, 900, 1'500}) {
+        auto link = PeerLink();
+        auto number = std::uint64_t{0};
+        auto now = Microseconds{0};
+        exchange(link, number, now, round_trip * one_millisecond, 200);
+        auto const acknowledged = number;
+        link.sent(++number, 0, now);
+        link.heard(note(1, acknowledged), own_life, now);
+        auto const sent_at = now;
+        while (!link.hangs && now < sent_at + 10 * one_second)
+            link.heard(note(1, acknowledged), own_life, now += 10 * one_millisecond);
+        auto const quick = 4 * round_trip * one_millisecond <= patience;
+        CHECK(now - sent_at <= (quick ? patience : link.times.most_patience) + 10 * one_millisecond);
+    }
+}
+
+TEST_CASE("a cut is no round trip: what it held up changes no patience") {
+    auto link = PeerLink();
+    auto number = std::uint64_t{0};
+    auto now = Microseconds{0};
+    exchange(link, number, now, 20 * one_millisecond, 100);
+    link.sent(++number, 0, now);
+    link.heard(note(number, 0), own_life, now + 5 * one_second);
+    CHECK(link.hangs);
+    link.heard(note(number, number), own_life, now + 6 * one_second);  // repeated by the system, before any dial
+    CHECK_FALSE(link.hangs);
+    CHECK(link.patience() == patience);
+    now += 7 * one_second;
+    link.sent(++number, 0, now, false);  // waits for a connection that is long in coming
+    link.heard(note(number, 0), own_life, now + 300 * one_millisecond);
+    link.heard(note(number, number), own_life, now + 390 * one_millisecond);
+    CHECK(link.patience() == patience);
+}
+
+TEST_CASE("doublings end with a frame that arrived by the connection that stands, and allowances double with them") {
+    auto link = PeerLink();
+    link.sent(1, std::size_t{1} << 20U, 0);
+    link.doubted(one_second + patience);
+    CHECK_FALSE(link.hangs);
+    link.doubted(one_second + patience + 1);
+    CHECK(link.hangs);
+    link.dialled();
+    link.heard(note(1, 1), own_life, 2 * one_second);  // of the connection before
+    CHECK(link.patience() == 2 * patience);
+    link.sent(2, std::size_t{1} << 20U, 2 * one_second, false);
+    CHECK_FALSE(link.overdue(2 * one_second + 2 * (one_second + patience)));
+    CHECK(link.overdue(2 * one_second + 2 * (one_second + patience) + 1));
+    link.heard(note(2, 2), own_life, 2 * one_second + 1'000);  // the connection's own delay
+    CHECK(link.patience() == 2 * patience);
+    link.sent(3, 0, 3 * one_second);
+    link.heard(note(3, 3), own_life, 3 * one_second + 1'000);
+    CHECK(link.patience() == patience);
+}
+
 TEST_CASE("words to a former life of this node are no word that its frames arrive") {
     auto link = PeerLink();
     link.sent(1, 0, 0);
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -92,6 +92,59 @@
     returned.stop();
 }
 
+TEST_CASE("a lost connection attempt to a peer that says nothing is made anew, and later each time") {
+    auto dark = DarkPort();
+    auto const here = address_of(free_port());
+    auto const there = address_of(dark.port);
+    auto heard_here = Heard();
+    auto heard_there = Heard();
+    auto living = Transport();
+    auto returned = Transport();
+    REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty());
+    auto now = one_second;
+    living.send(there, frame_from(here), now);
+    auto dials = living.dials.load();
+    for (auto const limit : {700, 1'400, 1'400, 1'400}) {
+        living.send(there, frame_from(here), now + limit * one_millisecond);
+        CHECK(living.dials == dials);
+        now += limit * one_millisecond + 1;
+        living.send(there, frame_from(here), now);
+        CHECK(living.dials == ++dials);
+    }
+    dark.power_on();
+    REQUIRE(returned.start(there, fleet_name, heard_there.hear()).empty());
+    living.send(there, frame_from(here), now + 1'400 * one_millisecond + 1);
+    CHECK(heard_there.reaches(1, 10 * patience));
+    living.stop();
+    returned.stop();
+}
+
+TEST_CASE("attempts to a peer that is heard last longer each time, so that a slow link gets its connection") {
+    auto dark = DarkPort();
+    auto const here = address_of(free_port());
+    auto const there = address_of(dark.port);
+    auto heard_here = Heard();
+    auto ignored = Heard();
+    auto living = Transport();
+    auto peer = Transport();
+    REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty());
+    REQUIRE(peer.start(address_of(free_port()), fleet_name, ignored.hear()).empty());
+    auto now = one_second;
+    living.send(there, frame_from(here), now);
+    auto dials = living.dials.load();
+    for (auto const limit : {200, 400, 800, 1'400, 1'400}) {
+        peer.send(here, frame_from(there), now);
+        REQUIRE(heard_here.reaches(dials, 10 * patience));
+        living.send(there, frame_from(here), now + limit * one_millisecond);
+        CHECK(living.dials == dials);
+        now += limit * one_millisecond + 1;
+        living.send(there, frame_from(here), now);
+        CHECK(living.dials == ++dials);
+    }
+    living.stop();
+    peer.stop();
+}
+
 TEST_CASE("a connection that stands is kept when its other end is heard") {
     auto const here = address_of(free_port());
     auto const there = address_of(free_port());
