A verdict travels with its rules' sequence; a try held back counts as none

Verdict, sequence and proof are one struct now, made in one place.

A try held back right before it is written (rules, list or proof went on while its connection was opened) ended as "not written" and used up one of the route's tries. It enters again without counting. One that is kept back since it would break an invariant still counts, so it can't go round.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -114,6 +114,13 @@
     client.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+// One snapshot gives the verdict and the sequence that goes with it; the proof is read first (design 8.2.2).
+auto RelaySession::judge(HttpRequest const& request, Microseconds arrived_at) const -> RelayJudgement {
+    auto const proven = node.proven_at.load();
+    auto const current = node.snapshot.load();
+    return {judge_relayed(current->rules->services, arrival_of(request, arrived_at)), current->rules->sequence, proven};
+}
+
 auto RelaySession::handle(HttpRequest const& request) -> awaitable<bool> {
     ++node.counters.tickets;
     auto const now = clock_now();
@@ -126,19 +133,18 @@
     for (auto count = 0;
          count < 30 && node.snapshot.load()->rules->empty() && clock_now() - node.started_at < 4 * one_second; ++count)
         co_await pause(50 * one_millisecond);
-    auto const proven = node.proven_at.load();
-    auto const current = node.snapshot.load();
-    auto judged = judge_relayed(current->rules->services, arrival_of(request, now));
-    if (judged.verdict.kind == Verdict::Kind::answer) {
+    auto judgement = judge(request, now);
+    auto const& verdict = judgement.verdict.verdict;
+    if (verdict.kind == Verdict::Kind::answer) {
         ++node.counters.refused;
-        auto const status = judged.verdict.status;
-        if (!node.may_refuse(proven)) co_return co_await refuse(request, 503, "no fresh configuration", soon);
-        node.note_refusal(status, current->rules->sequence);
-        co_return co_await refuse(request, status, judged.verdict.reason, status == 503 ? soon : "");
+        auto const status = verdict.status;
+        if (!node.may_refuse(judgement.proven)) co_return co_await refuse(request, 503, "no fresh configuration", soon);
+        node.note_refusal(status, judgement.rules);
+        co_return co_await refuse(request, status, verdict.reason, status == 503 ? soon : "");
     }
     ++node.open_tickets;
     begin_watch();
-    auto const usable = co_await run(request, std::move(judged));
+    auto const usable = co_await run(request, std::move(judgement));
     end_watch();
     --node.open_tickets;
     co_return usable;
@@ -170,11 +176,12 @@
 }
 
 // The course of one request: the same one that the product's own tickets take.
-auto RelaySession::run(HttpRequest const& request, RelayVerdict judged) -> awaitable<bool> {
+auto RelaySession::run(HttpRequest const& request, RelayJudgement judgement) -> awaitable<bool> {
+    auto judged = std::move(judgement.verdict);
     auto course = Course();
     course.ticket = judged.verdict.ticket;
     course.ticket.number = node.next_ticket++;
-    course.rules = node.snapshot.load()->rules->sequence;
+    course.rules = judgement.rules;
     auto answer = RelayAnswer();
     auto const last = field(request, node.form->headers.last_event);
     if (!last.empty() && judged.route->resumable) answer.events.last = std::atoll(std::string(last).c_str());
@@ -184,11 +191,10 @@
             case Step::enter: step = co_await wait_for_place(course); break;
             case Step::interpret: {
                 auto const facts = node.facts_for(course.placement.replica);
-                auto const current = node.snapshot.load();
-                auto later = judge_relayed(current->rules->services, arrival_of(request, course.ticket.arrived_at));
-                auto const verdict = later.verdict;
-                if (verdict.kind == Verdict::Kind::enter) judged = std::move(later);
-                step = course.judged(verdict, current->rules->sequence, facts);
+                auto later = judge(request, course.ticket.arrived_at);
+                auto const verdict = later.verdict.verdict;
+                if (verdict.kind == Verdict::Kind::enter) judged = std::move(later.verdict);
+                step = course.judged(verdict, later.rules, facts);
                 break;
             }
             case Step::send: {
@@ -204,7 +210,7 @@
                         fields("replica", replica, "reason", result.reason, "route", judged.route->name));
                 auto limits = RetryLimits();
                 limits.time_left = course.ticket.deadline - clock_now();
-                step = course.ended(result.end, result.reason, limits);
+                step = result.held_back ? course.held_back() : course.ended(result.end, result.reason, limits);
                 break;
             }
             case Step::answer_shed: ++node.counters.shed; co_return co_await refuse(request, 503, step.reason, soon);
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -27,6 +27,14 @@
     std::string failure_head;
 };
 
+// What a request was judged by: a verdict holds for the rules of that sequence alone, and refuses only under a proof
+// that was young before those rules were looked at.
+struct RelayJudgement {
+    RelayVerdict verdict;
+    Sequence rules;
+    Microseconds proven = 0;
+};
+
 struct RelaySession {
     Node& node;
     beast::tcp_stream client;
@@ -35,7 +43,8 @@
 
     auto serve() -> awaitable<void>;
     auto handle(HttpRequest const& request) -> awaitable<bool>;
-    auto run(HttpRequest const& request, RelayVerdict judged) -> awaitable<bool>;
+    auto judge(HttpRequest const& request, Microseconds arrived_at) const -> RelayJudgement;
+    auto run(HttpRequest const& request, RelayJudgement judgement) -> awaitable<bool>;
     auto send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
         -> awaitable<TryResult>;
     auto wait_for_place(Course& course) -> awaitable<CourseStep>;
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -45,7 +45,8 @@
 struct TryResult {
     TryEnd end = TryEnd::unknown_before;
     std::string reason;
-    bool usable = false;  // the caller's connection
+    bool usable = false;     // the caller's connection
+    bool held_back = false;  // by the last checks once more: no try was made
 };
 
 // Sends one try to its replica and relays the pieces (design 10).
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -67,7 +67,11 @@
         co_return ended(facts, "unreachable");
     stream.socket().set_option(tcp::no_delay(true));
     facts.written = BytesWritten::none;
-    if (!node.still_right(course)) co_return ended(facts, "moved-on");
+    if (auto const look = node.last_look(course); look != LastLook::send) {
+        auto result = ended(facts, "moved-on");
+        result.held_back = look == LastLook::moved_on;
+        co_return result;
+    }
     auto const posted = http_ask(http::verb::post, "/run", run_body(ticket, placement));
     auto const request = make_request(posted, placement.address);
     // From here on the replica may have it: whatever breaks is not known to
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -83,7 +83,7 @@
     node.try_ended(replica, course.ticket, result.end, result.reason, sent_at);
     log_ticket(course.ticket, "try-ended", result.reason.empty() ? std::string("answered") : result.reason, replica);
     usable = result.usable;
-    co_return course.ended(result.end, result.reason);
+    co_return result.held_back ? course.held_back() : course.ended(result.end, result.reason);
 }
 
 auto Session::log_ticket(Ticket const& ticket, char const* event, std::string what, std::string replica) -> void {
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -74,6 +74,9 @@
     bool store = false;
 };
 
+// Whether a try may be written: not where what it rests on moved on, nor where it would break an invariant.
+enum class LastLook : int { send, moved_on, forbidden };
+
 struct Node {
     NodeSettings settings;                          // as started; what a reload changes is told to its own machine
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
@@ -199,7 +202,7 @@
     // The last looks at what leaves; false where it breaks an invariant and is to be held back.
     auto refusal_leaves(int status) const -> bool;
     auto request_leaves(Course const& course, CourseFacts const& facts) const -> bool;
-    auto still_right(Course const& course) const -> bool;  // the last checks once more
+    auto last_look(Course const& course) const -> LastLook;  // the last checks once more
     auto order_leaves(int partition, invariants::OrderFacts facts, Microseconds wait) -> bool;
     auto learn_versions(Snapshot& fresh, Snapshot const& old) const -> void;
     auto send_duty_order(DutyOrder order) -> awaitable<void>;
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -24,9 +24,10 @@
 }
 
 // Opening a connection takes time in which rules, list and proof go on. Nothing is written yet.
-auto Node::still_right(Course const& course) const -> bool {
+auto Node::last_look(Course const& course) const -> LastLook {
     auto const facts = facts_for(course.placement.replica);
-    return course.may_be_sent(facts) && request_leaves(course, facts);
+    if (!course.may_be_sent(facts)) return LastLook::moved_on;
+    return request_leaves(course, facts) ? LastLook::send : LastLook::forbidden;
 }
 
 auto Node::may_refuse(Microseconds proven) const -> bool { return clock_now() - proven <= refusal_limit(); }
--- a/source/ticket/course.hpp
+++ b/source/ticket/course.hpp
@@ -67,6 +67,9 @@
     auto judged(Verdict verdict, Sequence under, CourseFacts const& facts) -> CourseStep;
     // `limits` but for the tries, which are counted here.
     auto ended(TryEnd end, std::string_view reason, RetryLimits limits = RetryLimits{}) -> CourseStep;
+    // The try was kept back right before it was written, as its rules, list or proof went on: nothing was sent, so
+    // it counts as no try.
+    auto held_back() -> CourseStep { return enter_back(); }
     auto gone() const -> CourseStep;
     // The last checks once more, after what took time: a connection that is opened.
     auto may_be_sent(CourseFacts const& facts) const -> bool {
--- a/tests/request_wire_test.cpp
+++ b/tests/request_wire_test.cpp
@@ -242,5 +242,6 @@
     auto const result = wire.send(Wire::request("id-1", 4), course, answer, verdict);
     CHECK(result.end == TryEnd::not_written);
     CHECK(result.reason == "moved-on");
+    CHECK(result.held_back);
     CHECK(course.ended(result.end, result.reason).step == Step::enter);
 }
--- a/tests/session_wire.hpp
+++ b/tests/session_wire.hpp
@@ -11,6 +11,7 @@
     Microseconds timeout = 3 * one_second;
     Microseconds idle = 15 * one_second;
     std::int64_t places = 4;
+    std::int64_t tries = 2;
 };
 
 struct SessionWire {
@@ -27,6 +28,7 @@
         wire.judged(kind.repeatable, kind.stream);
         auto document = wire.rules->document;
         document.limits.idle_time = kind.idle;
+        document.routes.front().tries = kind.tries;
         auto rules = std::make_shared<Rules>();
         rules->services = compile_services(document);
         auto fresh = std::make_shared<Snapshot>();
