--- a/tests/relay_heads_test.cpp
+++ b/tests/relay_heads_test.cpp
@@ -14,10 +14,7 @@
     return parser.release();
 }
 
-auto head_of(std::string const& lines, bool with_tenant = true, Microseconds read_before = 0) -> std::string {
-    boost::system::error_code failure;
-    auto const request = parsed(lines, failure);
-    REQUIRE_FALSE(failure);
+auto sample_form() -> RelayForm {
     RelayForm form;
     form.headers.request_identity = "Request-Name";
     form.headers.key = "Secret";
@@ -30,6 +27,14 @@
     form.headers.weights_wanted = "Weights";
     form.headers.fetch_from = "Fetch";
     form.headers.store_at = "Store";
+    return form;
+}
+
+auto head_of(std::string const& lines, bool with_tenant = true, Microseconds read_before = 0) -> std::string {
+    boost::system::error_code failure;
+    auto const request = parsed(lines, failure);
+    REQUIRE_FALSE(failure);
+    auto const form = sample_form();
     auto route = Route();
     auto tenant = ServiceTenant{"clerks", {}};
     auto judged = RelayVerdict();
@@ -41,6 +46,25 @@
     return head_for_replica(form, request, judged, course, -1, 7 * one_second + read_before);
 }
 
+// The salt that one request with a shared prompt bears, where its replica's weights are these.
+auto salt_line(std::string const& name, std::string const& wall, std::string const& weights) -> std::string {
+    auto request = HttpRequest(http::verb::post, "/a", 11);
+    request.set("Request-Name", name);
+    auto const form = sample_form();
+    auto route = Route();
+    auto judged = RelayVerdict();
+    judged.route = &route;
+    auto course = Course();
+    course.ticket.deadline = 10 * one_second;
+    course.ticket.wall_domain = wall;
+    course.ticket.body.prefix.push_back({"part", 100});
+    course.placement.replica = "life-1";
+    course.placement.weights = weights;
+    auto const head = head_for_replica(form, request, judged, course, -1, 7 * one_second);
+    auto const at = head.find("Salt: ");
+    return at == std::string::npos ? std::string() : head.substr(at, head.find("\r\n", at) - at);
+}
+
 auto count(std::string const& head, std::string const& what) -> int {
     auto found = 0;
     for (auto at = head.find(what); at != std::string::npos; at = head.find(what, at + 1)) ++found;
@@ -107,3 +131,15 @@
     CHECK(count(head_of("", true, 2'999'500), "Left: 1\r\n") == 1);  // half a millisecond
     CHECK(count(head_of("", true, 5 * one_second), "Left: 1\r\n") == 1);
 }
+
+TEST_CASE("a prompt is shared under known weights within one wall alone, and under unknown ones with nobody") {
+    CHECK(salt_line("id-1", "", "2") == salt_line("id-2", "", "2"));
+    CHECK(salt_line("id-1", "clerks", "2") == salt_line("id-2", "clerks", "2"));
+    CHECK(salt_line("id-1", "clerks", "2") != salt_line("id-1", "", "2"));
+    CHECK(salt_line("id-1", "clerks", "2") != salt_line("id-1", "clerks", "3"));
+    for (auto const* wall : {"", "clerks"}) {
+        CHECK_FALSE(salt_line("2", wall, "").empty());
+        CHECK(salt_line("id-1", wall, "") != salt_line("id-2", wall, ""));
+        CHECK(salt_line("2", wall, "") != salt_line("2", wall, "2"));
+    }
+}
