No body after HEAD at the operator's and readiness doors; prompts under unknown weights are shared with nobody

Cause: both doors wrote the body of every answer, whatever was asked, so that after a HEAD the next answer on the connection began within it. A request whose replica's weights are not known bore no salt: replicas keep its parts under the one text of all who send none, so an isolated tenant's parts could be found by others, and parts of one version by requests on the next. Its salt now names the request alone. Ruled out: holding such replicas back, which would take a service away whose list names no weights.

--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -32,6 +32,7 @@
     response.keep_alive(request.keep_alive());
     response.body() = std::move(body);
     response.prepare_payload();
+    if (request.method() == http::verb::head) response.body().clear();  // its length is told all the same
     return response;
 }
 
--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -9,6 +9,8 @@
 
 using View = boost::beast::string_view;
 
+constexpr auto unknown_weights = std::string_view("unknown-");  // no version: those are numbers
+
 constexpr auto connection_fields = std::to_array<std::string_view>(
     {"connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-connection",
      "proxy-authenticate", "proxy-authorization", "content-length", "expect"});
@@ -34,6 +36,14 @@
 
 auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
 
+// Parts made under weights that are not known, and so may be any, are shared with no other request.
+auto salt_for(Course const& course, std::string_view identity) -> std::string {
+    auto const& wall = course.ticket.wall_domain;
+    if (!course.placement.weights.empty()) return salt_of(wall, course.placement.weights);
+    if (course.ticket.body.prefix.empty()) return {};
+    return salt_of(wall, std::string(unknown_weights).append(identity));
+}
+
 }  // namespace
 
 auto keeps_connection(HttpRequest const& request) -> bool { return request.keep_alive(); }
@@ -63,10 +73,9 @@
     add(head, names.deadline, std::to_string(left));
     add(head, names.replica_wanted, placement.replica);
     if (judged.tenant != nullptr) add(head, names.tenant, judged.tenant->name);
-    if (!placement.weights.empty()) {
-        add(head, names.weights_wanted, placement.weights);
-        add(head, names.salt, salt_of(ticket.wall_domain, placement.weights));
-    }
+    if (!placement.weights.empty()) add(head, names.weights_wanted, placement.weights);
+    if (auto const salt = salt_for(course, view(request[names.request_identity])); !salt.empty())
+        add(head, names.salt, salt);
     add(head, names.urgency, std::to_string(urgency_of(judged.tenant, *judged.route)));
     if (!placement.fetch.source.empty()) add(head, names.fetch_from, placement.fetch.source);
     if (!placement.fetch.save_at.empty()) add(head, names.store_at, placement.fetch.save_at);
