--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,9 +1,10 @@
 // Recovery from every prefix of a run of disk writes, with what was not synced
-// lost, torn or reordered. docs/design.md section 6.
+// lost, torn or reordered, and any file lost whose name no sync of its folder covers. docs/design.md section 6.
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <set>
 
 #include "process/storage.hpp"
 
@@ -84,6 +85,8 @@
 struct Disk {
     std::map<std::string, std::string> files;
     std::vector<Pending> pending;
+    std::set<std::string> named;         // their names last
+    std::vector<std::string> new_files;  // made since the folder was synced: each may be gone, whatever it holds
 };
 
 auto apply(std::map<std::string, std::string>& files, FileEvent const& event, bool torn) -> void {
@@ -108,10 +111,21 @@
     disk.pending = std::move(left);
 }
 
+auto follow_names(Disk& disk, FileEvent const& event) -> void {
+    auto& made = disk.new_files;
+    if (event.kind == Kind::folder_synced) {
+        disk.named.insert(made.begin(), made.end());
+        made.clear();
+    } else if (!disk.named.contains(event.file) && std::find(made.begin(), made.end(), event.file) == made.end()) {
+        made.push_back(event.file);
+    }
+}
+
 auto disk_after(Recorded const& run, std::size_t count) -> Disk {
     Disk disk;
     for (auto place = std::size_t{0}; place < count; ++place) {
         auto const& event = run.events[place];
+        follow_names(disk, event);
         if (event.kind == Kind::truncated || event.kind == Kind::written) disk.pending.push_back({event, false});
         if (event.kind == Kind::synced) sync(disk, event.file);
         if (event.kind != Kind::sync_failed) continue;
@@ -144,6 +158,18 @@
             if (partition.claims.find("key-" + std::to_string(earlier) + " ") == std::string::npos) ++tally.older;
 }
 
+// The same files once more for each choice of new ones that are gone.
+auto recover_without_new(
+    Disk const& disk, std::map<std::string, std::string> const& files, std::uint64_t least, std::uint64_t most,
+    Tally& tally) -> void {
+    for (auto gone = std::size_t{0}; gone < std::size_t{1} << disk.new_files.size(); ++gone) {
+        auto left = files;
+        for (auto place = std::size_t{0}; place < disk.new_files.size(); ++place)
+            if ((gone >> place & 1U) != 0) left.erase(disk.new_files[place]);
+        recover(left, least, most, tally);
+    }
+}
+
 auto recover_from_all(Recorded const& run) -> Tally {
     Tally tally;
     for (auto count = std::size_t{0}; count <= run.events.size(); ++count) {
@@ -161,7 +187,7 @@
                     if ((chosen >> place & 1U) != 0) last = place;
                 for (auto place = std::size_t{0}; place < disk.pending.size(); ++place)
                     if ((chosen >> place & 1U) != 0) apply(files, disk.pending[place].event, torn && place == last);
-                recover(files, least, run.written, tally);
+                recover_without_new(disk, files, least, run.written, tally);
             }
         }
     }
@@ -180,6 +206,20 @@
     CHECK(tally.refused == 0);
 }
 
+TEST_CASE("planted: a folder that is never synced is caught by the same recoveries") {
+    auto run = record_run(false);
+    auto const synced_until = [&](std::size_t count) {
+        return static_cast<std::size_t>(std::count_if(
+            run.events.begin(), run.events.begin() + static_cast<std::ptrdiff_t>(count),
+            [](auto const& event) { return event.kind == Kind::folder_synced; }));
+    };
+    for (auto& [after, number] : run.acknowledged) after -= synced_until(after);
+    std::erase_if(run.events, [](auto const& event) { return event.kind == Kind::folder_synced; });
+    auto const tally = recover_from_all(run);
+    CHECK(tally.older + tally.refused > 0);
+    CHECK(recover_from_all(record_run(false)).older == 0);
+}
+
 TEST_CASE("planted: a disk that forgets to sync is caught by the same recoveries") {
     auto run = record_run(true);
     // Without syncs all stays pending: keep the last few writes of the run.
