A leader that restarted counts named versions from their naming, as edges do

And a leader without a list told no words, which wiped its predecessor's.

Ruled out: beginning the edges' guard anew when a core member comes back (it gives older weights more time at every edge), and moments on disk (lives share no clock).

Change: nodes tell each other for how long they have known of each version. A receiver counts an age from its arrival, so its moment is never before the naming, and of two moments the earlier counts: the leader can only order sooner. A leader without a list leaves the words as they are.

--- a/source/base/messages.hpp
+++ b/source/base/messages.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "base/copy_change.hpp"
+#include "base/naming_messages.hpp"
 #include "base/relay_messages.hpp"
 
 namespace dockrock {
@@ -223,15 +224,15 @@
     Probe, ProbeAnswer, ProbeFor, Prepare, Promise, Accept, Accepted, Refusal, Decided, LeaseRequest, LeaseGrant,
     Heartbeat, Append, Appended, CopyOffer, CopyTaken, SpareOffer, NewsAsk, NewsAnswer, CallForward, CallAnswer,
     BurdenDigest, ClaimAsk, ClaimAnswer, ClaimFlight, ClaimFlown, AnewAsk, AnewAnswer, FormAnew, LoadTold, LoadShare,
-    LoadSum, FeedAsk, FeedAnswer, AppendChange, SpareChange>;
+    LoadSum, FeedAsk, FeedAnswer, AppendChange, SpareChange, NamingAges>;
 
 inline constexpr auto message_names = std::to_array<std::string_view>(
-    {"probe",        "probe-answer", "probe-for",   "prepare",       "promise",       "accept",
-     "accepted",     "refusal",      "decided",     "lease-request", "lease-grant",   "heartbeat",
-     "append",       "appended",     "copy-offer",  "copy-taken",    "spare-offer",   "news-ask",
-     "news-answer",  "call-forward", "call-answer", "burden-digest", "claim-ask",     "claim-answer",
-     "claim-flight", "claim-flown",  "anew-ask",    "anew-answer",   "form-anew",     "load-told",
-     "load-share",   "load-sum",     "feed-ask",    "feed-answer",   "append-change", "spare-change"});
+    {"probe",         "probe-answer", "probe-for",     "prepare",      "promise",     "accept",       "accepted",
+     "refusal",       "decided",      "lease-request", "lease-grant",  "heartbeat",   "append",       "appended",
+     "copy-offer",    "copy-taken",   "spare-offer",   "news-ask",     "news-answer", "call-forward", "call-answer",
+     "burden-digest", "claim-ask",    "claim-answer",  "claim-flight", "claim-flown", "anew-ask",     "anew-answer",
+     "form-anew",     "load-told",    "load-share",    "load-sum",     "feed-ask",    "feed-answer",  "append-change",
+     "spare-change",  "naming-ages"});
 static_assert(message_names.size() == std::variant_size_v<Message>);
 
 auto write_message(Message const& message) -> std::string;
--- a/source/control/control.cpp
+++ b/source/control/control.cpp
@@ -65,20 +65,6 @@
     kept_feed.id = random.next() | 1U;
 }
 
-auto Control::knows_fleet() const -> bool {
-    for (auto const& partition : partitions)
-        if (partition.votes.decided.term > 0) return true;
-    for (auto const& item : news)
-        if (item.record.term > 0) return true;
-    return false;
-}
-
-auto Control::best_record(int partition) const -> Record const& {
-    auto const index = static_cast<std::size_t>(partition);
-    return news[index].record.term > partitions[index].votes.decided.term ? news[index].record
-                                                                          : partitions[index].votes.decided;
-}
-
 auto Control::drain(Context& context, ControlOutput& output) -> void {
     for (auto& save : context.saves) output.saves.push_back(std::move(save));
     context.saves.clear();
@@ -162,6 +148,8 @@
                 if (settings.core) output.sends.push_back({address, kept_feed.answer(body)});
             } else if constexpr (std::is_same_v<Body, FeedAnswer>) {
                 take_feed(now, from, body, output);
+            } else if constexpr (std::is_same_v<Body, NamingAges>) {
+                take_namings(now, address, body, output);
             } else if constexpr (std::is_same_v<Body, CallForward>) {
                 if (!is_partition(body.call.partition)) return;
                 on_call_forward(now, body, output);
@@ -239,6 +227,7 @@
     ask_feed(now, output);
     publish(now, output);
     ask_news(now, output);
+    ask_namings(now, output);
     tick_calls(now, output);
     tick_claims(now, output);
     tick_anew(now, output);
--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -9,6 +9,7 @@
 #include "membership/membership.hpp"
 #include "control/partition_news.hpp"
 #include "control/partition_watch.hpp"
+#include "control/version_namings.hpp"
 
 namespace dockrock {
 
@@ -73,6 +74,7 @@
     };
     std::vector<WaitingAsk> waiting_asks;
     NewsCounts news_counts;
+    VersionNamings namings;
     struct PendingCall {
         Call call;
         Microseconds since = 0;
@@ -189,8 +191,12 @@
     auto take_answer(
         Microseconds now, PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
         -> void;
-    auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_copy(Microseconds now, PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_live(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output) -> void;
+    auto learn_namings(int partition, Microseconds now) -> void;
+    auto ask_namings(Microseconds now, ControlOutput& output) -> void;
+    auto take_namings(Microseconds now, std::string const& address, NamingAges const& told, ControlOutput& output)
+        -> void;
     auto relays_news(int partition, Microseconds now) const -> bool;
     auto hold_limit(int partition) const -> Microseconds {
         return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
--- a/source/control/control_form.cpp
+++ b/source/control/control_form.cpp
@@ -48,6 +48,20 @@
 }
 }  // namespace
 
+auto Control::knows_fleet() const -> bool {
+    for (auto const& partition : partitions)
+        if (partition.votes.decided.term > 0) return true;
+    for (auto const& item : news)
+        if (item.record.term > 0) return true;
+    return false;
+}
+
+auto Control::best_record(int partition) const -> Record const& {
+    auto const index = static_cast<std::size_t>(partition);
+    return news[index].record.term > partitions[index].votes.decided.term ? news[index].record
+                                                                          : partitions[index].votes.decided;
+}
+
 // Where the number of core nodes is not told: as many as still have a majority
 // after the losses to be borne.
 auto Control::cores_needed() const -> std::size_t {
--- /dev/null
+++ b/source/control/control_namings.cpp
@@ -0,0 +1,29 @@
+// Since when versions of weights are named, as the nodes tell each other. docs/design.md section 11.4.
+#include "control/control.hpp"
+
+namespace dockrock {
+
+auto Control::learn_namings(int partition, Microseconds now) -> void {
+    if (partition == configuration_partition || partition == resting_partition) return;
+    namings.learn(news[static_cast<std::size_t>(partition)].copy.document, now);
+}
+
+// A core node asks another one and any node at all: where the whole core restarted, edges still know.
+auto Control::ask_namings(Microseconds now, ControlOutput& output) -> void {
+    if (!settings.core || !namings.ask_due(now)) return;
+    for (auto const core_only : {true, false}) {
+        auto others = membership.alive_members(core_only);
+        std::erase_if(others, [&](auto const& member) { return member.identity == membership.self.identity; });
+        if (others.empty()) continue;
+        auto const& other = others[random.below(others.size())];
+        output.sends.push_back({other.control_address, NamingAges{true, namings.ages(now)}});
+    }
+}
+
+auto Control::take_namings(Microseconds now, std::string const& address, NamingAges const& told, ControlOutput& output)
+    -> void {
+    if (namings.take(told.named, now)) output.news = true;
+    if (told.asks) output.sends.push_back({address, NamingAges{false, namings.ages(now)}});
+}
+
+}  // namespace dockrock
--- a/source/control/control_news.cpp
+++ b/source/control/control_news.cpp
@@ -25,6 +25,7 @@
         if (changed) {
             remember(item);
             item.copy = *partition.committed;
+            learn_namings(static_cast<int>(index), now);
         }
         item.proven_at = now;
         if (item.told_term < item.record.term) {  // a new leader tells everyone where to ask (design 8.1)
@@ -117,7 +118,7 @@
     Microseconds now, PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
     -> void {
     if (answer.record.term > item.record.term) item.record = answer.record;
-    take_copy(item, answer, output);
+    take_copy(now, item, answer, output);
     if (answer.proven && answer.sequence == item.copy.sequence &&
         invariants::check(invariants::ProofFacts{asked_at - answer.age, asked_at, now}))
         item.proven_at = std::max(item.proven_at, asked_at - answer.age);
@@ -141,7 +142,8 @@
     take_answer(now, item, answer, asked->asked_at, output);
 }
 
-auto Control::take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void {
+auto Control::take_copy(Microseconds now, PartitionNews& item, NewsAnswer const& answer, ControlOutput& output)
+    -> void {
     if (!answer.copy || !(answer.copy->sequence > item.copy.sequence)) return;  // never back to an older one
     auto made = apply_news(item, *answer.copy);
     item.whole_wanted = !made.has_value();
@@ -150,6 +152,7 @@
     item.copy.sequence = answer.copy->sequence;
     item.copy.document = std::move(*made);
     item.copy.outcomes.clear();
+    learn_namings(answer.partition, now);
     output.news = true;
 }
 
--- a/source/control/named_versions.hpp
+++ b/source/control/named_versions.hpp
@@ -22,18 +22,36 @@
     auto take(std::int64_t version, Microseconds now) -> bool {
         if (version <= first_version || (!at.empty() && version <= at.rbegin()->first)) return false;
         at[version] = now;
-        // The oldest gives way, and its moment stays: nobody is given more time by it.
-        if (at.size() > most) {
-            auto const oldest = at.begin()->second;
-            at.erase(at.begin());
-            at.begin()->second = oldest;
-        }
+        drop_oldest();
         return true;
     }
-    // When the lowest version above `held` was named: newer ones give no more time.
+    // Another account of the same versions: of each the earlier moment counts. True where it changed anything.
+    auto merge(NamedVersions const& other) -> bool {
+        auto changed = false;
+        for (auto const& [version, moment] : other.at) {
+            auto const [place, fresh] = at.try_emplace(version, moment);
+            changed = changed || fresh || moment < place->second;
+            place->second = std::min(place->second, moment);
+        }
+        drop_oldest();
+        return changed;
+    }
+    // When a version above `held` was named first: newer ones give no more time.
     auto named_after(std::int64_t held) const -> std::optional<Microseconds> {
-        auto const next = at.upper_bound(held);
-        return next == at.end() ? std::nullopt : std::optional(next->second);
+        auto first = std::optional<Microseconds>();
+        for (auto next = at.upper_bound(held); next != at.end(); ++next)
+            first = first ? std::min(*first, next->second) : next->second;
+        return first;
+    }
+
+   private:
+    // The oldest gives way, and its moment stays: nobody is given more time by it.
+    auto drop_oldest() -> void {
+        while (at.size() > most) {
+            auto const oldest = at.begin()->second;
+            at.erase(at.begin());
+            at.begin()->second = std::min(at.begin()->second, oldest);
+        }
     }
 };
 
--- a/source/control/snapshot.cpp
+++ b/source/control/snapshot.cpp
@@ -63,6 +63,7 @@
             if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
             if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
         }
+    fresh->named = control.namings.by_model;
     for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
     for (auto partition = std::size_t{1}; partition <= service_partitions; ++partition)
         take_words(*fresh, control.news[partition].live);
--- /dev/null
+++ b/source/control/version_namings.cpp
@@ -0,0 +1,40 @@
+#include "control/version_namings.hpp"
+
+#include <algorithm>
+
+namespace dockrock {
+
+auto VersionNamings::learn(std::string const& document, Microseconds now) -> void {
+    auto const parsed = document.empty() ? std::nullopt : parse_json(document);
+    if (!parsed || !parsed->is_object()) return;
+    for (auto const& item : parsed->as_object())
+        if (item.value().is_int64() && by_model[item.key()].take(item.value().as_int64(), now)) learned_at = now;
+}
+
+auto VersionNamings::take(NamedAges const& told, Microseconds now) -> bool {
+    auto changed = false;
+    for (auto const& [model, versions] : told) {
+        NamedVersions other;
+        for (auto const& named : versions)
+            if (named.version > first_version)
+                other.at[named.version] = now - std::clamp(named.age, std::int64_t{0}, std::int64_t{longest_age});
+        changed = by_model[model].merge(other) || changed;
+    }
+    return changed;
+}
+
+auto VersionNamings::ages(Microseconds now) const -> NamedAges {
+    NamedAges told;
+    for (auto const& [model, named] : by_model)
+        for (auto const& [version, moment] : named.at)
+            told[model].push_back({version, std::min(now - moment, longest_age)});
+    return told;
+}
+
+auto VersionNamings::ask_due(Microseconds now) -> bool {
+    if (now - learned_at >= ask_for || now - asked_at < ask_interval) return false;
+    asked_at = now;
+    return true;
+}
+
+}  // namespace dockrock
--- a/source/control/versions_rollout.cpp
+++ b/source/control/versions_rollout.cpp
@@ -50,9 +50,10 @@
     std::vector<ListedReplica> const& replicas, Microseconds now) -> RolloutActions {
     fence = under_fence;
     take_list(replicas, now);
-    if (named.take(wanted, now)) notes.push_back({RolloutNote::Kind::named, "", wanted, 0});
+    named.take(wanted, now);
     if (wanted > target) {
         target = wanted;
+        if (wanted > first_version) notes.push_back({RolloutNote::Kind::named, "", wanted, 0});
         for (auto& [name, course] : courses) course.failures = 0;
     }
     may_order = may_order && fence > stopped_fence;
--- a/source/control/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -40,6 +40,7 @@
 
 auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions {
     DutyActions actions;
+    for (auto const& [model, versions] : control.namings.by_model) named[model].merge(versions);
     for (auto const& [model, version] : snapshot.target_versions) named[model].take(version, now);
     for (auto partition = 1; partition <= service_partitions; ++partition)
         step_partition(partition, control, snapshot, now, actions);
@@ -56,6 +57,7 @@
         std::erase_if(rollouts, [&](auto const& item) { return item.first.first == partition; });
         return;
     }
+    if (snapshot.list.replicas.empty()) return;  // not known yet: a former leader's words stay as they are
     auto const& news = control.news[static_cast<std::size_t>(partition)];
     auto const sure = control.proof_age(partition, now) <= one_second &&
         control.proof_age(configuration_partition, now) <= one_second;
@@ -74,13 +76,13 @@
             if (!read_told) told = read_words(news.live);
             read_told = true;
             rollout.target = snapshot.target_version(model);
-            rollout.named = named[model];
             for (auto const& replica : replicas)
                 if (auto const word = told.find(replica.name); word != told.end())
                     if (auto const version = word->second.versions.find(model); version != word->second.versions.end())
                         rollout.adopt(replica, version->second, word->second.loading, now);
         }
         rollout.times.bound = bound;
+        rollout.named.merge(named[model]);
         auto const fence = record.term;
         auto const ordering = waited && sure && may_order(control, partition, fence, now);
         auto const places = places_for(at_once, replicas.size());
--- a/source/control/weights_guard.hpp
+++ b/source/control/weights_guard.hpp
@@ -24,6 +24,9 @@
     auto take_targets(std::map<std::string, std::int64_t> const& targets, Microseconds now) -> void {
         for (auto const& [model, version] : targets) named[model].take(version, now);
     }
+    auto take_named(std::map<std::string, NamedVersions> const& known) -> void {
+        for (auto const& [model, versions] : known) named[model].merge(versions);
+    }
     auto late(std::string const& model, std::int64_t version, Microseconds now) const -> bool {
         auto const found = named.find(model);
         auto const since = found == named.end() ? std::nullopt : found->second.named_after(version);
--- /dev/null
+++ b/tests/version_namings_test.cpp
@@ -0,0 +1,86 @@
+// What nodes tell each other of when versions were named. docs/design.md section 11.4.
+#include <catch2/catch.hpp>
+
+#include "control/version_namings.hpp"
+
+using namespace dockrock;
+
+namespace {
+
+constexpr auto named_at = 1'000 * one_second;
+constexpr auto skew = 500 * one_second;  // between the clocks of two nodes
+
+auto knower() -> VersionNamings {
+    VersionNamings namings;
+    namings.learn(R"({"m":2})", named_at);
+    namings.learn(R"({"m":3,"other":"text"})", named_at + 4 * one_second);
+    return namings;
+}
+
+}  // namespace
+
+TEST_CASE("a node that was told counts from the naming by its own clock, later by the message's way alone") {
+    auto const knows = knower();
+    auto restarted = VersionNamings();
+    auto const asked = named_at + 9 * one_second;
+    restarted.learn(R"({"m":3})", asked + skew);
+    CHECK(*restarted.by_model["m"].named_after(1) == asked + skew);
+    auto const message = read_message(write_message(NamingAges{false, knows.ages(asked)}));
+    REQUIRE(message);
+    auto const way = 300 * one_millisecond;
+    CHECK(restarted.take(std::get<NamingAges>(*message).named, asked + way + skew));
+    CHECK(*restarted.by_model["m"].named_after(1) == named_at + way + skew);
+    CHECK(*restarted.by_model["m"].named_after(2) == named_at + 4 * one_second + way + skew);
+    // The same once more, on a longer way, changes nothing; nor does what the other is told in turn.
+    CHECK_FALSE(restarted.take(knows.ages(asked), asked + 5 * one_second + skew));
+    auto other = knows;
+    CHECK_FALSE(other.take(restarted.ages(asked + 6 * one_second + skew), asked + 6 * one_second));
+}
+
+TEST_CASE("nodes that tell each other for long come to no moment before the naming") {
+    auto random = Random{7};
+    auto nodes = std::vector<VersionNamings>(5);
+    auto now = named_at;
+    nodes[0].learn(R"({"m":2})", now);
+    for (auto round = 0; round < 2'000; ++round) {
+        auto const& teller = nodes[random.below(5)];
+        auto const told = teller.ages(now);
+        now += static_cast<Microseconds>(random.below(20'000));
+        nodes[random.below(5)].take(told, now);
+    }
+    for (auto& node : nodes) {
+        REQUIRE(node.by_model["m"].named_after(1));
+        CHECK(*node.by_model["m"].named_after(1) >= named_at);
+        CHECK(*node.by_model["m"].named_after(1) <= named_at + one_second);
+    }
+}
+
+TEST_CASE("an age that can't be counts as the nearest one that can, and first versions are never named") {
+    auto node = VersionNamings();
+    node.take({{"m", {{2, -5}, {3, 1'000'000 * one_second}, {1, 5}, {0, 5}, {-4, 5}}}}, named_at);
+    CHECK(node.by_model["m"].at.size() == 2);
+    CHECK(node.by_model["m"].at[2] == named_at);
+    CHECK(node.by_model["m"].at[3] == named_at - VersionNamings::longest_age);
+    CHECK(*node.by_model["m"].named_after(1) == named_at - VersionNamings::longest_age);
+    node.learn("[]", named_at);
+    node.learn("{", named_at);
+    node.learn(R"({"m":1,"n":"2"})", named_at);
+    CHECK(node.ages(named_at).size() == 1);
+}
+
+TEST_CASE("others are asked each second for a while after a version was new, and not otherwise") {
+    auto node = VersionNamings();
+    CHECK_FALSE(node.ask_due(named_at));
+    auto const asked_in = [&](Microseconds from, Microseconds length) {
+        auto count = 0;
+        for (auto now = from; now < from + length; now += 50 * one_millisecond) count += node.ask_due(now) ? 1 : 0;
+        return count;
+    };
+    node.learn(R"({"m":2})", named_at);
+    CHECK(node.ask_due(named_at));
+    CHECK(asked_in(named_at, 60 * one_second) == 4);
+    node.learn(R"({"m":2})", named_at + 60 * one_second);
+    CHECK(asked_in(named_at + 60 * one_second, 10 * one_second) == 0);
+    node.learn(R"({"m":3})", named_at + 70 * one_second);
+    CHECK(asked_in(named_at + 70 * one_second, 60 * one_second) == 5);
+}
--- a/tests/weights_duty_test.cpp
+++ b/tests/weights_duty_test.cpp
@@ -1,89 +1,9 @@
-#include <catch2/catch.hpp>
-
 #include "control/list_pace.hpp"
-#include "control/weights_duty.hpp"
-#include "world_helpers.hpp"
+#include "duty_helpers.hpp"
 
 using namespace dockrock;
 using namespace dockrock::simulation;
 
-namespace {
-
-auto const model = std::string("m");
-
-auto list_text(std::vector<std::string> const& names = {"a", "b", "c", "d"}) -> std::string {
-    ReplicaList list;
-    for (auto const& name : names) {
-        ReplicaEntry entry;
-        entry.name = name;
-        entry.address = std::string("10.0.0.1:80");
-        entry.model = "service";
-        entry.weights[model] = 1;
-        list.replicas.push_back(entry);
-    }
-    return json::serialize(write_json(list));
-}
-
-auto snapshot_of(SimulatedNode const& node) -> Snapshot {
-    auto const old = Snapshot();
-    auto empty = Snapshot();
-    empty.rules = std::make_shared<Rules>();
-    return *make_snapshot(node.control, empty);
-}
-
-struct Duties {
-    World& world;
-    std::map<std::size_t, WeightsDuty> duties;
-    struct Sent {
-        Microseconds at = 0;
-        std::size_t node = 0;
-        std::uint64_t fence = 0;
-    };
-    std::vector<Sent> sent;
-
-    // Orders are lost on their way, so that every holder goes on ordering.
-    auto step() -> void {
-        world.run_until(world.now + 25 * one_millisecond);
-        for (auto index = std::size_t{0}; index < world.nodes.size(); ++index) {
-            auto& node = *world.nodes[index];
-            if (!node.running) {
-                duties.erase(index);
-                continue;
-            }
-            auto const now = world.local(node);
-            auto due = duties[index].step(node.control, snapshot_of(node), now);
-            for (auto const& [partition, text] : due.words)
-                world.act(index, node.control.live_read(partition, now, now, text));
-            for (auto const& order : due.orders) {
-                if (!may_order(node.control, order.partition, order.fence, now)) continue;
-                sent.push_back({world.now, index, order.fence});
-                duties[index].order_ended(order, OrderEnd::unknown, now);
-            }
-            for (auto const& report : due.reports)
-                duties[index].reported(report, ReportedWeights{1, false, 0}, now, now);
-        }
-    }
-    auto run(Microseconds length) -> void {
-        for (auto const end = world.now + length; world.now < end;) step();
-    }
-};
-
-auto name_version(World& world, std::int64_t version) -> void {
-    auto const partition = partition_of_service(model);
-    for (auto const& node : world.nodes)  // as the operator's call does it, in numbers
-        node->control.partitions[static_cast<std::size_t>(partition)].apply = [](Copy const&, Call const& call) {
-            return ChangeResult{200, "", call.body};
-        };
-    auto done = false;
-    world.call(
-        *world.leader(partition),
-        Call{partition, "name", "weights", "", json::serialize(json::object{{model, version}})},
-        [&](CallDone const& result) { done = result.status == 200; });
-    REQUIRE(world.run_until_true([&] { return done; }, 4 * one_second));
-}
-
-}  // namespace
-
 TEST_CASE("the first holder orders at once, and the next one only a lease after it took over") {
     auto world = formed(11);
     auto const partition = partition_of_service(model);
@@ -133,30 +53,6 @@
     CHECK(world->violations.empty());
 }
 
-TEST_CASE("the next holder counts from when the version was named and not from its own beginning") {
-    auto world = formed(15);
-    auto const partition = partition_of_service(model);
-    auto const holder = *world->leader(partition);
-    for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) {
-        auto& node = *world->nodes[index];
-        world->act(index, node.control.list_read(world->local(node), world->local(node), list_text()));
-    }
-    auto duties = Duties{*world};
-    duties.run(one_second);
-    name_version(*world, 2);
-    duties.run(one_second);
-    auto const heard = world->now;
-    world->kill(holder, false);
-    duties.run(10 * one_second);
-    auto const next = world->leader(partition);
-    REQUIRE(next);
-    REQUIRE(*next != holder);
-    auto const& node = *world->nodes[*next];
-    auto const& rollout = duties.duties.at(*next).rollouts.at({partition, model});
-    REQUIRE(rollout.named.named_after(1));
-    CHECK(world->local(node) - *rollout.named.named_after(1) >= world->now - heard);
-}
-
 TEST_CASE("a leader's word of its replicas reaches every node at once, and a word of a gone replica is none") {
     auto world = formed(12);
     auto const partition = partition_of_service(model);
