Overdue and silent replicas are ordered anew; small services keep one that serves

Cause: after an order of unknown outcome only a report ended the course, so an overdue replica that answered none stayed withheld and was not ordered again. And a service of two or three replicas loaded all of them at once, since its places took it whole.

Change: an overdue course that is silent for 4 s after an order of unknown end is ordered anew, without a count: 200 or 409 where the first order was taken, so it loads once. Where the places would take a whole service, the last one that serves waits for the others until the margin; from there on all are ordered as before. Without a bound it waits for a silent one only while that holds its place. Services with more replicas than places are paced as before.

--- a/source/control/versions_due.cpp
+++ b/source/control/versions_due.cpp
@@ -39,6 +39,31 @@
     return std::clamp(static_cast<std::size_t>(std::min(needed + 0.5, static_cast<double>(most))), least, most);
 }
 
+// Without a bound nothing would end the wait for one that is silent for good.
+auto VersionsRollout::is_last(std::string_view service, std::size_t least, Microseconds now) const -> bool {
+    auto serving = std::size_t{0};
+    auto away = std::size_t{0};
+    auto replicas = std::size_t{0};
+    for (auto const& [name, course] : courses) {
+        if (course.service != service || course.drain) continue;
+        ++replicas;
+        if (course.stage == Stage::idle) serving += late(course, now) ? 0 : 1;
+        else away += times.bound > 0 || holds_place(course, now) ? 1 : 0;
+    }
+    return replicas <= least && serving <= 1 && away > 0;
+}
+
+// Whether the order of an overdue replica that answers no report was taken can't be known. It is
+// ordered anew, without a count: one that holds the version, or is loading it, does not load again.
+auto VersionsRollout::renew_silent(Microseconds now) -> void {
+    for (auto& [name, course] : courses) {
+        if (course.stage != Stage::unsure || !late(course, now) || now - course.heard_at < times.renew) continue;
+        course.stage = Stage::idle;
+        course.orders.reset();
+        course.next = now;
+    }
+}
+
 // Once for each time that a replica falls silent or overdue.
 auto VersionsRollout::note(Microseconds now) -> void {
     for (auto& [name, course] : courses) {
--- a/source/control/versions_rollout.cpp
+++ b/source/control/versions_rollout.cpp
@@ -73,6 +73,7 @@
         course.ordered_at = course.heard_at = now;
         actions.orders.push_back({name, target, course.orders});
     }
+    renew_silent(now);
     if (may_order) announce(at_once, now);
     note(now);
     actions.notes = std::exchange(notes, {});
@@ -101,7 +102,9 @@
         for (auto& item : courses) {
             auto const& course = item.second;
             if (course.stage != Stage::idle || course.version >= target || now < course.next) continue;
-            if (!late(course, now) && (course.drain || busy[course.service] >= allowed[course.service])) continue;
+            auto const paced = !late(course, now);
+            if (paced && (course.drain || busy[course.service] >= allowed[course.service])) continue;
+            if (paced && is_last(course.service, at_once, now)) continue;
             if (best == nullptr || first(course) < first(best->second)) best = &item;
         }
         if (best == nullptr) return;
--- a/source/control/versions_rollout.hpp
+++ b/source/control/versions_rollout.hpp
@@ -67,6 +67,7 @@
     Microseconds believe = one_second;            // a report later than this after an order has seen it
     Microseconds silence = 2 * one_second;        // without a report, a replica holds no place
     Microseconds doubt = 600 * one_millisecond;   // the same after a 409, where nothing of ours is under way
+    Microseconds renew = 4 * one_second;  // an overdue one, silent after an order of unknown end, is ordered anew
     Microseconds least_pause = 500 * one_millisecond;
     Microseconds longest_pause = 4 * one_second;
     Microseconds shown = 5 * one_second;  // a word stays this long after the list shows the same
@@ -130,6 +131,9 @@
     auto announce(std::size_t at_once, Microseconds now) -> void;
     auto give_up(Course& course, Microseconds now) -> void;
     auto holds_place(Course const& course, Microseconds now) const -> bool;
+    // Whether loading one more would leave a small service, which the places would take whole, without one that serves.
+    auto is_last(std::string_view service, std::size_t least, Microseconds now) const -> bool;
+    auto renew_silent(Microseconds now) -> void;
     auto places(std::string_view service, std::size_t least, Microseconds now) const -> std::size_t;
 };
 
--- a/tests/versions_due_test.cpp
+++ b/tests/versions_due_test.cpp
@@ -190,3 +190,30 @@
     CHECK(pool.open_after(bound) == 0);
     CHECK((pool.replicas["r99"].loading == 2 || pool.replicas["r99"].version == 2));
 }
+
+TEST_CASE("an overdue replica that answers no report is ordered again, rarely, and loads once") {
+    auto pool = Pool(1);
+    auto& replica = pool.replicas["r10"];
+    pool.rollout.times.bound = bound;
+    replica.silent = true;
+    auto counts = std::vector<std::optional<std::uint64_t>>();
+    auto answered = true;
+    pool.bend = [&](auto const& order, auto end) {
+        return counts.push_back(order.orders), answered ? end : OrderEnd::unknown;
+    };
+    SECTION("its order was lost") { pool.lost.insert("r10"); }
+    SECTION("its order was taken, and no answer comes") {
+        answered = false;
+        replica.load = 17 * one_second;
+    }
+    pool.name_version(2);
+    pool.run(bound - weights_margin - heard);
+    CHECK(pool.orders == 1);
+    pool.run(heard + heard + pool.rollout.times.announce);
+    CHECK(pool.orders == 2);
+    pool.run(20 * one_second);
+    CHECK(replica.version == 2);
+    CHECK(replica.loads == 1);
+    CHECK(pool.orders <= (answered ? 2 : 6));
+    for (auto const& count : counts) CHECK_FALSE(count);
+}
