--- a/source/control/control.hpp
+++ b/source/control/control.hpp
@@ -10,6 +10,7 @@
 #include "membership/membership.hpp"
 #include "control/partition_news.hpp"
 #include "control/partition_watch.hpp"
+#include "control/version_namings.hpp"
 
 namespace dockrock {
 
@@ -74,6 +75,7 @@
     };
     std::vector<WaitingAsk> waiting_asks;
     NewsCounts news_counts;
+    VersionNamings namings;
     std::map<std::uint64_t, PendingCall> calls;
     std::map<std::uint64_t, PendingClaim> claims;
     std::optional<PendingAnew> anew;
@@ -166,6 +168,7 @@
     auto on(Arrival const& arrival, LoadSum const& sum) -> void;
     auto on(Arrival const& arrival, FeedAsk const& ask) -> void;
     auto on(Arrival const& arrival, FeedAnswer const& answer) -> void;
+    auto on(Arrival const& arrival, NamingAges const& told) -> void;
     auto on(Arrival const& arrival, CallForward const& forward) -> void;
     auto on(Arrival const& arrival, CallAnswer const& answer) -> void;
     auto on(Arrival const& arrival, ClaimAsk const& ask) -> void;
@@ -190,8 +193,12 @@
     auto take_answer(
         Microseconds now, PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output)
         -> void;
-    auto take_copy(PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
+    auto take_copy(Microseconds now, PartitionNews& item, NewsAnswer const& answer, ControlOutput& output) -> void;
     auto take_live(PartitionNews& item, NewsAnswer const& answer, Microseconds asked_at, ControlOutput& output) -> void;
+    auto learn_namings(int partition, Microseconds now) -> void;
+    auto ask_namings(Microseconds now, ControlOutput& output) -> void;
+    auto take_namings(Microseconds now, std::string const& address, NamingAges const& told, ControlOutput& output)
+        -> void;
     auto relays_news(int partition, Microseconds now) const -> bool;
     auto hold_limit(int partition) const -> Microseconds {
         return partition == configuration_partition ? times.hold_limit : times.service_hold_limit;
--- a/source/control/control_deliver.cpp
+++ b/source/control/control_deliver.cpp
@@ -77,6 +77,10 @@
     take_feed(arrival.now, arrival.from, answer, arrival.output);
 }
 
+auto Control::on(Arrival const& arrival, NamingAges const& told) -> void {
+    take_namings(arrival.now, arrival.address, told, arrival.output);
+}
+
 auto Control::on(Arrival const& arrival, CallForward const& forward) -> void {
     if (is_partition(forward.call.partition)) on_call_forward(arrival.now, forward, arrival.output);
 }
