Soak: losses of power and of all processes, SIGTERM, SIGHUP, full disks

What docs/soak.md named as not covered. A fifth shape, losses: all processes killed or without power right after an acknowledgement, one core disk lost with it or not, at the end of each course and within it; SIGTERM of core nodes and edges, with a judge of answers cut off by it (LOST) and of nodes that do not end (STOPS); new settings and SIGHUP; full disks.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,6 +18,7 @@
 python3 tests/days/days_test.py
 python3 tests/soak/soak_test.py
 python3 tests/soak/links_test.py "$build"
+python3 tests/soak/power_test.py "$build"
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
 results=$(mktemp -d)
 touch "$results/passed" "$results/failed"
@@ -95,8 +96,13 @@
 soak core --shape core --seed 3 --seconds 25
 soak configuration --shape configuration --seed 2 --seconds 25
 soak mixed --shape mixed --seed 1 --seconds 25
+soak losses --shape losses --seed 0 --seconds 25
 soak planted-stale --planted stale --seed 2 --seconds 25
 soak planted-falls --planted falls --seed 1 --seconds 12
+soak planted-hangs-up --planted hangs_up --seed 3 --seconds 25
+soak planted-lingers --planted lingers --seed 3 --seconds 25
+soak planted-drops --planted drops --seed 3 --seconds 25
+soak planted-unsynced --planted unsynced --seed 2 --seconds 25
 wait
 # Faults that are known and not mended yet: KNOWN-RED.txt, a line each: test, cause, issue.
 known=0
--- a/tests/platform/careless_node.py
+++ b/tests/platform/careless_node.py
@@ -4,7 +4,8 @@
 twice: a fifth of the requests go out once more; resend: again after a lost connection; promise: 503 after
 one; reuse: connections are kept and what comes next is taken for the answer; smuggle: the same, and the
 rest of a body isn't sent once an answer waits; stale: it looks for a newer configuration only now and then;
-forgets: changes are lost before the end; falls: it ends by itself; none: nothing more, though weights are
+forgets: changes are lost before the end; falls: it ends by itself; hangs_up: it ends on SIGHUP; lingers: it does
+not end on SIGTERM; none: nothing more, though weights are
 never rolled out and races are all won."""
 
 import http.client
@@ -14,6 +15,7 @@
 import pathlib
 import random
 import select
+import signal
 import sys
 import threading
 import time
@@ -131,6 +133,7 @@
     do_GET = do_PUT = do_PATCH = do_POST = answer
 
 
+signal.signal(signal.SIGHUP, signal.SIG_DFL if FAULT == "hangs_up" else signal.SIG_IGN)
 servers = []
 for address in SETTINGS["listen"].values():
     host, port = address.split(":")
@@ -139,5 +142,7 @@
     servers.append(threading.Thread(target=server.serve_forever))
 for thread in servers:
     thread.start()
+if FAULT == "lingers":
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
 if FAULT == "falls" and SETTINGS["role"] == "door":
     threading.Timer(FALLS_AFTER * (1 + random.random()), os._exit, (3,)).start()
--- a/tests/platform/day.py
+++ b/tests/platform/day.py
@@ -122,9 +122,15 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         return {**environment, "DOCKROCK_NODE_FILE": str(path)}
 
-    def start_node(self, name):
+    def write_settings(self, name):
         path = self.folder / (name + ".toml")
-        path.write_text(toml(self.settings(name)))
+        fresh = path.with_suffix(".new")
+        fresh.write_text(toml(self.settings(name)))
+        os.replace(fresh, path)
+        return path
+
+    def start_node(self, name):
+        path = self.write_settings(name)
         self.started_before.add(name)
         self.processes[name] = Process(name, self.node, self.folder, self.environment(name, path))
         self.processes[name].start()
--- a/tests/platform/stand_in_soak_test.cpp
+++ b/tests/platform/stand_in_soak_test.cpp
@@ -141,6 +141,30 @@
     CHECK(story.broken().empty());
 }
 
+TEST_CASE("a planned stop cuts no answer that a sound replica is at") {
+    auto story = Story();
+    story.single().complete = false;
+    story.single().closed = true;
+    CHECK_FALSE(story.broken().contains("LOST"));
+    story.record.stops.push_back({"n2", 1050, 9000});
+    CHECK_FALSE(story.broken().contains("LOST"));  // of another node
+    story.record.stops.push_back({"n1", 1050, 9000});
+    CHECK(story.broken().contains("LOST"));
+    story.record.unplanned.push_back({1090, 9000});
+    CHECK_FALSE(story.broken().contains("LOST"));
+    story.record.unplanned = {{0, 990}};  // over before the request
+    CHECK(story.broken().contains("LOST"));
+    story.record.ended.push_back({"i1", 1060});
+    CHECK_FALSE(story.broken().contains("LOST"));
+    story.record.ended.clear();
+    story.record.sent[1].until = 1100;  // its deadline was reached
+    CHECK_FALSE(story.broken().contains("LOST"));
+    story.record.sent[1].until = 1200;
+    story.single().closed = false;
+    story.single().complete = true;
+    CHECK_FALSE(story.broken().contains("LOST"));
+}
+
 TEST_CASE("holders that take turns count only where the core was settled") {
     auto story = Story();
     story.record.orders.push_back({"i1", "n2", 5, 202, 901});
--- a/tests/platform/stand_ins/client.cpp
+++ b/tests/platform/stand_ins/client.cpp
@@ -54,7 +54,7 @@
 
 auto note_sent(
     Clients& clients, Requesting const& requesting, std::string const& identity, std::string const& node,
-    Call const& call, bool kept) -> void {
+    Call const& call, Milliseconds until, bool kept) -> void {
     auto const& kind = requesting.kind;
     auto sent = Sent{identity, now(), node, kind.method, kind.host, kind.path, requesting.key, digest_of(call.body)};
     sent.repeatable = is_repeatable(kind);
@@ -62,6 +62,7 @@
     sent.resume = kind.resume;
     sent.last_event = requesting.last_event;
     sent.kept = kept;
+    sent.until = until;
     clients.record.sent.push_back(sent);
 }
 
@@ -99,7 +100,7 @@
     auto const identity = hex_of(clients.random());
     auto const call =
         call_of(requesting, identity, std::max<Milliseconds>(1, until - now()), chance(clients.random, 0.3));
-    note_sent(clients, requesting, identity, node, call, reused);
+    note_sent(clients, requesting, identity, node, call, until, reused);
     auto const& kind = requesting.kind;
     auto const silence = kind.type == "stream" ? std::max({least_silence, 4 * kind.target, 8 * kind.gap}) : until;
     reply = co_await exchange(line, call, kind.host, until, silence);
--- a/tests/platform/stand_ins/judge.hpp
+++ b/tests/platform/stand_ins/judge.hpp
@@ -58,6 +58,7 @@
 auto judge_glances(Court& court) -> void;        // CONFIG: what any node shows at any time
 auto judge_repeated(Court& court) -> void;       // CONFIG: a change that was taken, sent again
 auto judge_kept(Court& court) -> void;           // LOST: kept connections closed without an answer
+auto judge_stops(Court& court) -> void;          // LOST: answers cut off by a planned stop
 auto judge_fleet(Court& court) -> void;          // DRAIN, BUDGET, ONE
 auto judge(Record const& record, Bounds const& bounds) -> Verdicts;
 auto state_of(Verdict const& verdict) -> std::string_view;  // held, BROKEN, not judged
--- a/tests/platform/stand_ins/judge_fleet.cpp
+++ b/tests/platform/stand_ins/judge_fleet.cpp
@@ -111,6 +111,7 @@
     judge_glances(court);
     judge_repeated(court);
     judge_kept(court);
+    judge_stops(court);
     judge_fleet(court);
     return court.verdicts;
 }
--- a/tests/platform/stand_ins/judge_seen.cpp
+++ b/tests/platform/stand_ins/judge_seen.cpp
@@ -54,6 +54,29 @@
     }
 }
 
+auto judge_stops(Court& court) -> void {
+    auto const planned = [&](std::string const& node, Milliseconds from, Milliseconds to) {
+        return std::any_of(court.record.stops.begin(), court.record.stops.end(), [&](NodeSpan const& stop) {
+            return stop.node == node && stop.from <= to && stop.to >= from;
+        });
+    };
+    auto const troubled = [&](Milliseconds from, Milliseconds to) {
+        return std::any_of(court.record.unplanned.begin(), court.record.unplanned.end(), [&](Span const& span) {
+            return span.from <= to && span.to >= from;
+        });
+    };
+    for (auto const& answer : court.record.answers) {
+        auto const found = court.sent.find(answer.identity);
+        auto const runs = court.by_sent.find(answer.identity);
+        if (found == court.sent.end() || runs == court.by_sent.end() || !sound(court, *runs->second.back())) continue;
+        auto const& sent = *found->second;
+        if (!planned(sent.node, sent.at, answer.at) || troubled(sent.at, answer.at)) continue;
+        court.judge(
+            Rule::lost, !answer.closed || answer.at >= sent.until,
+            answer.identity + " was cut off by the planned stop of " + sent.node);
+    }
+}
+
 auto judge_kept(Court& court) -> void {
     auto closed = std::map<std::string, std::vector<std::string>>();
     for (auto const& answer : court.record.answers) {
--- a/tests/platform/stand_ins/platform_soak.cpp
+++ b/tests/platform/stand_ins/platform_soak.cpp
@@ -45,12 +45,17 @@
     record.away.clear();
     record.apart.clear();
     record.rough.clear();
+    record.stops.clear();
+    record.unplanned.clear();
+    auto const plain = [](json::value const& item) {
+        auto const span = read_span(item.as_object());
+        return Span{span.from, span.to};
+    };
     for (auto const& item : list_of(call, "away")) record.away.push_back(read_span(item.as_object()));
     for (auto const& item : list_of(call, "apart")) record.apart.push_back(read_span(item.as_object()));
-    for (auto const& item : list_of(call, "rough")) {
-        auto const span = read_span(item.as_object());
-        record.rough.push_back({span.from, span.to});
-    }
+    for (auto const& item : list_of(call, "rough")) record.rough.push_back(plain(item));
+    for (auto const& item : list_of(call, "stops")) record.stops.push_back(read_span(item.as_object()));
+    for (auto const& item : list_of(call, "unplanned")) record.unplanned.push_back(plain(item));
     co_return Answered{200, {}};
 }
 
--- a/tests/platform/stand_ins/record.hpp
+++ b/tests/platform/stand_ins/record.hpp
@@ -1,6 +1,8 @@
 #pragma once
 // Everything that clients, replicas, the operator and the platform saw, with
 // its time; the rules are judged on this alone.
+#include <limits>
+
 #include "configuration.hpp"
 #include "seal.hpp"
 
@@ -13,7 +15,8 @@
     std::uint64_t body = 0;  // digest
     bool repeatable = false, stream = false, resume = false;
     std::int64_t last_event = 0;
-    bool kept = false;  // on a connection that had served before
+    bool kept = false;                                              // on a connection that had served before
+    Milliseconds until = std::numeric_limits<Milliseconds>::max();  // its deadline
 };
 struct Answer {
     std::string identity;
@@ -122,6 +125,8 @@
     std::vector<NodeSpan> away;   // not in touch
     std::vector<NodeSpan> apart;  // not even with an unsettled core left out of account
     std::vector<Span> rough;      // the core unsettled, or a link in trouble
+    std::vector<NodeSpan> stops;  // planned: from a SIGTERM until 1 s after `graceS`
+    std::vector<Span> unplanned;  // any trouble that was not planned, and `contactMs` after it
 };
 
 struct Bounds {
--- a/tests/soak/addresses.py
+++ b/tests/soak/addresses.py
@@ -5,9 +5,9 @@
 
 # Apart from those of other live tests.
 FIRST_NET = 140
-NETS_OF_A_SHAPE = 25
+NETS_OF_A_SHAPE = 20
 FIRST_PLANTED_NET = FIRST_NET + NETS_OF_A_SHAPE * len(SHAPES)
-LAST_NET = 255
+LAST_NET = 250  # 251 is of links_test.py
 
 
 def net_of(shape, seed, planted=None):
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -15,7 +15,8 @@
 CHANGE_EVERY = (0.5, 1.4)
 READ_EVERY = 0.12
 NAMES = {"weights": (4, (0.8, 2.5), (9, 14)), "mixed": (2, (0.5, 2.0), (6, 12)), "core": (2, (0.5, 2.0), (5, 9)),
-         "configuration": (1, (1.0, 1.0), (12, 18))}  # names in a row, seconds between them, seconds of rest
+         "configuration": (1, (1.0, 1.0), (12, 18)),
+         "losses": (1, (1.0, 1.0), (8, 14))}  # names in a row, seconds between them, seconds of rest
 REVOKED_PROBES, REVOKED_EVERY = 12, 0.7
 PROBE_DEADLINE = 2500
 
@@ -74,6 +75,8 @@
         base = self.fleet.version if base is None else base
         asked = {"patch": patch} if patch else {"document": document}
         _, result = self.fleet.do("change", base=base, valid=valid, timeout=60, **asked)
+        if result["status"] == 200:
+            self.fleet.acknowledged.set()
         return result["status"]
 
     def patch_of(self, document, name, removed):
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -1,4 +1,5 @@
-"""Careless nodes that a soak must find out: the node's argument, the shape, the rule that it must break, its words."""
+"""Careless nodes that a soak must find out: the node's argument (nothing: the real node), the shape, the rule that
+it must break, its words."""
 
 import sys
 
@@ -12,6 +13,10 @@
     "races": ("none", "core", "CONFIG", "two acknowledged on top of one"),
     "old_weights": ("none", "weights", "VERSION", "begun on 1"),
     "forgets": ("forgets", "core", "LOST", "acknowledged"),
+    "hangs_up": ("hangs_up", "losses", "ENDS", "with -1"),
+    "drops": ("none", "losses", "LOST", "by the planned stop of"),
+    "lingers": ("lingers", "losses", "STOPS", "after SIGTERM with None"),
+    "unsynced": (None, "losses", "LOST", "does not come"),  # a sound node on disks that sync nothing
     "falls": ("falls", "mixed", "ENDS", "ended by itself"),
 }
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,7 @@
 from day_requests import configuration
 from soak_fleet import Fleet
 from operators import Operators
-from touch import clock, spans
+from touch import clock, planned_stops, spans
 from troubles import Troubles
 from soak_verdict import judge
 from watch import Watch
@@ -98,7 +98,8 @@
             self.play()
             self.finish()
             told = spans(fleet.ledger.harms, fleet.cores, fleet.edges, BOUNDS["contactMs"])
-            for span in told["away"] + told["apart"]:
+            told |= planned_stops(fleet.ledger.harms, BOUNDS["contactMs"], 1000 * BOUNDS["graceS"])
+            for span in told["away"] + told["apart"] + told["stops"]:
                 if span["node"] != "*":
                     span["node"] = fleet.address(span["node"], FRONT)
             fleet.do("spans", **told)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,7 +54,7 @@
     node = None
     if options.planted:
         fault, options.shape, rule, words = PLANTED[options.planted]
-        node = NODE + [fault]
+        node = NODE + [fault] if fault else None
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="dockrock-soak-")) / (
         "%s-%d%s" % (options.shape, seed, "-" + options.planted if options.planted else "")
     )
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import shutil
+import signal
 import tempfile
 import threading
 import time
@@ -10,8 +11,9 @@
 
 from links import Links
 from paths import ROOT, call
-from day import CONTROL, Day
+from day import BOUNDS, CONTROL, Day
 from day_requests import KEYS, kinds
+from power import lose_unsynced
 from touch import Ledger, clock
 
 HTTP_PORT = 7375
@@ -21,6 +23,7 @@
 # Long streams at many replicas, so that a roll-out takes most of its bound.
 SHAPED = {"weights": {"replicas": 18, "out": 400, "rate": 20, "overload": 60}}
 FIRST_SUCCESSOR = 60  # its place among the addresses
+SETTLED_START = 1.5  # seconds of life before a node is sent new settings
 
 
 def metrics_place():
@@ -45,6 +48,8 @@
         self.ledger, self.busy, self.busy_lock = Ledger(), set(), threading.Lock()
         self.moved_seeds, self.own_ends, self.lives = {}, [], {name: 0 for name in self.ips}
         self.knows_patches = node is None  # the careless node takes whole documents only
+        self.acknowledged, self.stops, self.started_at = threading.Event(), [], {}
+        self.unsynced = getattr(options, "planted", None) == "unsynced"  # disks that say "synced" and do nothing
         self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
 
     def replica_options(self, place, **more):
@@ -56,7 +61,8 @@
         return {
             **super().environment(name, path), "LD_PRELOAD": ":".join(str(shim) for shim in shims),
             "DOCKROCK_SHIM_FILE": str(self.disk_file(name)), "DOCKROCK_LINKS_FILE": str(self.links.path(name)),
-            "DOCKROCK_LINKS_IP": self.ips[name],
+            "DOCKROCK_LINKS_IP": self.ips[name], "DOCKROCK_SHIM_SYNCED": str(self.synced_folder(name)),
+            **({"DOCKROCK_SHIM_UNSYNCED": "1"} if self.unsynced else {}),
         }  # fmt: skip
 
     def start_stand_in(self):
@@ -64,6 +70,15 @@
         if not self.processes["platform"].running():
             raise RuntimeError("the addresses of net %d are taken by another run" % self.net)
 
+    def data_folder(self, name):
+        return self.folder / (name + "-data")
+
+    def synced_folder(self, name):
+        """Copies of the data files as they were at their last sync."""
+        folder = self.folder / (name + "-synced")
+        folder.mkdir(exist_ok=True)
+        return folder
+
     def disk_file(self, name):
         return self.folder / (name + ".faults")
 
@@ -78,6 +93,7 @@
             if self.closed:
                 return
             self.lives[name] += 1
+            self.started_at[name] = time.monotonic()
             super().start_node(name)
 
     def stop(self):
@@ -121,8 +137,39 @@
         for name in names:
             self.kill(name)
 
+    def stop_all(self, names):
+        """SIGTERM, and SIGKILL `graceS` later, as the platform does."""
+        for name in names:
+            self.processes[name].told = True
+            self.processes[name].send(signal.SIGTERM)
+        began = time.monotonic()
+        for name in names:
+            code = self.processes[name].end(0, max(0.1, BOUNDS["graceS"] + began - time.monotonic()))
+            took = round(time.monotonic() - began, 2)
+            self.stops.append({"node": name, "at": clock(), "code": code, "seconds": took})
+
+    def tell_new_settings(self, names, seeds):
+        for name in names:
+            self.moved_seeds[name] = seeds
+            self.write_settings(name)
+            self.processes[name].send(signal.SIGHUP)
+
+    def settled_nodes(self):
+        return [name for name, at in self.started_at.items() if time.monotonic() - at > SETTLED_START]
+
+    def await_acknowledgement(self, limit):
+        self.acknowledged.clear()
+        return self.acknowledged.wait(limit)
+
+    def lose_power(self, names, chance):
+        """Of killed nodes: what was not synced is gone, torn or kept, file by file."""
+        for name in names:
+            if name in self.cores:
+                lose_unsynced(self.data_folder(name), self.synced_folder(name), chance)
+
     def wipe(self, name):
-        shutil.rmtree(self.folder / (name + "-data"), ignore_errors=True)
+        for folder in (self.data_folder(name), self.synced_folder(name)):
+            shutil.rmtree(folder, ignore_errors=True)
 
     def unplanned_stalls(self):
         """Times at which a node found its disk stalled with nobody having made it so: this machine's own doing."""
--- a/tests/soak/soak_verdict.py
+++ b/tests/soak/soak_verdict.py
@@ -19,6 +19,13 @@
     return line_of("ENDS", starts, ["%(node)s ended by itself at %(at)d with %(code)s" % end for end in ends])
 
 
+def polite_stops(stops, limit):
+    """Nodes that were told to end (SIGTERM) do so by themselves, before they are killed."""
+    broken = ["%(node)s ended %(seconds)g s after SIGTERM with %(code)s" % stop for stop in stops
+              if stop["code"] != 0 or stop["seconds"] > limit]  # fmt: skip
+    return line_of("STOPS", len(stops), broken)
+
+
 def recovery(recovered_after, limit):
     broken = [] if recovered_after is not None else ["under a quarter is served %d s after the last trouble" % limit]
     return line_of("RECOVER", 1, broken)
@@ -44,6 +51,7 @@
     fleet = run.fleet
     lines = fleet.do("verdicts", most=WORDS, timeout=120)[1]["rules"]
     lines.append(own_ends(fleet.own_ends, sum(fleet.lives.values())))
+    lines.append(polite_stops(fleet.stops, BOUNDS["graceS"]))
     lines.append(recovery(run.recovered_after, BOUNDS["recoverS"]))
     lines.append(invariants(fleet.violations))
     lines.append(line_of("COURSE", len(run.timeline), run.failures))
@@ -57,7 +65,6 @@
         "requests": {name: counts.get(name, 0) for name in ("served", "refused", "denied", "failed")},
         "starts": sum(fleet.lives.values()), "recovered after": run.recovered_after,
         "stalls": run.watch.stalls, "unplanned disk stalls": fleet.unplanned_stalls(),
-       
         "judged at": clock(),
     }  # fmt: skip
     return stories(fleet, lines), seen
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -4,7 +4,10 @@
 import threading
 import time
 
+from course import STOPS
+
 FOREVER = 1 << 60
+AFTER_GRACE = 1000  # milliseconds in which a stop counts as planned work yet
 
 
 def clock():
@@ -55,6 +58,13 @@
     return {**found, "node": node} if node else found
 
 
+def planned_stops(harms, contact, grace):
+    """Spans of planned stops by node, and of all other harms."""
+    stops = [{"node": name, "from": harm["from"], "to": min(FOREVER, harm["from"] + grace + AFTER_GRACE)}
+             for harm in harms if harm["kind"] in STOPS for name in harm["nodes"]]  # fmt: skip
+    return {"stops": stops, "unplanned": [span(harm, contact) for harm in harms if harm["kind"] not in STOPS]}
+
+
 def spans(harms, cores, edges, contact):
     """What the stand-in's judge is told: not in touch; not even but for an unsettled core; core or links rough."""
     away, apart, rough = [], [], []
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -2,7 +2,9 @@
 
 import random
 import signal
+import time
 
+from course import LOSES_DISK, LOSSES, STOPS
 from links import both_ways, one_way
 
 BACK_FAULTS = {
@@ -11,7 +13,10 @@
 }  # fmt: skip
 LOST_ACKNOWLEDGEMENTS = 0.5
 LOSSY = 0.15
-SLOW_DISK = 250  # milliseconds for each sync
+SICK_DISK = {"slow_disk": "slow 250\n", "stall_disk": "stall\n", "full_disk": "full\n"}  # milliseconds of a sync
+AFTER_AN_ACKNOWLEDGEMENT, ACKNOWLEDGED_WITHIN = 0.75, 3.0  # share of the losses of all, and seconds to wait
+AT_ONCE_AFTER = (0.0, 0.02)  # seconds
+TOLD_TWICE = 0.5
 
 
 class Troubles:
@@ -23,11 +28,12 @@
             "pause_holder": self.pause, "pause_edge": self.pause, "halves": self.halves,
             "one_way_core": self.one_way_core, "lone_core": self.lone_core, "lossy_core": self.lossy,
             "lossy_edge": self.lossy, "cut_edges": self.cut_edges, "one_way_to_edge": self.cut_edges,
-            "one_way_from_edge": self.cut_edges, "slow_disk": self.sick_disk, "stall_disk": self.sick_disk,
+            "one_way_from_edge": self.cut_edges, **dict.fromkeys(SICK_DISK, self.sick_disk),
             "wipe_disk": self.wipe_disk, "moved_seeds": self.restart_with_moved_seeds,
             "crash_replica": self.crash_replica, "leaving_replicas": self.leaving_replicas,
             "overload": self.overload, "lost_acknowledgements": self.lose_answers,
-            **dict.fromkeys(BACK_FAULTS, self.back_fault),
+            **dict.fromkeys(BACK_FAULTS, self.back_fault), **dict.fromkeys(LOSSES, self.lose_all),
+            **dict.fromkeys(STOPS, self.stop), "new_settings": self.new_settings,
         }  # fmt: skip
 
     def play(self, trouble, wait):
@@ -35,7 +41,7 @@
         chance = random.Random(trouble["choice"])
         return self.steps[trouble["kind"]](trouble["kind"], chance, lambda: wait(trouble["lasts"]))
 
-    def target(self, kind, chance):
+    def target(self, kind, chance, among=None):
         fleet, part = self.fleet, kind.rpartition("_")[2]
         if part == "edge":
             names = chance.sample(fleet.edges, len(fleet.edges))
@@ -43,7 +49,7 @@
             leader = fleet.holder() if part == "holder" else fleet.leader()
             others = [name for name in chance.sample(fleet.cores, len(fleet.cores)) if name != leader]
             names = others if part == "follower" else [leader or others[0]] + others
-        return fleet.claim(names)
+        return fleet.claim([name for name in names if among is None or name in among])
 
     def held(self, kind, names, wait, begin, end, **harm):
         """Between `begin` and `end` the nodes are in trouble."""
@@ -71,6 +77,40 @@
         names = self.fleet.claim(self.fleet.cores, len(self.fleet.cores))
         return self.held(kind, names, wait, lambda: self.fleet.kill_all(names), lambda: self.start_all(names))
 
+    def lose_all(self, kind, chance, wait):
+        """All processes at one moment, mostly right after an acknowledgement; power and one disk with them or not."""
+        fleet, everyone = self.fleet, self.fleet.cores + self.fleet.edges
+        names = fleet.claim(everyone, len(everyone))
+        wiped = [name for name in chance.sample(fleet.cores, len(fleet.cores)) if name in names][:1]
+        after, pause = chance.random() < AFTER_AN_ACKNOWLEDGEMENT, chance.uniform(*AT_ONCE_AFTER)
+
+        def lose():
+            fleet.kill_all(names)
+            if kind.startswith("power"):
+                fleet.lose_power(names, chance)
+            for name in wiped if kind in LOSES_DISK else []:
+                fleet.wipe(name)
+
+        if after and fleet.await_acknowledgement(ACKNOWLEDGED_WITHIN):
+            time.sleep(pause)
+        return self.held(kind, names, wait, lose, lambda: self.start_all(names))
+
+    def stop(self, kind, chance, wait):
+        names = self.target(kind, chance, self.fleet.settled_nodes())
+        return self.held(kind, names, wait, lambda: self.fleet.stop_all(names), lambda: self.start_all(names))
+
+    def new_settings(self, kind, chance, wait):
+        """Other seeds in the settings files of nodes, and SIGHUP; no trouble at all, by the users' words."""
+        fleet = self.fleet
+        seeds, nodes = chance.sample(fleet.cores, min(3, len(fleet.cores))), fleet.settled_nodes()
+        told, count = chance.sample(nodes, len(nodes)), chance.randint(1, len(nodes) or 1)
+        for _ in range(2 if chance.random() < TOLD_TWICE else 1):
+            names = fleet.claim(told, count)  # only while they are told: it is no trouble
+            fleet.tell_new_settings(names, seeds)
+            fleet.release(names)
+            wait()
+        return names
+
     def kill_herd(self, kind, chance, wait):
         edges = self.fleet.edges
         names = self.fleet.claim(chance.sample(edges, len(edges)), chance.randint(len(edges) // 2, len(edges)))
@@ -124,7 +164,7 @@
     def sick_disk(self, kind, chance, wait):
         fleet = self.fleet
         name = (fleet.leader() or fleet.cores[0]) if chance.random() < 0.5 else chance.choice(fleet.cores)
-        line = "stall\n" if kind == "stall_disk" else "slow %d\n" % SLOW_DISK
+        line = SICK_DISK[kind]
         names = fleet.claim([name])
         file = fleet.disk_file(name)
         return self.held(kind, names, wait, lambda: file.write_text(line), lambda: file.write_text(""))
--- a/tests/stand_ins/shim/fault_shim.cpp
+++ b/tests/stand_ins/shim/fault_shim.cpp
@@ -2,8 +2,12 @@
 // disks and a jumping wall clock. The product knows nothing of it. It looks at
 // the file named by DOCKROCK_SHIM_FILE, which holds "slow MILLISECONDS",
 // "stall", "full" or "clock SECONDS", one on each line. docs/proofs.md.
+// Each synced data file is copied to the folder DOCKROCK_SHIM_SYNCED, where there is one, so that a loss
+// of power can take later writes away (tests/soak/power.py). With DOCKROCK_SHIM_UNSYNCED, a disk that
+// lies: syncs are reported and nothing is synced.
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <sys/types.h>
 #include <time.h>
@@ -11,8 +15,10 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <string>
 #include <string_view>
 
 namespace {
@@ -50,8 +56,7 @@
     ::nanosleep(&length, nullptr);
 }
 
-// Only files in a data folder are sick; logs and records are not.
-auto in_data_folder(int descriptor) -> bool {
+auto path_of(int descriptor) -> std::string {
     auto name = std::array<char, 64>{};
     auto path = std::array<char, 512>{};
     auto const* prefix = "/proc/self/fd/";
@@ -63,8 +68,29 @@
     auto place = std::strlen(prefix);
     while (count > 0) name[place++] = digits[--count];
     auto const size = ::readlink(name.data(), path.data(), path.size() - 1);
-    return size > 0 &&
-        std::string_view(path.data(), static_cast<std::size_t>(size)).find("-data") != std::string_view::npos;
+    return {path.data(), size > 0 ? static_cast<std::size_t>(size) : 0};
+}
+
+// Only files in a data folder are sick; logs and records are not.
+auto in_data_folder(int descriptor) -> bool { return path_of(descriptor).find("-data") != std::string::npos; }
+
+// In one step, as the process may be killed at any moment.
+auto copy_synced(int descriptor) -> void {
+    auto const* folder = std::getenv("DOCKROCK_SHIM_SYNCED");
+    struct stat facts {};
+    if (folder == nullptr || ::fstat(descriptor, &facts) != 0 || !S_ISREG(facts.st_mode)) return;
+    auto const path = path_of(descriptor);
+    auto const copy = folder + path.substr(path.rfind('/')), fresh = copy + ".new";
+    auto const from = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path.c_str(), O_RDONLY | O_CLOEXEC, 0));
+    auto const into = static_cast<int>(
+        ::syscall(SYS_openat, AT_FDCWD, fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+    auto piece = std::array<char, 16'384>{};
+    auto size = 0L;
+    while ((size = ::syscall(SYS_read, from, piece.data(), piece.size())) > 0)
+        ::syscall(SYS_write, into, piece.data(), static_cast<std::size_t>(size));
+    ::syscall(SYS_close, from);
+    ::syscall(SYS_close, into);
+    std::rename(fresh.c_str(), copy.c_str());
 }
 
 template <typename Function>
@@ -85,7 +111,10 @@
             return -1;
         }
     }
-    return real<int (*)(int)>(name)(descriptor);
+    if (std::getenv("DOCKROCK_SHIM_UNSYNCED") != nullptr) return 0;
+    auto const result = real<int (*)(int)>(name)(descriptor);
+    if (result == 0 && in_data_folder(descriptor)) copy_synced(descriptor);
+    return result;
 }
 
 }  // namespace
