--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -74,9 +74,10 @@
     def put(self, document, valid=True, base=None, patch=None):
         base = self.fleet.version if base is None else base
         asked = {"patch": patch} if patch else {"document": document}
+        self.fleet.changed["sent"].set()
         _, result = self.fleet.do("change", base=base, valid=valid, timeout=60, **asked)
         if result["status"] == 200:
-            self.fleet.acknowledged.set()
+            self.fleet.changed["acknowledged"].set()
         return result["status"]
 
     def patch_of(self, document, name, removed):
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -48,7 +48,8 @@
         self.ledger, self.busy, self.busy_lock = Ledger(), set(), threading.Lock()
         self.moved_seeds, self.own_ends, self.lives = {}, [], {name: 0 for name in self.ips}
         self.knows_patches = node is None  # the careless node takes whole documents only
-        self.acknowledged, self.stops, self.started_at = threading.Event(), [], {}
+        self.changed = {"acknowledged": threading.Event(), "sent": threading.Event()}
+        self.stops, self.started_at = [], {}
         self.unsynced = getattr(options, "planted", None) == "unsynced"  # disks that say "synced" and do nothing
         self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
 
@@ -157,9 +158,10 @@
     def settled_nodes(self):
         return [name for name, at in self.started_at.items() if time.monotonic() - at > SETTLED_START]
 
-    def await_acknowledgement(self, limit):
-        self.acknowledged.clear()
-        return self.acknowledged.wait(limit)
+    def await_change(self, moment, limit):
+        """The next change of the configuration, until it is sent or acknowledged."""
+        self.changed[moment].clear()
+        return self.changed[moment].wait(limit)
 
     def lose_power(self, names, chance):
         """Of killed nodes: what was not synced is gone, torn or kept, file by file."""
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,8 +15,8 @@
 LOSSY = 0.15
 SICK_DISK = {"slow_disk": "slow 250\n", "stall_disk": "stall\n", "full_disk": "full\n"}  # milliseconds of a sync
 CLOCK_JUMPS = (-20, -3, 3, 20)  # seconds
-AFTER_AN_ACKNOWLEDGEMENT, ACKNOWLEDGED_WITHIN = 0.75, 3.0  # share of the losses of all, and seconds to wait
-AT_ONCE_AFTER = (0.0, 0.02)  # seconds
+LOST_AFTER = {"acknowledged": 0.5, "sent": 0.3, "nothing": 0.2}  # what a loss of all follows upon, by shares
+AWAITED, AT_ONCE_AFTER = 3.0, (0.0, 0.04)  # seconds to wait for it, and after it
 TOLD_TWICE = 0.5
 
 
@@ -80,11 +80,12 @@
         return self.held(kind, names, wait, lambda: self.fleet.kill_all(names), lambda: self.start_all(names))
 
     def lose_all(self, kind, chance, wait):
-        """All processes at one moment, mostly right after an acknowledgement; power and one disk with them or not."""
+        """All processes at one moment, mostly right after a change was acknowledged or sent; power and a disk with them or not."""
         fleet, everyone = self.fleet, self.fleet.cores + self.fleet.edges
         names = fleet.claim(everyone, len(everyone))
         wiped = [name for name in chance.sample(fleet.cores, len(fleet.cores)) if name in names][:1]
-        after, pause = chance.random() < AFTER_AN_ACKNOWLEDGEMENT, chance.uniform(*AT_ONCE_AFTER)
+        moment = chance.choices(list(LOST_AFTER), list(LOST_AFTER.values()))[0]
+        pause = chance.uniform(*AT_ONCE_AFTER)
 
         def lose():
             fleet.kill_all(names)
@@ -93,7 +94,7 @@
             for name in wiped if kind in LOSES_DISK else []:
                 fleet.wipe(name)
 
-        if after and fleet.await_acknowledgement(ACKNOWLEDGED_WITHIN):
+        if moment in fleet.changed and fleet.await_change(moment, AWAITED):
             time.sleep(pause)
         return self.held(kind, names, wait, lose, lambda: self.start_all(names))
 
