--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -80,7 +80,7 @@
         return self.held(kind, names, wait, lambda: self.fleet.kill_all(names), lambda: self.start_all(names))
 
     def lose_all(self, kind, chance, wait):
-        """All processes at one moment, mostly right after a change was acknowledged or sent; power, a disk too, or not."""
+        """All processes at one moment, mostly right after a change was acknowledged or sent; power and disk, or not."""
         fleet, everyone = self.fleet, self.fleet.cores + self.fleet.edges
         names = fleet.claim(everyone, len(everyone))
         wiped = [name for name in chance.sample(fleet.cores, len(fleet.cores)) if name in names][:1]
