Soak: a node that runs is not started again

Cause: a node that ended by itself was started again by the watch and by the end of a trouble of all at once; the first of the two processes was forgotten, held its address after the run (planted hangs_up) and let core-1 of the next runs on these addresses end for an address in use (ENDS in two runs, each told as 'cannot listen'). The driver's fault, not the node's.

--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -91,11 +91,15 @@
 
     def start_node(self, name):
         with self.starting:
-            if self.closed:
-                return
+            process = self.processes.get(name)
+            if self.closed or (process is not None and process.running()):
+                return  # started by another hand meanwhile: the end of a trouble, or after an end of its own
             self.lives[name] += 1
             self.started_at[name] = time.monotonic()
-            super().start_node(name)
+            self.launch(name)
+
+    def launch(self, name):
+        super().start_node(name)
 
     def stop(self):
         with self.starting:
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -7,6 +7,7 @@
 import shutil
 import sys
 import tempfile
+import threading
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from addresses import FIRST_NET, LAST_NET, NETS_OF_A_SHAPE, net_of
@@ -16,6 +17,7 @@
 from links import Links, both_ways, one_way
 from planted import PLANTED, found_out
 from power import LATER_WRITES, lose_unsynced
+from soak_fleet import Fleet
 from soak_verdict import broken_rules, invariants, own_ends, polite_stops, recovery
 from touch import FOREVER, Ledger, harmed_cores, majority_gone, planned_stops, spans
 from troubles import Troubles
@@ -181,6 +183,33 @@
     assert links.path("b").read_text() == "" and links.path("a").read_text() == ""
 
 
+class Running:
+    def __init__(self, runs):
+        self.runs, self.told = runs, False
+
+    def running(self):
+        return self.runs
+
+
+class FleetOfOne(Fleet):
+    """Nothing but what a start looks at; `started` counts the processes."""
+
+    def __init__(self, process):
+        self.starting, self.closed, self.lives, self.started_at = threading.Lock(), False, {"c1": 0}, {}
+        self.processes = {"c1": process}
+        self.launched = 0
+
+    def launch(self, name):
+        self.launched += 1
+
+
+def a_node_that_runs_is_not_started_again():
+    for process, launched in ((None, 1), (Running(False), 1), (Running(True), 0)):
+        fleet = FleetOfOne(process)
+        fleet.start_node("c1")
+        assert fleet.launched == launched and fleet.lives["c1"] == launched
+
+
 def verdict_lines():
     assert own_ends([], 5)["state"] == "held"
     assert own_ends([{"node": "e1", "at": 4, "code": -11}], 5)["state"] == "BROKEN"
@@ -227,7 +256,7 @@
                  power_takes_what_no_sync_covered, every_kind_is_known,
                  an_edge_in_trouble_is_out_of_touch, a_core_node_in_trouble_unsettles_all, cuts_by_their_ends,
                  planned_stops_are_told_apart, troubles_that_never_end_are_never_over, ledgers_note_before_and_after,
-                 links_keep_the_worst_of_overlapping_rules, verdict_lines,
+                 links_keep_the_worst_of_overlapping_rules, verdict_lines, a_node_that_runs_is_not_started_again,
                  planted_faults_are_found_by_their_words, no_two_runs_share_addresses,
                  soaks_of_the_test_command_can_go_side_by_side):  # fmt: skip
         test()
