--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,6 +17,7 @@
 python3 tests/live/verdict_test.py
 python3 tests/days/days_test.py
 python3 tests/soak/soak_test.py
+python3 tests/soak/losses_test.py
 python3 tests/soak/links_test.py "$build"
 python3 tests/soak/power_test.py "$build"
 port="${DOCKROCK_TEST_PORT:-23000}"  # two hundred ports for each fleet, all below those given to outgoing connections
