--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -49,7 +49,7 @@
         self.moved_seeds, self.own_ends, self.lives = {}, [], {name: 0 for name in self.ips}
         self.knows_patches = node is None  # the careless node takes whole documents only
         self.changed = {"acknowledged": threading.Event(), "sent": threading.Event()}
-        self.stops, self.started_at = [], {}
+        self.stops, self.started_at, self.later_writes = [], {}, []
         self.unsynced = getattr(options, "planted", None) == "unsynced"  # disks that say "synced" and do nothing
         self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
 
@@ -171,7 +171,8 @@
         """Of killed nodes: what was not synced is gone, torn or kept, file by file."""
         for name in names:
             if name in self.cores:
-                lose_unsynced(self.data_folder(name), self.synced_folder(name), chance)
+                fates = lose_unsynced(self.data_folder(name), self.synced_folder(name), chance)
+                self.later_writes += fates.values()
 
     def wipe(self, name):
         for folder in (self.data_folder(name), self.synced_folder(name)):
--- a/tests/soak/soak_verdict.py
+++ b/tests/soak/soak_verdict.py
@@ -1,6 +1,7 @@
 """The verdict of a soak: the stand-in's rules on its record, and those that only the driver sees."""
 
 import re
+from collections import Counter
 
 import paths  # noqa: F401
 from day import BOUNDS
@@ -65,6 +66,7 @@
         "requests": {name: counts.get(name, 0) for name in ("served", "refused", "denied", "failed")},
         "starts": sum(fleet.lives.values()), "recovered after": run.recovered_after,
         "stalls": run.watch.stalls, "unplanned disk stalls": fleet.unplanned_stalls(),
+        "files with writes that no sync covered, as power went": dict(Counter(fleet.later_writes)),
         "judged at": clock(),
     }  # fmt: skip
     return stories(fleet, lines), seen
