--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -16,6 +16,7 @@
 SICK_DISK = {"slow_disk": "slow 250\n", "stall_disk": "stall\n", "full_disk": "full\n"}  # milliseconds of a sync
 CLOCK_JUMPS = (-20, -3, 3, 20)  # seconds
 LOST_AFTER = {"acknowledged": 0.5, "sent": 0.3, "nothing": 0.2}  # what a loss of all follows upon, by shares
+SLOW_BEFORE_LOSS = "slow 60\n"  # milliseconds of a sync
 AWAITED, AT_ONCE_AFTER = 3.0, (0.0, 0.04)  # seconds to wait for it, and after it
 TOLD_TWICE = 0.5
 
@@ -86,16 +87,22 @@
         wiped = [name for name in chance.sample(fleet.cores, len(fleet.cores)) if name in names][:1]
         moment = chance.choices(list(LOST_AFTER), list(LOST_AFTER.values()))[0]
         pause = chance.uniform(*AT_ONCE_AFTER)
+        power = kind.startswith("power")
+        disks = [fleet.disk_file(name) for name in names if name in fleet.cores] if power else []
 
         def lose():
+            for disk in disks:  # so that power goes while writes wait for their sync
+                disk.write_text(SLOW_BEFORE_LOSS)
+            if moment in fleet.changed and fleet.await_change(moment, AWAITED):
+                time.sleep(pause)
             fleet.kill_all(names)
-            if kind.startswith("power"):
+            for disk in disks:
+                disk.write_text("")
+            if power:
                 fleet.lose_power(names, chance)
             for name in wiped if kind in LOSES_DISK else []:
                 fleet.wipe(name)
 
-        if moment in fleet.changed and fleet.await_change(moment, AWAITED):
-            time.sleep(pause)
         return self.held(kind, names, wait, lose, lambda: self.start_all(names))
 
     def stop(self, kind, chance, wait):
