--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -10,6 +10,7 @@
 from families import AWAY_S, FAMILIES, HUNDREDS_OF_CHANGES
 from halves import MEANWHILE, SPLIT_S
 from moments import CLOSING_KINDS, MIXES, MOMENTS
+from outages import DARK_AT_CLOSING_S, HERDS, LOSSES, STALE_SEEDS
 from site_file import described_kinds, read_site
 from stale_news import CUT_WAYS, ENDINGS
 from weights import COMPANY, NAMING_GAP_S
@@ -157,7 +158,7 @@
         assert burst["at"] - named[0] <= 3.02 and 15.0 <= burst["for_s"] <= 20.0, day.name
         assert min(times(day, "config_change")) > bound and day.length_s > bound + site.catch_up_s, day.name
     givers = [item for day in days for item in day.faults() if "giver" in item.get("how", "")]
-    assert {item["kind"] for item in givers} == {"node_kill", "core_cut", "node_freeze"}
+    assert {item["kind"] for item in givers} == {"node_kill", "core_cut", "node_freeze", "node_slow"}
 
 
 def test_news_goes_on_past_the_cut(site):
@@ -177,6 +178,15 @@
     assert sum(bool(times(day, "herd_kill")) for day in days) > len(days) / 2
 
 
+def test_edges_restart_again_within_one_cut(site):
+    for day in days_of(site, 7, ["stale_news"]):
+        if "-lives-" in day.name and "core_lives" not in day.name:
+            cut = next(item for item in day.faults() if item["kind"] == "node_cut")
+            killed = times(day, "node_kill")
+            assert len(killed) == 3 and cut["at"] < killed[0], day.name
+            assert killed[-1] < cut["at"] + cut["for_s"], "%s: not within the cut" % day.name
+
+
 def test_both_at_once_twice(site):
     days = days_of(site, 7, ["both"])
     assert len(days) == len(ENDINGS)
@@ -189,6 +199,37 @@
         assert day.closing["kind"] == "wipe_after_ack", "the other machines lose power too"
 
 
+def test_herds_restart_with_stale_seeds(site):
+    days = days_of(site, 7, ["stale_seeds"])
+    assert len(days) == 2 * len(STALE_SEEDS)
+    for day in days:
+        lost, turned = times(day, "herd_kill"), times(day, "seed_turnover")
+        assert len(lost) == HERDS and max(lost[1] - lost[0], lost[2] - lost[1]) < 7.0, day.name
+        assert turned[0] < lost[0] and turned[1] < lost[-1], "%s: herds start before the seeds change" % day.name
+        changes = times(day, "config_change")
+        assert max(later - sooner for sooner, later in zip(changes, changes[1:])) < 2.0, day.name
+        assert changes[0] < lost[0] and changes[-1] > lost[-1] + 10.0, day.name
+    assert sum(bool(times(day, "node_cut")) for day in days) == len(STALE_SEEDS)
+
+
+def test_nearly_everything_is_lost_at_one_moment(site):
+    days = days_of(site, 7, ["outages"])
+    assert len(days) == len(LOSSES)
+    for day in days:
+        disks = [item for item in day.faults() if item["kind"] == "after_ack_wipe"]
+        assert disks and all(item["count"] == site.tolerate for item in disks), day.name
+        dark = [item for item in day.faults() if item["kind"] == "herd_kill" and item["how"] == "power"]
+        assert all(item["share"] == 1.0 for item in dark), day.name
+        for disk in disks:
+            near = {item.get("on", "") for item in dark if abs(item["at"] - disk["at"]) < 0.35}
+            assert near == {"core", ""}, "%s: some machines keep their power" % day.name
+            storms = [item for item in day.plan() if item["kind"] == "config_storm"]
+            assert any(item["at"] < disk["at"] < item["at"] + item["for_s"] for item in storms), "no change is taken"
+        closing = dark[-1]
+        assert closing["at"] < day.length_s < closing["at"] + DARK_AT_CLOSING_S, day.name
+        assert day.closing["kind"] == "wipe_after_ack" and disks[-1]["at"] + site.catch_up_s < closing["at"], day.name
+
+
 def main():
     with tempfile.TemporaryDirectory() as folder:
         site = orchard(pathlib.Path(folder))
--- a/tests/days/stale_news.py
+++ b/tests/days/stale_news.py
@@ -56,6 +56,15 @@
     "seeds": during("core_cut", 6.0, count=1, for_s=5.0, how="seeds"),
     "seeds_turned": during("seed_turnover", 3.0),
     "overload": lambda end, random: [overload(end - 4.0, random), *killed("power")(end, random)],
+    "lives": lambda end, random: [
+        entry("node_kill", end - before_s, share=0.9, for_s=0.6) for before_s in (6.5, 4.5, 2.5)
+    ],
+    "core_lives": during("core_cut", 7.0, count=1, for_s=5.0, how="both"),
+    "core_slow": during("node_slow", 5.0, on="core", count=1, x=30.0, for_s=4.0),
+    "core_emptied": during("after_ack_wipe", 4.0, count=1, for_s=1.0),
+    "large": during("big_config", 7.0, count=1500),
+    "storm": during("config_storm", 2.0, for_s=5.0, gap_s=0.06),
+    "clocks": during("clock_step", 2.0, share=0.5, x=2500.0, for_s=6.0, how="ahead"),
 }
 CUT_WAYS = ("", "all")
 
--- a/tests/days/weights.py
+++ b/tests/days/weights.py
@@ -62,6 +62,19 @@
     "holder_dark": holder("node_kill", "power", 2.0),
     "holder_cut": holder("core_cut", "one_way", 3.0),
     "holder_thawed": holder("node_freeze", "", 2.5),
+    "moves_slow": replicas("kv_slow", 0.5, share=0.6, x=30.0, for_s=14.0),
+    "events_lost": replicas("events_gap", 0.5, share=0.6, for_s=12.0),
+    "more": replicas("scale_out", 0.5, share=0.5, gap_s=0.4),
+    "reused": replicas("replace_with_reuse", 1.5, share=0.2),
+    "spoilt": replicas("garble", 0.0, share=1.0, x=0.08, for_s=12.0, how="extra late"),
+    "mute": replicas("srv_grey", 0.5, share=0.3, x=0.6, for_s=12.0, how="mute"),
+    "left": replicas("give_up", 0.0, share=0.6, for_s=14.0),
+    "abuse": replicas("retry_abuse", 1.0, share=0.6, x=5.0, for_s=12.0),
+    "storm": replicas("config_storm", 0.2, for_s=5.0, gap_s=0.08),
+    "reset": replicas("reset_conns", 2.5, share=1.0, x=0.8),
+    "holder_slow": holder("node_slow", "", 2.0),
+    "holder_stalled": lambda start, random: [entry("disk_stall", start + 0.3, count=2, for_s=2.5)],
+    "holder_replaced": lambda start, random: [entry("replace_core", start + 0.6, x=1.0, how="leader")],
 }
 
 
--- a/tests/days/write_days.py
+++ b/tests/days/write_days.py
@@ -13,13 +13,14 @@
 from families import FAMILIES
 from halves import beyond, halves
 from moments import alone, closings, mixes, pairs
+from outages import outages, stale_seeds
 from site_file import read_site
 from stale_news import both, stale_news
 from weights import weights
 
 LATE = {"weights": weights, "stale_news": stale_news, "both": both}
 SETS = {"alone": alone, "pairs": pairs, "closings": closings, "mixes": mixes, **FAMILIES, **LATE}
-SETS |= {"halves": halves, "beyond": beyond}
+SETS |= {"halves": halves, "beyond": beyond, "stale_seeds": stale_seeds, "outages": outages}
 
 
 def days_of(site, seed, names):
