--- a/tests/days/outages.py
+++ b/tests/days/outages.py
@@ -73,7 +73,11 @@
 
 
 def lost_at(site, at, random):
-    """As many disks as are borne, and in the same moment power at all others, counted or not."""
+    """As many disks as are borne, and in the same moment power at all others, counted or not.
+
+    A bench that counts losses against what is borne puts the second of them off until the first is caught up;
+    then only a closing fault, which strikes while the edges are dark, takes disks and power at once.
+    """
     return [
         entry("config_storm", at - 1.0, for_s=2.0, gap_s=0.06),
         entry("after_ack_wipe", at, for_s=round(random.uniform(*DARK_S), 2), count=site.tolerate),
