A request in a transfer coding that is not known is answered 400

Cause: Transfer-Encoding of an unknown kind beside a Content-Length was passed over and the length believed, so a peer that reads by the coding sees another body than this node: a way to smuggle a request. Change: such a head is one that can't be read.

--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -86,6 +86,9 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         client.expires_after(std::chrono::microseconds(limits.header_time));
         auto [failure, size] = co_await http::async_read_header(client, buffer, parser, use_tuple);
+        // By an unknown coding nobody can tell where the body ends.
+        if (!failure && parser.get().count(http::field::transfer_encoding) > 0 && !parser.chunked())
+            failure = http::error::bad_transfer_encoding;
         if (!failure && !parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
                 co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
--- a/tests/unreadable_request_test.cpp
+++ b/tests/unreadable_request_test.cpp
@@ -86,6 +86,7 @@
              {"a length that is none", head + "Content-Length: four\r\n\r\nbbbb", "400"},
              {"a length below none", head + "Content-Length: -4\r\n\r\nbbbb", "400"},
              {"a chunk that is none", head + "Transfer-Encoding: chunked\r\n\r\nfour\r\nbbbb\r\n0\r\n\r\n", "400"},
+             {"a coding that is none", head + "Transfer-Encoding: xchunked\r\nContent-Length: 4\r\n\r\nbbbb", "400"},
              {"a blank before a header's colon", head + "Content-Length : 4\r\n\r\nbbbb", "400"},
              {"a body above the limit", head + "Content-Length: " + large + "\r\n\r\nbbbb", "413"},
              {"a head above the limit", head + "X: " + std::string(300'000, 'b') + "\r\n\r\n", "431"}}) {
