--- a/source/base/peer_link.cpp
+++ b/source/base/peer_link.cpp
@@ -92,11 +92,15 @@
     renewals = 0;
 }
 
+auto PeerLink::is_former(std::uint64_t life) const -> bool {
+    return life != 0 && std::find(former_lives.begin(), former_lives.end(), life) != former_lives.end();
+}
+
 // What is left of a former life may still come after the first words of the next.
 auto PeerLink::take_life(std::uint64_t life) -> void {
     if (life == heard_life) return;
     hangs = another_life = heard_life != 0 && last_number != 0;
-    former_life = heard_life;
+    former_lives[next_former++ % former_lives.size()] = heard_life;
     heard_life = life;
     heard_number = 0;
 }
@@ -110,7 +114,7 @@
 // present one is silent is the one that runs.
 auto PeerLink::heard(LinkNote const& note, std::uint64_t own_life, Microseconds now) -> void {
     auto const silent = now - heard_at > times.life_silence;
-    if (former_life != 0 && note.life == former_life && !silent) return;
+    if (note.life != heard_life && is_former(note.life) && !silent) return;
     take_life(note.life);
     heard_at = now;
     heard_number = std::max(heard_number, note.number);
--- a/source/base/peer_link.hpp
+++ b/source/base/peer_link.hpp
@@ -2,6 +2,7 @@
 // What of the frames to a peer has arrived there, as its own frames say. A pure
 // machine: it tells when a connection hangs. docs/design.md section 3.
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,7 +56,8 @@
     Microseconds missed_for = 0;  // its greatest age when the peer was heard without it, or doubted
     RoundTrip round_trip;
     std::uint64_t heard_life = 0;
-    std::uint64_t former_life = 0;
+    std::array<std::uint64_t, 4> former_lives{};  // the last ones, so that their late words are known as such
+    std::size_t next_former = 0;
     Microseconds heard_at = 0;  // the present life
     std::uint64_t heard_number = 0;
     int renewals = 0;  // since a frame is known to have arrived that was sent while its connection stood
@@ -72,6 +74,7 @@
     auto overdue(Microseconds now) const -> bool;
 
    private:
+    auto is_former(std::uint64_t life) const -> bool;
     auto missed(Microseconds now) -> void;
     auto measure() -> void;
     auto arrived(std::uint64_t number) -> void;
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -23,6 +23,14 @@
 constexpr auto soon = "0.3";
 constexpr auto not_fresh = "not-fresh";
 
+// By an unknown coding nobody can tell where the body ends, nor, where it is chunked last, what the body is: the
+// coding is this connection's own and is not passed on. HTTP/1.0 has none.
+auto known_coding(HttpRequest const& request) -> bool {
+    auto const codings = request.count(http::field::transfer_encoding);
+    if (codings == 0) return true;
+    return codings == 1 && request.version() > 10 && beast::iequals(request[http::field::transfer_encoding], "chunked");
+}
+
 }  // namespace
 
 auto RelaySession::write_all(std::string const& bytes) -> awaitable<bool> {
@@ -86,9 +94,7 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         client.expires_after(std::chrono::microseconds(limits.header_time));
         auto [failure, size] = co_await http::async_read_header(client, buffer, parser, use_tuple);
-        // By an unknown coding nobody can tell where the body ends.
-        if (!failure && parser.get().count(http::field::transfer_encoding) > 0 && !parser.chunked())
-            failure = http::error::bad_transfer_encoding;
+        if (!failure && !known_coding(parser.get())) failure = http::error::bad_transfer_encoding;
         if (!failure && !parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
                 co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
--- a/source/control/named_versions.hpp
+++ b/source/control/named_versions.hpp
@@ -36,6 +36,8 @@
         drop_oldest();
         return changed;
     }
+    auto newest() const -> std::int64_t { return at.empty() ? first_version : at.rbegin()->first; }
+    auto up_to(std::int64_t version) const -> NamedVersions { return {{at.begin(), at.upper_bound(version)}}; }
     // When a version above `held` was named first: newer ones give no more time.
     auto named_after(std::int64_t held) const -> std::optional<Microseconds> {
         auto first = std::optional<Microseconds>();
--- a/source/control/snapshot.cpp
+++ b/source/control/snapshot.cpp
@@ -29,6 +29,17 @@
     return rules;
 }
 
+// A version that this node's document does not name can't be ordered, so it makes no replica late:
+// one that others tell of may have been lost with its disks.
+auto named_here(VersionNamings const& namings, std::map<std::string, std::int64_t> const& targets)
+    -> std::map<std::string, NamedVersions> {
+    std::map<std::string, NamedVersions> named;
+    for (auto const& [model, versions] : namings.by_model)
+        if (auto const target = targets.find(model); target != targets.end())
+            named[model] = versions.up_to(target->second);
+    return named;
+}
+
 auto take_words(Snapshot& fresh, std::string const& text) -> void {
     for (auto const& [replica, word] : read_words(text))
         if (auto const found = fresh.replica_weights.find(replica); found != fresh.replica_weights.end())
@@ -63,7 +74,7 @@
             if (item.value().is_string()) fresh->target_weights[item.key()] = std::string(item.value().as_string());
             if (item.value().is_int64()) fresh->target_versions[item.key()] = item.value().as_int64();
         }
-    fresh->named = control.namings.by_model;
+    fresh->named = named_here(control.namings, fresh->target_versions);
     for (auto const& entry : fresh->list.replicas) fresh->replica_weights[entry.name].versions = entry.weights;
     for (auto partition = std::size_t{1}; partition <= service_partitions; ++partition)
         take_words(*fresh, control.news[partition].live);
--- a/source/control/version_namings.cpp
+++ b/source/control/version_namings.cpp
@@ -18,7 +18,10 @@
         for (auto const& named : versions)
             if (named.version > first_version)
                 other.at[named.version] = now - std::clamp(named.age, std::int64_t{0}, std::int64_t{longest_age});
-        changed = by_model[model].merge(other) || changed;
+        auto& known = by_model[model];
+        auto const newest = known.newest();
+        changed = known.merge(other) || changed;
+        if (known.newest() > newest) learned_at = now;  // the teller may have heard of it just now, too
     }
     return changed;
 }
--- a/source/control/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -40,7 +40,7 @@
 
 auto WeightsDuty::step(Control const& control, Snapshot const& snapshot, Microseconds now) -> DutyActions {
     DutyActions actions;
-    for (auto const& [model, versions] : control.namings.by_model) named[model].merge(versions);
+    for (auto const& [model, versions] : snapshot.named) named[model].merge(versions);
     for (auto const& [model, version] : snapshot.target_versions) named[model].take(version, now);
     for (auto partition = 1; partition <= service_partitions; ++partition)
         step_partition(partition, control, snapshot, now, actions);
--- a/tests/unreadable_request_test.cpp
+++ b/tests/unreadable_request_test.cpp
@@ -79,6 +79,8 @@
         std::string status;
     };
     auto const head = std::string("POST /a HTTP/1.1\r\nHost: h\r\nRequest-Name: id-1\r\n");
+    auto const old_head = std::string("POST /a HTTP/1.0\r\nHost: h\r\nRequest-Name: id-1\r\n");
+    auto const chunks = std::string("4\r\nbbbb\r\n0\r\n\r\n");
     auto const large = std::to_string(std::int64_t{1} << 40U);
     for (auto const& item : std::vector<Case>{
              {"no request", "bbbb bbbb\r\n\r\n", "400"},
@@ -87,6 +89,11 @@
              {"a length below none", head + "Content-Length: -4\r\n\r\nbbbb", "400"},
              {"a chunk that is none", head + "Transfer-Encoding: chunked\r\n\r\nfour\r\nbbbb\r\n0\r\n\r\n", "400"},
              {"a coding that is none", head + "Transfer-Encoding: xchunked\r\nContent-Length: 4\r\n\r\nbbbb", "400"},
+             {"a coding that is none below chunks", head + "Transfer-Encoding: xchunked, chunked\r\n\r\n" + chunks,
+              "400"},
+             {"two codings, of which one is none",
+              head + "Transfer-Encoding: xchunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, "400"},
+             {"chunks in HTTP/1.0", old_head + "Transfer-Encoding: chunked\r\n\r\n" + chunks, "400"},
              {"a blank before a header's colon", head + "Content-Length : 4\r\n\r\nbbbb", "400"},
              {"a body above the limit", head + "Content-Length: " + large + "\r\n\r\nbbbb", "413"},
              {"a head above the limit", head + "X: " + std::string(300'000, 'b') + "\r\n\r\n", "431"}}) {
--- a/tests/version_namings_test.cpp
+++ b/tests/version_namings_test.cpp
@@ -84,3 +84,12 @@
     node.learn(R"({"m":3})", named_at + 70 * one_second);
     CHECK(asked_in(named_at + 70 * one_second, 60 * one_second) == 5);
 }
+
+TEST_CASE("a version that is told before the document names it is new to the node, and others are asked") {
+    auto node = VersionNamings();
+    node.take({{"m", {{3, 100 * one_millisecond}}}}, named_at);
+    node.learn(R"({"m":3})", named_at + one_millisecond);
+    CHECK(node.ask_due(named_at + one_millisecond));
+    node.take({{"m", {{2, one_second}, {3, one_second}}}}, named_at + 20 * one_second);
+    CHECK_FALSE(node.ask_due(named_at + 20 * one_second));  // older ones are no news
+}
--- a/tests/weights_holder_test.cpp
+++ b/tests/weights_holder_test.cpp
@@ -1,5 +1,6 @@
 // What the next holder of the duty knows of versions named and of orders under way.
 // docs/design.md sections 11.3 and 11.4.
+#include "control/weights_guard.hpp"
 #include "duty_helpers.hpp"
 
 using namespace dockrock;
@@ -95,3 +96,25 @@
     duties.step();
     CHECK(snapshot_of(node).replica_weights.at("a") == ReplicaWeights{{{model, 2}}, true});
 }
+
+TEST_CASE("ages of a version that the partition does not name withhold no replica") {
+    auto world = formed(18);
+    auto const partition = partition_of_service(model);
+    auto const holder = *world->leader(partition);
+    auto& node = *world->nodes[holder];
+    auto const bound = 15 * one_second;
+    world->act(holder, node.control.list_read(world->local(node), world->local(node), list_text()));
+    auto duties = Duties{*world};
+    for (auto index = std::size_t{0}; index < world->nodes.size(); ++index) duties.duties[index].bound = bound;
+    duties.run(one_second);
+    SECTION("none is named") {}
+    SECTION("a lower one is named") { name_version(*world, 2); }
+    auto const told = NamingAges{false, {{model, {{5, 60 * one_second}}}}};
+    world->act(holder, node.control.receive(world->local(node), "former", "former", told));
+    duties.run(2 * one_second);
+    CHECK(duties.duties.at(holder).rollouts.at({partition, model}).figures(world->local(node)).overdue == 0);
+    auto guard = WeightsGuard();
+    guard.bound = bound;
+    guard.take_named(snapshot_of(node).named);
+    CHECK_FALSE(guard.late(model, 1, world->local(node)));
+}
