Tests: one set-up, one address and one form of names where two stood; a dead check of orders gone

transport_test set up the same two nodes three times; address_of stood beside its twin in the relay's header; two tests of heads named the same wire. relayed_test's form now names two more headers; its assertions are as they were. The check of an order in control/orders.hpp was called by the simulator alone since orders go by lease_checked: the simulator now asks the check that nodes ask (weights_duty), which looks at the seal too.

--- a/source/control/orders.hpp
+++ b/source/control/orders.hpp
@@ -26,9 +26,4 @@
 auto order_facts(Control const& control, int partition, std::uint64_t fence, Microseconds now)
     -> invariants::OrderFacts;
 
-// Asked again right before an order is sent.
-inline auto may_order(Control const& control, Order const& order, Microseconds now) -> bool {
-    return control.leads(order.partition, now) && control.best_record(order.partition).term == order.fence;
-}
-
 }  // namespace dockrock
--- a/tests/relay_heads_test.cpp
+++ b/tests/relay_heads_test.cpp
@@ -2,8 +2,10 @@
 #include <catch2/catch.hpp>
 
 #include "connection/relay_session.hpp"
+#include "relay_form.hpp"
 
 using namespace dockrock;
+using namespace dockrock::testing;
 
 namespace {
 
@@ -14,27 +16,11 @@
     return parser.release();
 }
 
-auto sample_form() -> RelayForm {
-    RelayForm form;
-    form.headers.request_identity = "Request-Name";
-    form.headers.key = "Secret";
-    form.headers.tenant = "Group";
-    form.headers.deadline = "Left";
-    form.headers.salt = "Salt";
-    form.headers.last_event = "After";
-    form.headers.urgency = "Haste";
-    form.headers.replica_wanted = "Life";
-    form.headers.weights_wanted = "Weights";
-    form.headers.fetch_from = "Fetch";
-    form.headers.store_at = "Store";
-    return form;
-}
-
 auto head_of(std::string const& lines, bool with_tenant = true, Microseconds read_before = 0) -> std::string {
     boost::system::error_code failure;
     auto const request = parsed(lines, failure);
     REQUIRE_FALSE(failure);
-    auto const form = sample_form();
+    auto const form = relay_form();
     auto route = Route();
     auto tenant = ServiceTenant{"clerks", {}};
     auto judged = RelayVerdict();
@@ -50,7 +36,7 @@
 auto salt_line(std::string const& name, std::string const& wall, std::string const& weights) -> std::string {
     auto request = HttpRequest(http::verb::post, "/a", 11);
     request.set("Request-Name", name);
-    auto const form = sample_form();
+    auto const form = relay_form();
     auto route = Route();
     auto judged = RelayVerdict();
     judged.route = &route;
--- a/tests/relayed_test.cpp
+++ b/tests/relayed_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "connection/relay_session.hpp"
+#include "relay_form.hpp"
 
 using namespace dockrock;
 
@@ -109,16 +110,7 @@
 }
 
 TEST_CASE("the head for a replica holds nothing of the client's under names the fleet sets") {
-    RelayForm form;
-    form.headers.request_identity = "Request-Name";
-    form.headers.key = "Secret";
-    form.headers.tenant = "Group";
-    form.headers.deadline = "Left";
-    form.headers.replica_wanted = "Life";
-    form.headers.weights_wanted = "Weights";
-    form.headers.salt = "Salt";
-    form.headers.urgency = "Haste";
-    form.headers.last_event = "After";
+    auto const form = testing::relay_form();
     auto request = HttpRequest(http::verb::post, "/x/1?q=%20", 11);
     request.set(http::field::host, "a.example");
     request.set("Request-Name", "id-1");
--- a/tests/simulation/fleet.cpp
+++ b/tests/simulation/fleet.cpp
@@ -1,6 +1,7 @@
 // The data plane of each simulated node round its control machines.
 #include "fleet.hpp"
 
+#include "control/weights_duty.hpp"
 #include "sequence/changes.hpp"
 
 namespace dockrock::simulation {
@@ -190,7 +191,7 @@
         });
     }
     for (auto const& order : plane.orders.due(control, *plane.snapshot, plane.reports, local(index))) {
-        if (!may_order(control, order, local(index))) continue;
+        if (!may_order(control, order.partition, order.fence, local(index))) continue;
         ++result.orders;
         check_ordered(index, order);
         auto const target = static_cast<std::size_t>(std::strtoul(order.replica.c_str() + 1, nullptr, 10));
--- a/tests/stalling_relay.hpp
+++ b/tests/stalling_relay.hpp
@@ -8,8 +8,6 @@
 
 namespace dockrock::testing {
 
-inline auto address_of(std::uint16_t port) -> std::string { return "127.0.0.1:" + std::to_string(port); }
-
 struct StallingRelay {
     using tcp = boost::asio::ip::tcp;
     struct Pair {
--- a/tests/transport_helpers.hpp
+++ b/tests/transport_helpers.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Frames heard by a transport under test, awaited by their count.
+// Addresses of transports under test, and the frames they hear, awaited by their count.
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -8,6 +8,8 @@
 
 namespace dockrock::testing {
 
+inline auto address_of(std::uint16_t port) -> std::string { return "127.0.0.1:" + std::to_string(port); }
+
 struct Heard {
     std::mutex lock;
     std::condition_variable changed;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -63,85 +63,77 @@
     return probe.port;
 }
 
-auto address_of(std::uint16_t port) -> std::string { return "127.0.0.1:" + std::to_string(port); }
-
 auto frame_from(std::string const& address) -> std::string {
     return pack_frame({fleet_name, "node at " + address, address, 1, "{}"});
 }
 
+// A node that runs, and one at a port that is dark until its power is on.
+struct LivingAndDark {
+    DarkPort dark;
+    std::string const here = address_of(free_port());
+    std::string const there = address_of(dark.port);
+    Heard heard_here;
+    Heard heard_there;
+    Transport living;
+    Transport returned;
+
+    LivingAndDark() { REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty()); }
+    LivingAndDark(LivingAndDark const&) = delete;
+    ~LivingAndDark() {
+        living.stop();
+        returned.stop();
+    }
+    auto power_on() -> void {
+        dark.power_on();
+        REQUIRE(returned.start(there, fleet_name, heard_there.hear()).empty());
+    }
+    auto send(Microseconds now) -> void { living.send(there, frame_from(here), now); }
+    // An attempt begun at `since` is given up after `limit`, no sooner. Returns when that was.
+    auto dials_after(Microseconds limit, Microseconds since) -> Microseconds {
+        auto const dials = living.dials.load();
+        send(since + limit);
+        CHECK(living.dials == dials);
+        send(since + limit + 1);
+        CHECK(living.dials == dials + 1);
+        return since + limit + 1;
+    }
+};
+
 }  // namespace
 
 TEST_CASE("a node that was dark when it was dialled is answered as soon as it is heard") {
-    auto dark = DarkPort();
-    auto const here = address_of(free_port());
-    auto const there = address_of(dark.port);
-    auto heard_here = Heard();
-    auto heard_there = Heard();
-    auto living = Transport();
-    auto returned = Transport();
-    REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty());
-    living.send(there, frame_from(here), 0);  // its connection attempt is lost
-    REQUIRE_FALSE(heard_there.reaches(1, std::chrono::milliseconds(50)));
-    dark.power_on();
-    REQUIRE(returned.start(there, fleet_name, heard_there.hear()).empty());
-    returned.send(here, frame_from(there), 0);
-    REQUIRE(heard_here.reaches(1, 10 * patience));
-    living.send(there, frame_from(here), dial_age);
-    CHECK(heard_there.reaches(1, patience));
-    living.stop();
-    returned.stop();
+    auto nodes = LivingAndDark();
+    nodes.send(0);  // its connection attempt is lost
+    REQUIRE_FALSE(nodes.heard_there.reaches(1, std::chrono::milliseconds(50)));
+    nodes.power_on();
+    nodes.returned.send(nodes.here, frame_from(nodes.there), 0);
+    REQUIRE(nodes.heard_here.reaches(1, 10 * patience));
+    nodes.send(dial_age);
+    CHECK(nodes.heard_there.reaches(1, patience));
 }
 
 TEST_CASE("a lost connection attempt to a peer that says nothing is made anew, and later each time") {
-    auto dark = DarkPort();
-    auto const here = address_of(free_port());
-    auto const there = address_of(dark.port);
-    auto heard_here = Heard();
-    auto heard_there = Heard();
-    auto living = Transport();
-    auto returned = Transport();
-    REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty());
+    auto nodes = LivingAndDark();
     auto now = one_second;
-    living.send(there, frame_from(here), now);
-    auto dials = living.dials.load();
-    for (auto const limit : {700, 1'400, 1'400, 1'400}) {
-        living.send(there, frame_from(here), now + limit * one_millisecond);
-        CHECK(living.dials == dials);
-        now += limit * one_millisecond + 1;
-        living.send(there, frame_from(here), now);
-        CHECK(living.dials == ++dials);
-    }
-    dark.power_on();
-    REQUIRE(returned.start(there, fleet_name, heard_there.hear()).empty());
-    living.send(there, frame_from(here), now + 1'400 * one_millisecond + 1);
-    CHECK(heard_there.reaches(1, 10 * patience));
-    living.stop();
-    returned.stop();
+    nodes.send(now);
+    for (auto const limit : {700, 1'400, 1'400, 1'400}) now = nodes.dials_after(limit * one_millisecond, now);
+    nodes.power_on();
+    nodes.send(now + 1'400 * one_millisecond + 1);
+    CHECK(nodes.heard_there.reaches(1, 10 * patience));
 }
 
 TEST_CASE("attempts to a peer that is heard last longer each time, so that a slow link gets its connection") {
-    auto dark = DarkPort();
-    auto const here = address_of(free_port());
-    auto const there = address_of(dark.port);
-    auto heard_here = Heard();
+    auto nodes = LivingAndDark();
     auto ignored = Heard();
-    auto living = Transport();
     auto peer = Transport();
-    REQUIRE(living.start(here, fleet_name, heard_here.hear()).empty());
     REQUIRE(peer.start(address_of(free_port()), fleet_name, ignored.hear()).empty());
     auto now = one_second;
-    living.send(there, frame_from(here), now);
-    auto dials = living.dials.load();
+    nodes.send(now);
     for (auto const limit : {200, 400, 800, 1'400, 1'400}) {
-        peer.send(here, frame_from(there), now);
-        REQUIRE(heard_here.reaches(dials, 10 * patience));
-        living.send(there, frame_from(here), now + limit * one_millisecond);
-        CHECK(living.dials == dials);
-        now += limit * one_millisecond + 1;
-        living.send(there, frame_from(here), now);
-        CHECK(living.dials == ++dials);
+        peer.send(nodes.here, frame_from(nodes.there), now);
+        REQUIRE(nodes.heard_here.reaches(nodes.living.dials, 10 * patience));
+        now = nodes.dials_after(limit * one_millisecond, now);
     }
-    living.stop();
     peer.stop();
 }
 
