Scheduler: options by name, moments of a request in the log, work told with the load

Cause: a request that was late told nowhere what it had waited for, and no policy could be switched off for a measurement. Change: options of the scheduler have names, ranges and a flag (--scheduling NAME=VALUE; unknown names and values out of range are refused at start). Load told to other nodes has the prompt tokens placed and not read yet, and outcomes; the frame format is 7. Filters and choice moved to source/scheduling.

--- a/programs/dockrock_node.cpp
+++ b/programs/dockrock_node.cpp
@@ -42,6 +42,8 @@
     auto stop_limit = TCLAP::ValueArg<int>(
         "", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
     auto no_resting = TCLAP::SwitchArg("", "no-resting", "this node is never rested", command);
+    auto scheduling = TCLAP::MultiArg<std::string>(
+        "", "scheduling", "an option of the scheduler; may be given again", false, "NAME=VALUE", command);
     command.parse(argument_count, arguments);
     program.check_only = check.getValue();
     program.settings_file = file.getValue();
@@ -59,6 +61,7 @@
     if (log_file.isSet()) settings.log_file = log_file.getValue();
     if (log_level.isSet()) settings.log_level = log_level.getValue();
     if (stop_limit.isSet()) settings.stop_limit_milliseconds = stop_limit.getValue();
+    if (scheduling.isSet()) settings.scheduling = scheduling.getValue();
     if (no_resting.isSet()) settings.resting = false;
     for (auto& problem : check_settings(settings)) problems.push_back(std::move(problem));
     return problems;
--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -15,7 +15,7 @@
     (("source/membership",), ("source/consensus",)),
     (("source/sequence", "source/version"),),  # to be source/configuration
     (("source/control",),),
-    (("source/ticket",),),  # to be source/scheduling
+    (("source/scheduling", "source/ticket"),),  # all of it to be source/scheduling
     (("source/request",),),
     (("source/connection", "source/process"),),  # to be source/proxy, and source/node above it
     (("platform",), ("programs",)),
--- a/source/base/frame.cpp
+++ b/source/base/frame.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-inline constexpr std::uint64_t format_number = 0x444f434b00000006ULL;
+inline constexpr std::uint64_t format_number = 0x444f434b00000007ULL;
 
 constexpr auto make_checksum_table() -> std::array<std::uint32_t, 256> {
     auto table = std::array<std::uint32_t, 256>{};
--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -46,6 +46,21 @@
 
 }  // namespace
 
+auto field_of(HttpRequest const& request, std::string const& name) -> std::string_view {
+    if (name.empty()) return {};
+    auto const value = request[name];
+    return {value.data(), value.size()};
+}
+
+auto refusal_reason(http::response_header<> const& head) -> std::string {
+    if (head.result_int() == 421) return "weights";  // another life, or other weights
+    return head.result_int() == 400 ? "bad" : "busy";
+}
+
+auto without_body(HttpRequest const& request, unsigned status) -> bool {
+    return request.method() == http::verb::head || status == 204 || status == 304;
+}
+
 auto keeps_connection(HttpRequest const& request) -> bool { return request.keep_alive(); }
 
 auto head_for_replica(
@@ -101,4 +116,22 @@
     return head;
 }
 
+auto RelaySession::arrival_of(HttpRequest const& request, Microseconds now) const -> RelayArrival {
+    auto const& names = node.form->headers;
+    auto const target = std::string_view(request.target().data(), request.target().size());
+    auto const method = request.method_string();
+    return {
+        {method.data(), method.size()},
+        target.substr(0, target.find('?')),
+        {request[http::field::host].data(), request[http::field::host].size()},
+        field_of(request, names.request_identity),
+        field_of(request, names.key),
+        field_of(request, names.deadline),
+        field_of(request, names.model),
+        field_of(request, names.tokens),
+        field_of(request, names.prefix),
+        field_of(request, names.last_event),
+        now};
+}
+
 }  // namespace dockrock
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -13,12 +13,6 @@
     co_await timer.async_wait(use_tuple);
 }
 
-auto field(HttpRequest const& request, std::string const& name) -> std::string_view {
-    if (name.empty()) return {};
-    auto const value = request[name];
-    return {value.data(), value.size()};
-}
-
 // How long a client waits before it comes again: seconds, as text.
 constexpr auto soon = "0.3";
 constexpr auto not_fresh = "not-fresh";
@@ -47,7 +41,7 @@
     auto head = "HTTP/1.1 " + std::to_string(status) + " " +
         std::string(http::obsolete_reason(static_cast<http::status>(status))) +
         "\r\nContent-Type: application/json\r\n";
-    auto const identity = field(request, node.form->headers.request_identity);
+    auto const identity = field_of(request, node.form->headers.request_identity);
     if (!identity.empty())
         head.append(node.form->headers.request_identity).append(": ").append(identity).append("\r\n");
     if (!retry_after.empty()) head.append("Retry-After: ").append(retry_after).append("\r\n");
@@ -57,24 +51,6 @@
     co_return co_await write_all(head) && keep;
 }
 
-auto RelaySession::arrival_of(HttpRequest const& request, Microseconds now) const -> RelayArrival {
-    auto const& names = node.form->headers;
-    auto const target = std::string_view(request.target().data(), request.target().size());
-    auto const method = request.method_string();
-    return {
-        {method.data(), method.size()},
-        target.substr(0, target.find('?')),
-        {request[http::field::host].data(), request[http::field::host].size()},
-        field(request, names.request_identity),
-        field(request, names.key),
-        field(request, names.deadline),
-        field(request, names.model),
-        field(request, names.tokens),
-        field(request, names.prefix),
-        field(request, names.last_event),
-        now};
-}
-
 auto RelaySession::serve() -> awaitable<void> {
     probe_silence(client.socket());
     while (!node.finished) {
@@ -184,20 +160,37 @@
     co_return course.placed(*entry.placement, node.facts_for(entry.placement->replica));
 }
 
-// The course of one request: the same one that the product's own tickets take.
 auto RelaySession::run(HttpRequest const& request, RelayJudgement judgement) -> awaitable<bool> {
-    auto judged = std::move(judgement.verdict);
+    auto const rules = judgement.verdict.rules;  // keeps the route
+    auto const& route = *judgement.verdict.route;
     auto course = Course();
-    course.ticket = judged.verdict.ticket;
+    course.ticket = judgement.verdict.verdict.ticket;
     course.ticket.number = node.next_ticket++;
     course.rules = judgement.rules;
     auto answer = RelayAnswer();
-    auto const last = field(request, node.form->headers.last_event);
+    auto const usable = co_await follow(request, std::move(judgement), course, answer);
+    if (watch->gone) answer.trace.outcome = "caller-gone";
+    log_request(course, route, answer.trace, clock_now());
+    co_return usable;
+}
+
+// The course of one request: the same one that the product's own tickets take.
+auto RelaySession::follow(HttpRequest const& request, RelayJudgement judgement, Course& course, RelayAnswer& answer)
+    -> awaitable<bool> {
+    auto judged = std::move(judgement.verdict);
+    auto const last = field_of(request, node.form->headers.last_event);
     if (!last.empty() && judged.route->resumable) answer.events.last = std::atoll(std::string(last).c_str());
     for (auto step = course.begin();;) {
+        answer.trace.outcome = step_names[static_cast<std::size_t>(step.step)];
+        if (!step.reason.empty()) answer.trace.outcome += ": " + step.reason;
         if (!step.give_back.empty()) node.release(step.give_back, course.ticket.number);
         switch (step.step) {
-            case Step::enter: step = co_await wait_for_place(course); break;
+            case Step::enter: {
+                auto const entered_at = clock_now();
+                step = co_await wait_for_place(course);
+                answer.trace.waited += clock_now() - entered_at;
+                break;
+            }
             case Step::interpret: {
                 auto const facts = node.facts_for(course.placement.replica);
                 auto later = judge(request, course.ticket.arrived_at);
@@ -210,7 +203,10 @@
                 ++node.counters.tries;
                 auto const sent_at = clock_now();
                 auto const replica = course.placement.replica;
+                answer.trace.sent_at = sent_at;
+                ++answer.trace.tries;
                 auto const result = co_await send_try(request, judged, course, answer);
+                answer.trace.failure = result.end == TryEnd::answered ? std::string() : result.reason;
                 node.try_ended(replica, course.ticket, result.end, result.reason, sent_at);
                 if (result.end != TryEnd::answered && answer.head_sent) answer.keep = false;  // visibly cut
                 if (result.end != TryEnd::answered)
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // A client's connection whose requests are relayed as they are. docs/platform.md
 // sections 4 and 5. All of it runs on the one thread of a relaying node.
+#include "connection/request_trace.hpp"
 #include "connection/session.hpp"
 #include "process/form.hpp"
 #include "request/event_reader.hpp"
@@ -25,6 +26,7 @@
     std::set<std::string> tried;  // replicas that this request was sent to
     // A replica's own failure that may be passed on where no other try is left.
     std::string failure_head;
+    RequestTrace trace;
 };
 
 // What a request was judged by: a verdict holds for the rules of that sequence alone, and refuses only under a proof
@@ -47,6 +49,8 @@
     auto run(HttpRequest const& request, RelayJudgement judgement) -> awaitable<bool>;
     auto send_try(HttpRequest const& request, RelayVerdict const& judged, Course& course, RelayAnswer& answer)
         -> awaitable<TryResult>;
+    auto follow(HttpRequest const& request, RelayJudgement judgement, Course& course, RelayAnswer& answer)
+        -> awaitable<bool>;
     auto wait_for_place(Course& course) -> awaitable<CourseStep>;
     auto refuse(HttpRequest const& request, int status, std::string reason, std::string retry_after = std::string())
         -> awaitable<bool>;
@@ -65,6 +69,12 @@
     std::int64_t last_event, Microseconds now) -> std::string;
 auto head_for_client(http::response_header<> const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
     -> std::string;
+// A header's value; empty where it is not there, or has no name on this wire.
+auto field_of(HttpRequest const& request, std::string const& name) -> std::string_view;
+// Why a replica did not run a request, as it says by its status.
+auto refusal_reason(http::response_header<> const& head) -> std::string;
+// Whether an answer of this status to this request has no body.
+auto without_body(HttpRequest const& request, unsigned status) -> bool;
 auto keeps_connection(HttpRequest const& request) -> bool;
 
 // Readiness and the operator's calls, on addresses of their own.
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -14,15 +14,6 @@
 constexpr Microseconds forgotten_within = 10 * one_millisecond;  // a reset that fast follows no work
 constexpr Microseconds past_deadline = 200 * one_millisecond;    // an answer under way may still come whole
 
-auto reason_of(http::response_header<> const& head) -> std::string {
-    if (head.result_int() == 421) return "weights";  // another life, or other weights
-    return head.result_int() == 400 ? "bad" : "busy";
-}
-
-auto has_no_body(HttpRequest const& request, unsigned status) -> bool {
-    return request.method() == http::verb::head || status == 204 || status == 304;
-}
-
 // One try under way. Steps report what they saw into `facts`; the end and what
 // follows it are derived from them alone.
 struct RelayTry {
@@ -37,6 +28,7 @@
     TryFacts facts = {};
     std::string reason = {};
     Microseconds until = 0;
+    bool output_seen = false;
 
     auto connect() -> awaitable<bool>;
     auto read_head() -> awaitable<bool>;
@@ -44,6 +36,7 @@
     auto pass_pieces(std::string pending) -> awaitable<void>;
     auto read_pieces() -> awaitable<boost::system::error_code>;
     auto take_failure() -> awaitable<void>;
+    auto note_output() -> void;
     auto close_when_client_leaves() -> void;
     auto give_back() -> void;
     auto client_left() const -> bool { return session.watch->gone; }
@@ -78,6 +71,16 @@
     };
 }
 
+// Before it is passed on: a client that reads slowly is not the replica's doing.
+auto RelayTry::note_output() -> void {
+    auto const now = clock_now();
+    answer.trace.output_came(now);
+    if (output_seen) return;
+    output_seen = true;
+    auto const took = now - answer.trace.sent_at;
+    node.table.with([&](Granting& granting) { granting.first_output(course.placement, course.ticket, took); });
+}
+
 // Where this request was sent to this replica before, a late answer to that
 // would pass for the answer to this try: only a new connection tells them apart.
 auto RelayTry::connect() -> awaitable<bool> {
@@ -129,7 +132,7 @@
     connection->stream.expires_after(answer_patience());
     auto const [failure, size] = co_await http::async_read(connection->stream, connection->buffer, parser, use_tuple);
     facts.received = not_run ? Received::not_run : Received::cut_before_output;
-    reason = not_run ? reason_of(message) : "replica-broke";
+    reason = not_run ? refusal_reason(message) : "replica-broke";
     if (failure) co_return;
     if (!not_run) {
         facts.received = retry::promises_not_run(status) ? Received::false_promise : Received::failure;
@@ -162,6 +165,7 @@
         parser.get().body().clear();
         if (whole_events && !bytes.empty()) bytes = answer.events.take(bytes);
         if (finished && whole_events) bytes += answer.events.rest;
+        if (!bytes.empty()) note_output();
         if (!bytes.empty() || finished) {
             if (!answer.head_sent)
                 node.measures.first_pieces.of(course.ticket).add(clock_now() - course.ticket.arrived_at);
@@ -188,7 +192,7 @@
     auto& parser = *exchange->parser;
     auto const& message = parser.get();
     auto const length = parser.content_length();
-    auto const empty = has_no_body(request, message.result_int());
+    auto const empty = without_body(request, message.result_int());
     facts.received = answer.head_sent ? Received::cut_after_output : Received::cut_before_output;
     if (!node.form->headers.stamp.empty() && message.find(node.form->headers.stamp) == message.end()) {
         reason = "no-stamp";  // no replica's answer counts without it
--- a/source/control/load.cpp
+++ b/source/control/load.cpp
@@ -60,6 +60,9 @@
         load.nodes = take_amount();
         load.old_nodes = take_amount();
         if (load.old_nodes > 0) load.old_slots = take_amount();
+        load.unread = take_amount();
+        load.ended = take_amount();
+        if (load.ended > 0) load.failed = take_amount();
         return load;
     }
     auto done() const -> bool { return !bad && text.empty(); }
@@ -75,6 +78,9 @@
     put(into, load.nodes);
     put(into, load.old_nodes);
     if (load.old_nodes > 0) put(into, load.old_slots);
+    put(into, load.unread);
+    put(into, load.ended);
+    if (load.ended > 0) put(into, load.failed);
 }
 
 auto put_named(std::string& into, NamedLoad const& item) -> void {
@@ -100,6 +106,9 @@
     into.nodes += sign * from.nodes;
     into.old_nodes += sign * from.old_nodes;
     into.old_slots += sign * from.old_slots;
+    into.unread += sign * from.unread;
+    into.ended += sign * from.ended;
+    into.failed += sign * from.failed;
 }
 
 auto add_loads(Loads const& left, Loads const& right) -> Loads {
@@ -132,6 +141,7 @@
         load.old_nodes = load.nodes;
         load.old_slots = load.slots;
         load.recent = load.aged = 0;
+        load.unread = load.ended = load.failed = 0;  // a second on, prompts are read and outcomes are others
     }
     return loads;
 }
--- a/source/control/load.hpp
+++ b/source/control/load.hpp
@@ -10,6 +10,8 @@
 
 namespace dockrock {
 
+inline constexpr auto tokens_in_unread = std::int64_t{64};
+
 struct Load {
     std::int64_t count = 0;  // requests placed and not seen finished
     std::int64_t slots = 0;
@@ -19,6 +21,9 @@
     std::int64_t nodes = 0;      // how many nodes told of this replica,
     std::int64_t old_nodes = 0;  // of these, whose word is old: `recent` and `aged` leave them out
     std::int64_t old_slots = 0;
+    std::int64_t unread = 0;  // of prompts placed and not read yet, in units of `tokens_in_unread`
+    std::int64_t ended = 0;   // outcomes seen within their window (scheduling/replica_health.hpp)
+    std::int64_t failed = 0;
     auto operator==(Load const&) const -> bool = default;
 };
 struct NamedLoad {
--- a/source/control/load_relay.hpp
+++ b/source/control/load_relay.hpp
@@ -11,7 +11,7 @@
 
 struct LoadTimes {
     Microseconds interval = 100 * one_millisecond;  // between sums, and between words to other relays
-    Microseconds old = one_second;                  // as in GrantingOptions: a word this old stands for more
+    Microseconds old = one_second;                  // as in SchedulingOptions: a word this old stands for more
     Microseconds lost = 10 * one_second;            // and one this old for nothing
     Microseconds names_interval = one_second / 2;
     Microseconds frozen_gap = one_second / 2;      // between a relay's ticks: it was frozen,
--- a/source/process/log.cpp
+++ b/source/process/log.cpp
@@ -49,6 +49,8 @@
         boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
 }
 
+auto log_writes(Level level) -> bool { return level >= log_state().least; }
+
 auto set_log_level(Level least) -> void { log_state().least = least; }
 
 auto write_log(Level level, std::string_view event, boost::json::object fields) -> void {
--- a/source/process/log.hpp
+++ b/source/process/log.hpp
@@ -10,6 +10,8 @@
 
 auto start_log(std::string const& file, std::string const& node, Level least) -> void;
 auto write_log(Level level, std::string_view event, boost::json::object fields = {}) -> void;
+// Whether a line of this level is written at all.
+auto log_writes(Level level) -> bool;
 auto set_log_level(Level least) -> void;
 auto level_of(std::string_view name) -> Level;
 
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -36,6 +36,7 @@
         control.partitions[index].apply =
             index == configuration_partition ? ApplyChange(apply_configuration) : ApplyChange(apply_service);
     if (form != nullptr) relay_changes();
+    else take_scheduling_options(table.granting.options);
     table.granting.burden.self = identity;
     take_limits();
     next_ticket = (static_cast<std::uint64_t>(device()) << 31U) + 1;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -147,6 +147,7 @@
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
     auto publish_snapshot() -> void;
+    auto take_scheduling_options(SchedulingOptions options) -> void;
     auto relay_changes() -> void;                              // how a relaying fleet's documents change
     auto take_services(Snapshot& fresh) -> void;               // what the document says of listed replicas
     WeightsGuard weights_guard;                                // under table.lock
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -11,6 +11,12 @@
 constexpr auto unlimited_memory = std::int64_t{1} << 40U;  // a service that keeps no prompts
 }  // namespace
 
+// Those that the settings name take the place of the defaults.
+auto Node::take_scheduling_options(SchedulingOptions options) -> void {
+    set_scheduling_options(settings.scheduling, options);
+    table.granting.set_options(options);
+}
+
 auto Node::relay_changes() -> void {
     for (auto index = std::size_t{0}; index < partition_count; ++index) {
         if (index == resting_partition) continue;
@@ -20,8 +26,10 @@
               })
             : ApplyChange(apply_weights_version);
     }
-    table.granting.options.load_steps = 4;
-    table.granting.options.recompute_tokens_each_second = 100'000.0;
+    auto options = table.granting.options;
+    options.load_steps = 4;
+    options.recompute_tokens_each_second = 100'000.0;
+    take_scheduling_options(options);
 }
 
 // Capacity and memory are the document's to say; the list tells who is there.
--- a/source/process/node_tries.cpp
+++ b/source/process/node_tries.cpp
@@ -45,6 +45,7 @@
     {
         auto const guard = std::lock_guard(table.lock);
         table.granting.finished(replica, ticket, now - sent_at, now, end == TryEnd::answered);
+        if (retry::outcome_of_replica(end)) table.granting.burden.ended(replica, end != TryEnd::answered, now);
         if (end == TryEnd::not_sent) table.granting.burden.report_failed(replica, now);
         if (end == TryEnd::did_not_run) table.granting.burden.refused(replica, reason, now);
         if (table.granting.waiting_count() > 0) match_locked(now);
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <iterator>
 
+#include "scheduling/options.hpp"
+
 namespace dockrock {
 
 auto is_address(std::string const& text) -> bool {
@@ -49,6 +51,8 @@
         problems.push_back({"/weights_at_once", "must be 1 to 1000"});
     if (settings.load_relays_from < 0 || settings.load_relays_from > 1'000'000)
         problems.push_back({"/load_relays_from", "must be 0 to 1000000"});
+    auto unused = SchedulingOptions();
+    for (auto& problem : set_scheduling_options(settings.scheduling, unused)) problems.push_back(std::move(problem));
     auto const& level = settings.log_level;
     if (level != "debug" && level != "information" && level != "warning" && level != "failure")
         problems.push_back({"/log_level", "must be debug, information, warning or failure"});
--- /dev/null
+++ b/source/scheduling/filters.cpp
@@ -0,0 +1,58 @@
+// What is known of a replica's prompt work and outcomes, and the filters that a request's replica passes.
+// docs/design.md sections 9.3, 9.4 and 9.11.
+#include "ticket/burden.hpp"
+
+namespace dockrock {
+
+// Prompt tokens placed there by anyone whose reading is not known to be over.
+auto BurdenTable::unread(ReplicaState const& state, Microseconds now) const -> std::int64_t {
+    auto sum = state.placed_unread + (relayed && !summed_lost(now) ? state.summed.unread * tokens_in_unread : 0);
+    if (now - state.told_oldest <= options.digest_lost) return sum + state.told_unread;
+    for (auto const& item : state.told)
+        if (now - item.at <= options.digest_lost) sum += item.unread;
+    return sum;
+}
+
+auto BurdenTable::outcomes(ReplicaState const& state, Microseconds now) const -> Outcomes {
+    auto sum = Outcomes{};
+    for (auto const& outcome : state.outcomes) {
+        if (now - outcome.at > outcome_window) continue;
+        ++sum.ended;
+        if (outcome.failed) ++sum.failed;
+    }
+    if (relayed && !summed_lost(now)) {
+        sum.ended += state.summed.ended;
+        sum.failed += state.summed.failed;
+    }
+    for (auto const& item : state.told) {
+        if (now - item.at > options.digest_lost) continue;
+        sum.ended += item.ended;
+        sum.failed += item.failed;
+    }
+    return sum;
+}
+
+auto BurdenTable::judge_health(Microseconds now) -> void {
+    if (!options.eject_failing) return;
+    for (auto& [name, state] : replicas) state.health.judge(outcomes(state, now), now);
+}
+
+auto BurdenTable::check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter {
+    auto const result = check_apart_from_health(state, ticket, now);
+    return result == Filter::passed && !state.health.usable(now) ? Filter::failing : result;
+}
+
+auto BurdenTable::check_apart_from_health(ReplicaState const& state, Ticket const& ticket, Microseconds now) const
+    -> Filter {
+    if (state.entry.drain) return Filter::available;
+    if (state.unreachable || now < state.unreachable_until) return Filter::reachable;
+    if (!state.report || state.report->changing) return Filter::weights;
+    if (!ticket.body.weights.empty() && ticket.body.weights != state.report->weights) return Filter::weights;
+    if (state.entry.capacity < ticket.body.slots) return Filter::capacity;
+    if (now < state.paused_until || !has_room(state, now)) return Filter::busy;
+    auto const needed = ticket.declared() - kept_tokens(state, ticket);
+    if (free_memory(state, now) < needed) return Filter::memory;
+    return Filter::passed;
+}
+
+}  // namespace dockrock
--- /dev/null
+++ b/source/scheduling/replica_health.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// Leaves out replicas that fail requests, by the outcomes that all nodes saw. A replica that was left out is
+// tried again after a while, and left out for longer if it still fails. docs/design.md section 9.11.
+#include <algorithm>
+#include <cstdint>
+
+#include "base/basics.hpp"
+
+namespace dockrock {
+
+// How tries at one replica ended within the last `outcome_window`, at all nodes.
+struct Outcomes {
+    std::int64_t ended = 0;   // answered or failed
+    std::int64_t failed = 0;  // of these; a refusal before the run is no failure
+};
+
+inline constexpr Microseconds outcome_window = 3 * one_second;
+
+struct ReplicaHealth {
+    static constexpr std::int64_t least_failed = 3;
+    static constexpr std::int64_t failed_share = 4;  // one in so many
+    // The first pause is longer than the window, so that what was seen before it does not count after it.
+    static constexpr Microseconds first_pause = 4 * one_second;
+    static constexpr Microseconds longest_pause = 32 * one_second;
+
+    Microseconds left_out_until = 0;
+    Microseconds pause = 0;
+
+    auto usable(Microseconds now) const -> bool { return now >= left_out_until; }
+    // True where the replica is left out from now on.
+    auto judge(Outcomes const& seen, Microseconds now) -> bool {
+        if (!usable(now)) return false;
+        auto const failing = seen.failed >= least_failed && seen.failed * failed_share >= seen.ended;
+        if (failing) {
+            pause = pause == 0 ? first_pause : std::min(2 * pause, longest_pause);
+            left_out_until = now + pause;
+        } else if (seen.failed == 0 && seen.ended >= least_failed) {
+            pause = 0;
+        }
+        return failing;
+    }
+};
+
+}  // namespace dockrock
--- a/source/ticket/burden.cpp
+++ b/source/ticket/burden.cpp
@@ -82,6 +82,7 @@
     digest.number = number;
     take_told(node, digest, std::move(told), now);
     forget_lost(now);
+    judge_health(now);
 }
 
 // What this node tells of its own placements, replica by replica.
@@ -90,12 +91,16 @@
     for (auto& [name, state] : replicas) {
         if (!state.recent.empty()) std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
         state.untold = 0;
-        if (state.placed.empty() && state.recent.empty()) continue;
+        while (!state.outcomes.empty() && now - state.outcomes.front().at > outcome_window) state.outcomes.pop_front();
+        if (state.placed.empty() && state.recent.empty() && state.outcomes.empty()) continue;
+        auto const failed = std::count_if(
+            state.outcomes.begin(), state.outcomes.end(), [](auto const& outcome) { return outcome.failed; });
         told.emplace_back(
             name,
             OtherBurden{
                 static_cast<std::int64_t>(state.placed.size()), state.placed_slots, state.placed_memory,
-                static_cast<std::int64_t>(state.recent.size())});
+                static_cast<std::int64_t>(state.recent.size()), state.placed_unread,
+                static_cast<std::int64_t>(state.outcomes.size()), failed});
     }
     forget_lost(now);
     ++digest_number;
@@ -108,12 +113,14 @@
     return json::serialize(told);
 }
 
-auto BurdenTable::place(std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now) -> void {
+auto BurdenTable::place(
+    std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now, std::int64_t unread) -> void {
     auto& state = replicas.at(name);
     state.take_away(ticket.number);
-    state.placed[ticket.number] = {ticket.body.slots, memory, now};
+    state.placed[ticket.number] = {ticket.body.slots, memory, now, unread};
     state.placed_slots += ticket.body.slots;
     state.placed_memory += memory;
+    state.placed_unread += unread;
     if (now >= state.reported_at) state.placed_since += memory;
     std::erase_if(state.recent, [&](auto at) { return now - at > one_second; });
     state.recent.push_back(now);
@@ -124,6 +131,20 @@
     if (auto const found = replicas.find(name); found != replicas.end()) found->second.take_away(ticket);
 }
 
+auto BurdenTable::first_output(std::string const& name, std::uint64_t ticket) -> void {
+    auto const found = replicas.find(name);
+    if (found == replicas.end()) return;
+    auto& state = found->second;
+    auto const placed = state.placed.find(ticket);
+    if (placed == state.placed.end()) return;
+    state.placed_unread -= std::exchange(placed->second.unread, 0);
+}
+
+auto BurdenTable::ended(std::string const& name, bool failed, Microseconds now) -> void {
+    if (auto const found = replicas.find(name); found != replicas.end())
+        found->second.outcomes.push_back({now, failed});
+}
+
 auto BurdenTable::take_part(std::string const& name, std::uint64_t part, std::uint64_t weights_mark, bool kept)
     -> void {
     auto const found = replicas.find(name);
--- a/source/ticket/burden.hpp
+++ b/source/ticket/burden.hpp
@@ -7,6 +7,8 @@
 
 #include "base/json_structs.hpp"
 #include "control/load.hpp"
+#include "scheduling/options.hpp"
+#include "scheduling/replica_health.hpp"
 #include "ticket/ticket.hpp"
 
 namespace dockrock {
@@ -46,37 +48,18 @@
     std::vector<PrefixEvent> events;
 };
 
-struct GrantingOptions {  // project options, not in the operator's tree (design 9.6)
-    std::int64_t multiplier = 4;
-    std::int64_t load_steps = 0;  // how finely load over capacity is told apart; 0: exactly (design 9.7)
-    std::size_t depth = 20;
-    Microseconds digest_interval = 200 * one_millisecond;
-    Microseconds digest_old = one_second;
-    Microseconds digest_lost = 10 * one_second;
-    double wait_token_rate = 400.0;  // tokens that one second of waiting counts for
-    double share_bound = 2.0;
-    double rank_weight = 1.0;
-    Microseconds share_half_life = 10 * one_second;
-    Microseconds unreachable_pause = 500 * one_millisecond;
-    Microseconds refused_pause = 150 * one_millisecond;
-    Microseconds owing_limit = one_second;  // how long an extra try waits for its budget
-    Microseconds empty_pool_limit = 1'500 * one_millisecond;
-    double fetch_tokens_each_second = 100'000.0;
-    Microseconds link_memory = 30 * one_second;   // how long a measured link speed counts
-    std::int64_t least_saved = 1'000;             // shared tokens that are worth sending to a store
-    Microseconds saving_memory = 3 * one_second;  // parts sent to a store are told of within this
-    double recompute_tokens_each_second = 10'000.0;
-};
-
-enum class Filter : int { available, reachable, busy, memory, capacity, weights, passed };
-inline constexpr auto filter_names =
-    std::to_array<std::string_view>({"available", "reachable", "busy", "memory", "capacity", "weights", "passed"});
+enum class Filter : int { available, reachable, busy, memory, capacity, weights, failing, passed };
+inline constexpr auto filter_names = std::to_array<std::string_view>(
+    {"available", "reachable", "busy", "memory", "capacity", "weights", "failing", "passed"});
 
 struct OtherBurden {
     std::int64_t count = 0;
     std::int64_t slots = 0;
     std::int64_t memory = 0;
     std::int64_t recent = 0;  // placed in the second before the digest
+    std::int64_t unread = 0;  // prompt tokens placed and not read yet
+    std::int64_t ended = 0;   // outcomes within their window
+    std::int64_t failed = 0;
 };
 
 struct ReplicaState {
@@ -85,11 +68,19 @@
         std::int64_t slots = 1;
         std::int64_t memory = 0;
         Microseconds at = 0;
+        std::int64_t unread = 0;  // prompt tokens that the replica has still to read
+    };
+    struct Outcome {
+        Microseconds at = 0;
+        bool failed = false;
     };
     std::map<std::uint64_t, Placed> placed;
     std::int64_t placed_slots = 0;  // sums over `placed`, and over what came since the report was asked for
     std::int64_t placed_memory = 0;
     std::int64_t placed_since = 0;
+    std::int64_t placed_unread = 0;
+    std::deque<Outcome> outcomes;  // of own tries, within their window
+    ReplicaHealth health;
     std::vector<Microseconds> recent;  // times of own placements, last second
     std::int64_t untold = 0;           // own placements since the last digest
     Microseconds paused_until = 0;     // it refused for want of room
@@ -113,10 +104,14 @@
         std::int64_t memory = 0;
         std::int64_t recent = 0;
         std::int64_t unreported = 0;  // memory that a report from before may not show
+        std::int64_t unread = 0;
+        std::int64_t ended = 0;
+        std::int64_t failed = 0;
     };
     std::vector<Told> told;
     std::int64_t told_slots = 0;  // sums over `told`
     std::int64_t told_memory = 0;
+    std::int64_t told_unread = 0;
     std::int64_t told_unreported = 0;  // of those told since the report was asked for
     Microseconds told_oldest = 0;      // none of `told` is older; brought up now and then
     std::uint64_t seed = 0;            // hash of its name
@@ -142,7 +137,7 @@
 };
 
 struct BurdenTable {
-    GrantingOptions options;
+    SchedulingOptions options;
     std::string self;
     std::map<std::string, ReplicaState> replicas;
     std::map<std::string, std::vector<ReplicaState const*>, std::less<>> pools;  // by model, in the order of names
@@ -192,14 +187,23 @@
     auto make_digest(Microseconds now) -> std::string;
     auto make_told(std::uint64_t number, Microseconds now) -> std::string;
     auto take_sum(std::string const& relay, SumTold const& told, Microseconds now) -> void;
-    auto place(std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now) -> void;
+    // `unread`: tokens of the prompt that the replica has to read itself.
+    auto place(
+        std::string const& name, Ticket const& ticket, std::int64_t memory, Microseconds now, std::int64_t unread = 0)
+        -> void;
+    // The prompt has been read: the first output came.
+    auto first_output(std::string const& name, std::uint64_t ticket) -> void;
+    auto ended(std::string const& name, bool failed, Microseconds now) -> void;
     auto release(std::string const& name, std::uint64_t ticket) -> void;
 
     auto running(ReplicaState const& state, Microseconds now) const -> std::int64_t;
     auto reserve(ReplicaState const& state, Microseconds now) const -> std::int64_t;
+    auto unread(ReplicaState const& state, Microseconds now) const -> std::int64_t;
+    auto outcomes(ReplicaState const& state, Microseconds now) const -> Outcomes;
     auto free_memory(ReplicaState const& state, Microseconds now) const -> std::int64_t;
     auto kept_tokens(ReplicaState const& state, Ticket const& ticket) const -> std::int64_t;
     auto check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter;
+    auto check_apart_from_health(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter;
     auto active_nodes(Microseconds now) const -> std::int64_t;
     auto refused(std::string const& name, std::string_view reason, Microseconds now) -> void;
     auto has_room(ReplicaState const& state, Microseconds now) const -> bool;
@@ -207,6 +211,7 @@
 
    private:
     auto tell_of(std::string const& name, ReplicaState& state) const -> void;
+    auto judge_health(Microseconds now) -> void;
     auto take_told(std::string const& node, Digest& digest, std::map<std::string, OtherBurden> told, Microseconds at)
         -> void;
     auto forget_lost(Microseconds now) -> void;
@@ -230,4 +235,4 @@
 BOOST_HANA_ADAPT_STRUCT(dockrock::PrefixEvent, number, kind, chain);
 BOOST_HANA_ADAPT_STRUCT(
     dockrock::ReplicaReport, incarnation, weights, changing, free_memory, fence, first_event, next_event, events);
-BOOST_HANA_ADAPT_STRUCT(dockrock::OtherBurden, count, slots, memory, recent);
+BOOST_HANA_ADAPT_STRUCT(dockrock::OtherBurden, count, slots, memory, recent, unread, ended, failed);
--- a/source/ticket/burden_room.cpp
+++ b/source/ticket/burden_room.cpp
@@ -11,6 +11,7 @@
     if (found == placed.end()) return;
     placed_slots -= found->second.slots;
     placed_memory -= found->second.memory;
+    placed_unread -= found->second.unread;
     if (found->second.at >= reported_at) placed_since -= found->second.memory;
     placed.erase(found);
 }
@@ -18,11 +19,12 @@
 auto ReplicaState::count_told(Told const& item, std::int64_t sign) -> void {
     told_slots += sign * item.slots;
     told_memory += sign * item.memory;
+    told_unread += sign * item.unread;
     if (item.at > reported_at) told_unreported += sign * item.unreported;
 }
 
 auto ReplicaState::sum_told() -> void {
-    told_slots = told_memory = told_unreported = 0;
+    told_slots = told_memory = told_unread = told_unreported = 0;
     told_oldest = told.empty() ? 0 : told.front().at;
     for (auto const& item : told) {
         count_told(item, 1);
@@ -47,6 +49,9 @@
     found->slots = item.slots;
     found->memory = item.memory;
     found->recent = item.recent;
+    found->unread = item.unread;
+    found->ended = item.ended;
+    found->failed = item.failed;
     found->unreported = item.count > 0 ? item.memory / item.count * std::min(item.recent, item.count) : 0;
     state.count_told(*found, 1);
     state.told_oldest = std::min(state.told_oldest, digest.at);
@@ -213,22 +218,11 @@
     auto const nodes = active_nodes(now);
     if (own >= std::max<std::int64_t>(1, limit / nodes) && known + reserve(state, now) > limit) return false;
     if (left > nodes || nodes == 1) return true;
+    if (options.idle_open && 2 * left > limit) return true;
     // Through relays a word takes longer than the time between two words.
     auto const untold = relayed ? unseen(state) : state.untold;
     if (untold >= std::max<std::int64_t>(1, left / nodes)) return false;
     return rank_for(state, own, now) + (relayed ? summed_rank(state, own, now) : 0) < left;
 }
 
-auto BurdenTable::check(ReplicaState const& state, Ticket const& ticket, Microseconds now) const -> Filter {
-    if (state.entry.drain) return Filter::available;
-    if (state.unreachable || now < state.unreachable_until) return Filter::reachable;
-    if (!state.report || state.report->changing) return Filter::weights;
-    if (!ticket.body.weights.empty() && ticket.body.weights != state.report->weights) return Filter::weights;
-    if (state.entry.capacity < ticket.body.slots) return Filter::capacity;
-    if (now < state.paused_until || !has_room(state, now)) return Filter::busy;
-    auto const needed = ticket.declared() - kept_tokens(state, ticket);
-    if (free_memory(state, now) < needed) return Filter::memory;
-    return Filter::passed;
-}
-
 }  // namespace dockrock
--- a/source/ticket/burden_summed.cpp
+++ b/source/ticket/burden_summed.cpp
@@ -13,7 +13,10 @@
 auto BurdenTable::make_told(std::uint64_t number, Microseconds now) -> std::string {
     Loads told;
     for (auto& [name, item] : own_load(now))
-        told.push_back({std::move(name), {item.count, item.slots, item.memory, item.recent, 0, 1}});
+        told.push_back(
+            {std::move(name),
+             {item.count, item.slots, item.memory, item.recent, 0, 1, 0, 0,
+              (item.unread + tokens_in_unread - 1) / tokens_in_unread, item.ended, item.failed}});
     auto text = write_loads(told);
     own_told.emplace_back(number, std::move(told));
     if (own_told.size() > words_kept) own_told.pop_front();
@@ -47,6 +50,7 @@
         add_load(state.summed, *mine, -1);
         state.summed.aged = std::max<std::int64_t>(0, state.summed.aged - mine->recent * told.echo_age);
     }
+    judge_health(now);
 }
 
 auto BurdenTable::summed_lost(Microseconds now) const -> bool {
--- a/source/ticket/fetching.cpp
+++ b/source/ticket/fetching.cpp
@@ -59,7 +59,7 @@
     };
     for (auto const* peer : burden.pool(ticket.body.model)) {
         auto const& state = *peer;
-        if (peer == &target || state.unreachable) continue;
+        if (!options.peer_moves || peer == &target || state.unreachable) continue;
         if (state.weights_mark != target.weights_mark || !state.report || state.report->changing) continue;
         weigh(state.entry.address, state.entry.area, burden.kept_tokens(state, ticket));
     }
@@ -75,8 +75,8 @@
         auto count = std::size_t{0};
         while (count < shared && store.parts.contains(ticket.chain[count] ^ target.weights_mark))
             tokens += ticket.body.prefix[count++].tokens;
-        weigh(store.address, store.area, tokens);
-        if (count == shared || !worth_saving) continue;
+        if (options.store_reads) weigh(store.address, store.area, tokens);
+        if (!options.store_writes || count == shared || !worth_saving) continue;
         std::erase_if(store.saving, [&](auto const& item) { return now - item.second > options.saving_memory; });
         if (store.saving.emplace(ticket.chain[shared - 1] ^ target.weights_mark, now).second)
             best.save_at = store.address;
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -102,38 +102,28 @@
     return (declared + wait) / declared * share_factor(waiting.ticket.tenant_path, waiting.ticket.share, now) * rank;
 }
 
-auto Granting::choose(Waiting const& waiting, Microseconds now) -> ReplicaState const* {
-    ReplicaState const* best = nullptr;
-    auto best_running = std::int64_t{0};
-    auto best_kept = std::int64_t{0};
-    auto best_hash = std::uint64_t{0};
-    for (auto const* candidate : burden.pool(waiting.ticket.body.model)) {
-        auto const& state = *candidate;
-        auto const& name = state.entry.name;
-        if (waiting.avoid.contains(name)) continue;
-        auto const result = burden.check(state, waiting.ticket, now);
-        ++filtered[static_cast<std::size_t>(result)];
-        if (result != Filter::passed) continue;
-        auto const running = burden.running(state, now) + burden.reserve(state, now);
-        auto const kept = burden.kept_tokens(state, waiting.ticket);
-        auto const hash =
-            hash_text(name, waiting.ticket.affinity != 0 ? waiting.ticket.affinity : waiting.ticket.number);
-        auto better = best == nullptr;
-        if (!better) {
-            // least busy: running over capacity, in steps where options say so
-            auto const steps = options.load_steps;
-            auto const left = steps > 0 ? running * steps / state.entry.capacity : running * best->entry.capacity;
-            auto const right =
-                steps > 0 ? best_running * steps / best->entry.capacity : best_running * state.entry.capacity;
-            better = left < right || (left == right && (kept > best_kept || (kept == best_kept && hash < best_hash)));
-        }
-        if (!better) continue;
-        best = &state;
-        best_running = running;
-        best_kept = kept;
-        best_hash = hash;
-    }
-    return best;
+// Takes a place for the request there, with what is known of it now.
+auto Granting::place(Waiting const& waiting, ReplicaState const& state, Microseconds now) -> Placement {
+    auto const& ticket = waiting.ticket;
+    auto placement = Placement{
+        ticket.number, state.entry.name, state.entry.address, state.report->weights, state.report->incarnation};
+    placement.kept_tokens = burden.kept_tokens(state, ticket);
+    placement.fetch = ticket.parts_alone ? plan_parts(state, ticket, placement.kept_tokens, now)
+                                         : plan_fetch(state, ticket, placement.kept_tokens, now);
+    placement.tokens_to_read = std::max<std::int64_t>(
+        0, ticket.prompt_tokens + ticket.prefix_tokens - placement.kept_tokens - placement.fetch.tokens);
+    placement.outstanding = burden.unread(state, now);
+    placement.running = burden.running(state, now);
+    placement.best_kept = kept_runs(ticket, state.weights_mark).replicas;
+    placement.held_by = waiting.held_by;
+    auto const memory = ticket.declared() - placement.kept_tokens;
+    burden.place(placement.replica, ticket, memory, now, placement.tokens_to_read);
+    auto& used = usage[ticket.tenant_path];
+    used = {
+        decayed(used.amount, now - used.at, options.share_half_life) + static_cast<double>(ticket.declared()), now,
+        ticket.share};
+    ++placed_count;
+    return placement;
 }
 
 auto Granting::match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions)
@@ -150,8 +140,8 @@
     auto const depth = std::min(options.depth, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(depth), order.end());
     std::set<std::uint64_t> gone;
-    for (auto place = std::size_t{0}; place < depth; ++place) {  // the bounded search of the paper
-        auto const& waiting = buffer.waiting[order[place].second];
+    for (auto position = std::size_t{0}; position < depth; ++position) {  // the bounded search of the paper
+        auto& waiting = buffer.waiting[order[position].second];
         auto const owes = waiting.owes_since != 0;
         if (owes && !budget.any()) continue;
         auto const* found = choose(waiting, now);
@@ -160,19 +150,8 @@
             budget.take();
             ++extra_tries;
         }
-        auto const& ticket = waiting.ticket;
-        auto const kept = burden.kept_tokens(*found, ticket);
-        decisions.placements.push_back(
-            {ticket.number, found->entry.name, found->entry.address, found->report->weights, found->report->incarnation,
-             kept, ticket.parts_alone ? plan_parts(*found, ticket, kept, now) : plan_fetch(*found, ticket, kept, now)});
-        auto const memory = ticket.declared() - kept;
-        burden.place(found->entry.name, ticket, memory, now);
-        auto& used = usage[ticket.tenant_path];
-        used = {
-            decayed(used.amount, now - used.at, options.share_half_life) + static_cast<double>(ticket.declared()), now,
-            ticket.share};
-        ++placed_count;
-        gone.insert(ticket.number);
+        decisions.placements.push_back(place(waiting, *found, now));
+        gone.insert(waiting.ticket.number);
     }
     if (!gone.empty()) {
         auto const seconds = std::max(0.001, static_cast<double>(now - buffer.drained_at) / 1'000'000.0);
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <unordered_set>
 
+#include "scheduling/reading_rate.hpp"
 #include "ticket/burden.hpp"
 
 namespace dockrock {
@@ -36,7 +37,21 @@
     std::string incarnation;
     std::int64_t kept_tokens = 0;
     FetchPlan fetch;
+    // What was known when it was chosen, for logs and estimates.
+    std::int64_t tokens_to_read = 0;  // of its prompt: neither kept there nor moved
+    std::int64_t outstanding = 0;     // tokens of other prompts to be read there first
+    std::int64_t running = 0;         // requests there
+    std::int64_t best_kept = 0;       // longest run that any replica of these weights kept
+    std::optional<Filter> held_by;    // the filter that made it wait last
 };
+// The longest leading runs of a prompt that are kept under some weights, in tokens.
+struct KeptRuns {
+    std::uint64_t weights_mark = 0;
+    std::int64_t replicas = 0;
+    std::int64_t stores = 0;
+};
+// Tokens of a prompt that other requests may ask for again: all parts but the last.
+auto shared_run(Ticket const& ticket) -> std::int64_t;
 enum class ShedReason : int { buffer_full, deadline, not_fresh, no_replica, key_gone, outranked, budget };
 inline constexpr auto shed_names = std::to_array<std::string_view>(
     {"buffer-full", "deadline", "not-fresh", "no-replica", "key-gone", "outranked", "extra-tries-spent"});
@@ -66,6 +81,7 @@
     Microseconds since = 0;
     std::set<std::string> avoid;  // replicas that refused it
     Microseconds owes_since = 0;  // an extra try that the budget has still to pay
+    std::optional<Filter> held_by;
 };
 struct ModelBuffer {
     std::vector<Waiting> waiting;
@@ -76,7 +92,7 @@
 };
 
 struct Granting {
-    GrantingOptions options;
+    SchedulingOptions options;
     BurdenTable burden;
     std::map<std::string, ModelBuffer> buffers;
     std::size_t buffer_length = 256;
@@ -95,12 +111,14 @@
         Microseconds at = 0;
         int share = 1;
     };
-    std::map<std::string, Usage> usage;  // by tenant path, decayed
+    std::map<std::string, Usage> usage;                // by tenant path, decayed
+    std::map<std::string, ReadingRate> reading_rates;  // by model
     std::array<std::uint64_t, filter_names.size()> filtered{};
     std::array<std::uint64_t, shed_names.size()> shed_counts{};
     std::uint64_t placed_count = 0;
     std::uint64_t extra_tries = 0;
 
+    auto set_options(SchedulingOptions const& given) -> void { options = burden.options = given; }
     auto enter(Ticket const& ticket, Microseconds now, Decisions& decisions) -> void;
     auto enter_again(Ticket const& ticket, std::string const& avoid, Microseconds now) -> void;
     auto fetched(
@@ -111,6 +129,9 @@
     auto finished(
         std::string const& replica, Ticket const& ticket, Microseconds service, Microseconds now, bool answered)
         -> void;
+    // The first output came `took` after the request was sent: its prompt has been read.
+    auto first_output(Placement const& placement, Ticket const& ticket, Microseconds took) -> void;
+    auto reading_rate(std::string const& model) const -> double;
     auto waiting_count() const -> std::size_t;
     auto score(Waiting const& waiting, Microseconds now) const -> double;
     auto retry_after(ModelBuffer const& buffer) const -> std::int64_t;
@@ -118,7 +139,14 @@
 
    private:
     auto match_model(std::string const& model, ModelBuffer& buffer, Microseconds now, Decisions& decisions) -> void;
-    auto choose(Waiting const& waiting, Microseconds now) -> ReplicaState const*;
+    auto candidates(Waiting& waiting, Microseconds now) -> std::vector<ReplicaState const*>;
+    auto choose(Waiting& waiting, Microseconds now) -> ReplicaState const*;
+    auto least_requests(std::vector<ReplicaState const*> const& found, Ticket const& ticket, Microseconds now) const
+        -> ReplicaState const*;
+    auto least_work(std::vector<ReplicaState const*> const& found, Ticket const& ticket, Microseconds now) const
+        -> ReplicaState const*;
+    auto kept_runs(Ticket const& ticket, std::uint64_t weights_mark) const -> KeptRuns;
+    auto place(Waiting const& waiting, ReplicaState const& state, Microseconds now) -> Placement;
     auto plan_parts(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now) -> FetchPlan;
     auto plan_fetch(ReplicaState const& target, Ticket const& ticket, std::int64_t kept, Microseconds now) const
         -> FetchPlan;
--- a/source/ticket/retry_decision.hpp
+++ b/source/ticket/retry_decision.hpp
@@ -136,6 +136,12 @@
     return without_another_try(request);
 }
 
+// Whether the end tells how well the replica works: it answered, failed, or broke off.
+constexpr auto outcome_of_replica(TryEnd end) -> bool {
+    return end == TryEnd::answered || end == TryEnd::answered_failure || end == TryEnd::unknown_before ||
+        end == TryEnd::broken_after || end == TryEnd::broken_resumable;
+}
+
 // Statuses by which a client is told that its request has not run. A replica's
 // own may be passed on only with the replica's word for it.
 constexpr auto promises_not_run(int status) -> bool {
--- a/tests/simulation/fleet.hpp
+++ b/tests/simulation/fleet.hpp
@@ -37,7 +37,7 @@
     bool planted_stale_weights = false;   // a replica keeps its memory when weights change
     bool planted_shed_after_run = false;  // what may have run is called shed
     bool planted_skip_life = false;       // a restarted replica takes orders meant for its former life
-    GrantingOptions granting;
+    SchedulingOptions granting;
 };
 
 struct FleetResult {
