--- a/scripts/request_lines.py
+++ b/scripts/request_lines.py
@@ -27,7 +27,7 @@
         return {
             "target": told["target_microseconds"],
             "pause_limit": told["pause_limit_microseconds"],
-            "arrived": told["arrived_microseconds"],
+            "arrived": told["time_microseconds"] - told["ended_microseconds"],
             "waited": told["waited_microseconds"],
             "sent": told["sent_microseconds"],
             "first": told["first_output_microseconds"],
--- a/source/connection/request_trace.cpp
+++ b/source/connection/request_trace.cpp
@@ -21,7 +21,6 @@
         "route", route.name, "service", ticket.body.model, "target_microseconds", route.target,
         "pause_limit_microseconds", route.pause_limit, "prompt_tokens", ticket.prompt_tokens + ticket.prefix_tokens,
         "shared_tokens", shared_run(ticket), "output_tokens", ticket.body.max_tokens);
-    line["arrived_microseconds"] = ticket.arrived_at;
     line["waited_microseconds"] = trace.waited;
     line["sent_microseconds"] = since_arrival(trace.sent_at);
     line["first_output_microseconds"] = since_arrival(trace.first_at);
