--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -9,6 +9,7 @@
 
 using View = boost::beast::string_view;
 
+constexpr auto most_urgent = 0;
 constexpr auto unknown_weights = std::string_view("unknown-");  // no version: those are numbers
 
 constexpr auto connection_fields = std::to_array<std::string_view>(
@@ -91,7 +92,8 @@
     if (!placement.weights.empty()) add(head, names.weights_wanted, placement.weights);
     if (auto const salt = salt_for(course, view(request[names.request_identity])); !salt.empty())
         add(head, names.salt, salt);
-    add(head, names.urgency, std::to_string(urgency_of(judged.tenant, *judged.route)));
+    auto const urgency = placement.short_prompt ? most_urgent : urgency_of(judged.tenant, *judged.route);
+    add(head, names.urgency, std::to_string(urgency));
     if (!placement.fetch.source.empty()) add(head, names.fetch_from, placement.fetch.source);
     if (!placement.fetch.save_at.empty()) add(head, names.store_at, placement.fetch.save_at);
     if (last_event >= 0) add(head, names.last_event, std::to_string(last_event));
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -15,6 +15,7 @@
 auto Node::take_scheduling_options(SchedulingOptions options) -> void {
     set_scheduling_options(settings.scheduling, options);
     table.granting.set_options(options);
+    control.load_relay.times.interval = options.relayed_interval / 2;  // a relay's sums are no staler than its words
 }
 
 auto Node::relay_changes() -> void {
@@ -28,6 +29,7 @@
     }
     auto options = table.granting.options;
     options.load_steps = 4;
+    options.idle_open = true;
     options.recompute_tokens_each_second = 100'000.0;
     take_scheduling_options(options);
 }
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -40,7 +40,8 @@
 // due, and an idle node has little of it (design 14).
 auto Node::tick_milliseconds() const -> int {
     if (resting_now) return 250;
-    if (clock_now() - last_ticket < 2 * one_second || stopping) return 25;
+    auto const relays_load = load_relayed && !settings.data_folder.empty();
+    if (clock_now() - last_ticket < 2 * one_second || stopping || relays_load) return 25;
     return settings.data_folder.empty() ? 100 : 50;
 }
 
@@ -56,8 +57,9 @@
         look_at_settings(now);
         auto guard = std::unique_lock(table.lock);
         if (table.granting.waiting_count() > 0) match_locked(now);
-        auto const due =
-            now - last_digest >= table.granting.options.digest_interval && now - last_ticket < 12 * one_second;
+        auto const& options = table.granting.options;
+        auto const interval = table.granting.burden.relayed ? options.relayed_interval : options.digest_interval;
+        auto const due = now - last_digest >= interval && now - last_ticket < 12 * one_second;
         if (!due) continue;
         last_digest = now;
         tell_load(now, std::move(guard));
--- a/source/scheduling/choice.cpp
+++ b/source/scheduling/choice.cpp
@@ -128,9 +128,9 @@
     ReplicaState const* best = nullptr;
     auto best_work = 0.0;
     for (auto const* state : found) {
+        view.kept = burden.kept_tokens(*state, ticket);
         auto const& runs = runs_for(state->weights_mark);
         view.outstanding = burden.unread(*state, now);
-        view.kept = burden.kept_tokens(*state, ticket);
         view.best_kept = runs.replicas;
         view.movable = std::max(options.peer_moves ? runs.replicas : 0, runs.stores);
         view.queued = std::max<std::int64_t>(0, burden.running(*state, now) + 1 - state->entry.capacity);
--- a/source/scheduling/options.hpp
+++ b/source/scheduling/options.hpp
@@ -13,7 +13,8 @@
     std::int64_t multiplier = 4;
     std::int64_t load_steps = 0;  // how finely load over capacity is told apart; 0: exactly (design 9.7)
     std::size_t depth = 20;
-    Microseconds digest_interval = 200 * one_millisecond;
+    Microseconds digest_interval = 200 * one_millisecond;  // between words of load to all others,
+    Microseconds relayed_interval = 200 * one_millisecond;  // and to a relay, which costs one word each time
     Microseconds digest_old = one_second;
     Microseconds digest_lost = 10 * one_second;
     double wait_token_rate = 400.0;  // tokens that one second of waiting counts for
@@ -33,6 +34,7 @@
     bool work_outstanding = false;  // the least busy is told by prompt tokens to be read, not by requests
     double copy_cost = 0.3;         // work that a token of a further copy of a shared prefix counts for
     bool prefix_home = true;        // a prefix that nobody keeps is read first where its hash says
+    std::int64_t short_prompt = 0;  // tokens to read up to which a request is most urgent at its replica
     bool peer_moves = true;         // kept prefixes are moved from other replicas
     bool store_reads = true;        // ... and from stores
     bool store_writes = true;       // prefixes are sent to stores
--- a/source/ticket/granting.cpp
+++ b/source/ticket/granting.cpp
@@ -112,6 +112,7 @@
                                          : plan_fetch(state, ticket, placement.kept_tokens, now);
     placement.tokens_to_read = std::max<std::int64_t>(
         0, ticket.prompt_tokens + ticket.prefix_tokens - placement.kept_tokens - placement.fetch.tokens);
+    placement.short_prompt = placement.tokens_to_read > 0 && placement.tokens_to_read <= options.short_prompt;
     placement.outstanding = burden.unread(state, now);
     placement.running = burden.running(state, now);
     placement.best_kept = kept_runs(ticket, state.weights_mark).replicas;
--- a/source/ticket/granting.hpp
+++ b/source/ticket/granting.hpp
@@ -43,6 +43,7 @@
     std::int64_t running = 0;         // requests there
     std::int64_t best_kept = 0;       // longest run that any replica of these weights kept
     std::optional<Filter> held_by;    // the filter that made it wait last
+    bool short_prompt = false;        // so little to read that it goes before other requests
 };
 // The longest leading runs of a prompt that are kept under some weights, in tokens.
 struct KeptRuns {
--- /dev/null
+++ b/tests/placement_cost_test.cpp
@@ -0,0 +1,139 @@
+// Which replica is the least busy by work outstanding. docs/design.md section 9.7.
+#include "scheduling/placement_cost.hpp"
+
+#include "helpers.hpp"
+
+using namespace dockrock;
+using namespace dockrock::testing;
+
+namespace {
+
+// A granting table that chooses by work, as relaying nodes do.
+auto make_by_work(std::size_t replicas, std::int64_t capacity = 128) -> Granting {
+    auto granting = make_granting(replicas, capacity, 1'000'000);
+    auto options = granting.options;
+    options.work_outstanding = true;
+    options.idle_open = true;
+    options.copy_cost = 0.3;
+    options.recompute_tokens_each_second = 50'000.0;
+    options.fetch_tokens_each_second = 1'000'000.0;
+    granting.set_options(options);
+    return granting;
+}
+
+// A prompt of one shared part and one of its own.
+auto long_prompt(std::uint64_t number, std::uint64_t shared_part, std::int64_t shared, std::int64_t own) -> Ticket {
+    auto ticket = make_ticket(number, 10);
+    ticket.parts_alone = true;
+    ticket.chain = {shared_part, 1'000'000 + number};
+    ticket.body.prefix = {{"shared", shared}, {"own", own}};
+    ticket.prefix_tokens = shared + own;
+    ticket.affinity = shared_part;
+    return ticket;
+}
+
+auto placed_at(Granting& granting, Ticket const& ticket, Microseconds now) -> std::string {
+    enter(granting, ticket, now);
+    return match(granting, now).placements.at(0).replica;
+}
+
+}  // namespace
+
+TEST_CASE("work before the first token: what waits there, what is read, what is moved, what is copied") {
+    auto view = PlacementView{.outstanding = 500, .prompt = 10'000, .shared = 8'000, .home = true};
+    auto const rates = PlacementRates{0.1, 0.25};
+    CHECK(work_before_first_token(view, rates) == Approx(10'500));  // nobody keeps it, and this is its home
+    view.home = false;
+    CHECK(work_before_first_token(view, rates) == Approx(12'500));
+    view.best_kept = view.movable = 8'000;  // moved from a peer: a further copy
+    CHECK(work_before_first_token(view, rates) == Approx(500 + 2'000 + 800 + 2'000));
+    view.kept = 8'000;
+    CHECK(work_before_first_token(view, rates) == Approx(2'500));
+    view.queued = 2;  // waits for two to end
+    CHECK(work_before_first_token(view, rates) == Approx(22'500));
+}
+
+TEST_CASE("an idle replica gets a prompt whose prefix a busy one keeps, unless the wait is short") {
+    auto granting = make_by_work(2);
+    granting.burden.take_part("r0", 7, "w1", true);
+    granting.burden.take_weights("r0", "w1", false);
+    granting.burden.take_weights("r1", "w1", false);
+    granting.burden.take_part("r0", 7, "w1", true);
+    granting.burden.place("r0", make_ticket(50), 1, 5, 1'000);
+    CHECK(placed_at(granting, long_prompt(1, 7, 8'000, 1'000), 10) == "r0");  // 1,000 tokens wait: less than a copy
+    granting.burden.place("r0", make_ticket(51), 1, 11, 9'000);
+    CHECK(placed_at(granting, long_prompt(2, 7, 8'000, 1'000), 12) == "r1");
+}
+
+TEST_CASE("a prefix that nobody keeps is read first at one home, whichever node decides") {
+    auto first = make_by_work(9);
+    auto second = make_by_work(9);
+    second.burden.self = "another";
+    for (auto part = std::uint64_t{1}; part < 20; ++part)
+        CHECK(
+            placed_at(first, long_prompt(part, part, 8'000, 100), 10) ==
+            placed_at(second, long_prompt(100 + part, part, 8'000, 100), 10));
+}
+
+TEST_CASE("first output ends the reading of a prompt; the place is held till the end") {
+    auto granting = make_by_work(1);
+    enter(granting, long_prompt(1, 7, 8'000, 1'000), 10);
+    auto const placement = match(granting, 10).placements.at(0);
+    auto const& state = granting.burden.replicas.at("r0");
+    CHECK(placement.tokens_to_read == 9'000);
+    CHECK(granting.burden.unread(state, 10) == 9'000);
+    granting.first_output(placement, long_prompt(1, 7, 8'000, 1'000), 100'000);
+    CHECK(granting.burden.unread(state, 20) == 0);
+    CHECK(granting.burden.running(state, 20) == 1);
+    granting.burden.release("r0", 1);
+    CHECK(granting.burden.unread(state, 30) == 0);
+    CHECK(granting.burden.running(state, 30) == 0);
+}
+
+TEST_CASE("work placed by other nodes counts, told by digests and through relays") {
+    auto teller = make_by_work(2);
+    teller.burden.self = "teller";
+    teller.burden.place("r0", make_ticket(1), 1, 10, 6'400);
+    auto hearer = make_by_work(2);
+    hearer.burden.take_digest("teller", 1, teller.burden.make_digest(20), 20);
+    CHECK(hearer.burden.unread(hearer.burden.replicas.at("r0"), 30) == 6'400);
+    auto summed = make_by_work(2);
+    summed.burden.relayed = true;
+    auto const told = teller.burden.make_told(5, 20);
+    summed.burden.take_sum("relay", SumTold{1, 0, 0, 0, 1, told}, 30);
+    CHECK(summed.burden.unread(summed.burden.replicas.at("r0"), 40) == 6'400);
+}
+
+TEST_CASE("a mostly idle small service is open to every node of a large fleet") {
+    auto granting = make_granting(3, 6);
+    auto& table = granting.burden;
+    for (auto node = 0; node < 72; ++node)
+        table.take_digest(
+            "node" + std::to_string(node), 1,
+            R"({"r9":{"count":1,"slots":1,"memory":1,"recent":1,"unread":0,"ended":0,"failed":0}})", 10);
+    auto const open_replicas = [&] {
+        auto count = 0;
+        for (auto const& [name, state] : table.replicas) count += table.has_room(state, 20) ? 1 : 0;
+        return count;
+    };
+    table.options.idle_open = true;
+    CHECK(open_replicas() == 3);
+    // Past half of the places they are rationed as before: one for each node, by rank.
+    for (auto& [name, state] : table.replicas)
+        for (auto number = std::uint64_t{0}; number < 13; ++number) table.place(name, make_ticket(number), 1, 15);
+    auto const rationed = open_replicas();
+    table.options.idle_open = false;
+    CHECK(open_replicas() == rationed);
+}
+
+TEST_CASE("requests without a prompt go to the least busy, and not all to the first by hash") {
+    auto granting = make_by_work(3, 6);
+    std::set<std::string> used;
+    for (auto number = std::uint64_t{1}; number <= 3; ++number) {
+        auto ticket = make_ticket(number, 1);
+        ticket.parts_alone = true;
+        ticket.affinity = 1;
+        used.insert(placed_at(granting, ticket, 10));
+    }
+    CHECK(used.size() == 3);
+}
--- /dev/null
+++ b/tests/reading_rate_test.cpp
@@ -0,0 +1,46 @@
+// The speed of reading prompts, as streams show it. docs/design.md section 9.10.
+#include "scheduling/reading_rate.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dockrock;
+
+namespace {
+
+constexpr auto first_step = 90 * one_millisecond;
+
+// Samples of a replica that reads so many tokens a second, with some waiting that is not told.
+auto feed(ReadingRate& rate, double speed, int samples, std::uint64_t& noise) -> void {
+    for (auto count = 0; count < samples; ++count) {
+        noise = noise * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
+        auto const tokens = static_cast<std::int64_t>(500 + (noise >> 33U) % 15'000);
+        auto const waited = static_cast<Microseconds>((noise >> 20U) % (20 * one_millisecond));
+        auto const reading = static_cast<Microseconds>(static_cast<double>(tokens) / speed * 1e6);
+        rate.add(tokens, first_step + reading + waited);
+    }
+}
+
+}  // namespace
+
+TEST_CASE("the reading rate is not told before there are samples that show it") {
+    auto rate = ReadingRate();
+    CHECK_FALSE(rate.observed());
+    for (auto count = 0; count < 100; ++count) rate.add(1'000, 200 * one_millisecond);
+    CHECK_FALSE(rate.observed());  // prompts that are alike have no slope
+    rate.add(-5, 100);
+    rate.add(5, 0);
+    CHECK_FALSE(rate.observed());
+}
+
+TEST_CASE("the reading rate converges within twenty samples, and again after the speed changes") {
+    auto noise = std::uint64_t{7};
+    for (auto const speed : {20'000.0, 56'000.0, 157'000.0}) {
+        auto rate = ReadingRate();
+        feed(rate, speed, 20, noise);
+        REQUIRE(rate.observed());
+        CHECK(*rate.observed() == Approx(speed).epsilon(0.2));
+        feed(rate, speed / 3.0, 150, noise);
+        REQUIRE(rate.observed());
+        CHECK(*rate.observed() == Approx(speed / 3.0).epsilon(0.2));
+    }
+}
--- /dev/null
+++ b/tests/replica_health_test.cpp
@@ -0,0 +1,44 @@
+// Replicas that fail are left out for a while. docs/design.md section 9.11.
+#include "scheduling/replica_health.hpp"
+
+#include "helpers.hpp"
+
+using namespace dockrock;
+using namespace dockrock::testing;
+
+TEST_CASE("a replica that fails a fourth of its tries is left out, longer each time, and forgiven once it is well") {
+    auto health = ReplicaHealth();
+    CHECK_FALSE(health.judge({2, 2}, 0));   // too few to tell
+    CHECK_FALSE(health.judge({13, 3}, 0));  // under a fourth
+    CHECK(health.judge({12, 3}, 0));
+    CHECK_FALSE(health.usable(3 * one_second));
+    CHECK(health.usable(4 * one_second));
+    CHECK(health.judge({5, 5}, 4 * one_second));
+    CHECK_FALSE(health.usable(11 * one_second));
+    CHECK(health.usable(12 * one_second));
+    health.judge({5, 0}, 12 * one_second);
+    CHECK(health.judge({5, 5}, 13 * one_second));
+    CHECK(health.usable(17 * one_second));
+}
+
+TEST_CASE("outcomes of all nodes are told and leave a failing replica out everywhere; where all fail, all are used") {
+    auto teller = make_granting(2);
+    teller.burden.self = "teller";
+    for (auto count = 0; count < 3; ++count) teller.burden.ended("r0", true, 10);
+    auto hearer = make_granting(2);
+    auto options = hearer.options;
+    options.eject_failing = true;
+    hearer.set_options(options);
+    hearer.burden.take_digest("teller", 1, teller.burden.make_digest(20), 20);
+    CHECK(hearer.burden.check(hearer.burden.replicas.at("r0"), make_ticket(1), 30) == Filter::failing);
+    for (auto number = std::uint64_t{1}; number <= 4; ++number) {
+        enter(hearer, make_ticket(number), 30);
+        CHECK(match(hearer, 30).placements.at(0).replica == "r1");
+    }
+    for (auto count = 0; count < 3; ++count) teller.burden.ended("r1", true, 40);
+    hearer.burden.take_digest("teller", 2, teller.burden.make_digest(50), 50);
+    enter(hearer, make_ticket(9), 60);
+    CHECK(match(hearer, 60).placements.size() == 1);
+    // Outcomes past their window are told no more.
+    CHECK(teller.burden.make_digest(10 * one_second) == "{}");
+}
