--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -28,7 +28,7 @@
             : ApplyChange(apply_weights_version);
     }
     auto options = table.granting.options;
-    options.load_steps = 4;
+    options.work_outstanding = true;
     options.idle_open = true;
     options.recompute_tokens_each_second = 100'000.0;
     take_scheduling_options(options);
--- a/source/scheduling/options.hpp
+++ b/source/scheduling/options.hpp
@@ -14,7 +14,7 @@
     std::int64_t load_steps = 0;  // how finely load over capacity is told apart; 0: exactly (design 9.7)
     std::size_t depth = 20;
     Microseconds digest_interval = 200 * one_millisecond;  // between words of load to all others,
-    Microseconds relayed_interval = 200 * one_millisecond;  // and to a relay, which costs one word each time
+    Microseconds relayed_interval = 50 * one_millisecond;  // and to a relay, which costs one word each time
     Microseconds digest_old = one_second;
     Microseconds digest_lost = 10 * one_second;
     double wait_token_rate = 400.0;  // tokens that one second of waiting counts for
