--- a/source/scheduling/options.hpp
+++ b/source/scheduling/options.hpp
@@ -32,7 +32,7 @@
     double recompute_tokens_each_second = 10'000.0;
     bool idle_open = false;         // the places of a replica that is mostly free are not rationed
     bool work_outstanding = false;  // the least busy is told by prompt tokens to be read, not by requests
-    double copy_cost = 0.3;         // work that a token of a further copy of a shared prefix counts for
+    double copy_cost = 8.0;         // work that a token of a further copy of a shared prefix counts for
     bool prefix_home = true;        // a prefix that nobody keeps is read first where its hash says
     std::int64_t short_prompt = 0;  // tokens to read up to which a request is most urgent at its replica
     bool peer_moves = true;         // kept prefixes are moved from other replicas
--- a/source/scheduling/placement_cost.hpp
+++ b/source/scheduling/placement_cost.hpp
@@ -21,7 +21,7 @@
 
 struct PlacementRates {
     double move_share = 0.1;  // time to move a token over time to read one
-    double copy_cost = 0.3;   // work that a token of a further copy counts for: it takes memory from others
+    double copy_cost = 8.0;   // work that a token of a further copy counts for: it takes memory from others
 };
 
 // Tokens of the prompt that the replica would have to read itself.
