--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -30,6 +30,7 @@
     auto options = table.granting.options;
     options.work_outstanding = true;
     options.idle_open = true;
+    options.short_prompt = 2'048;  // one step of a replica reads as much
     options.recompute_tokens_each_second = 100'000.0;
     take_scheduling_options(options);
 }
