--- a/scripts/check_packages.py
+++ b/scripts/check_packages.py
@@ -48,7 +48,8 @@
 def configured(build):
     """The build plan of the product alone, freshly configured as the build line does, for Ninja."""
     words = next(words for words in steps(build) if words[0] == "cmake" and "--build" not in words)
-    kept = [word for word in words[1:] if word.startswith("-D")]
+    # The units are the same ones, each compiled by itself: so they are in an earlier build's dependencies.
+    kept = [word for word in words[1:] if word.startswith("-D") and not word.startswith("-DCMAKE_UNITY_BUILD")]
     with tempfile.TemporaryDirectory() as folder:
         command = ["cmake", "-S", str(ROOT), "-B", folder, "-G", "Ninja"] + kept
         subprocess.run(command, check=True, capture_output=True, text=True)
--- a/source/base/basics.hpp
+++ b/source/base/basics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // Words shared by all machines. docs/design.md section 2.
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -35,4 +36,8 @@
     return value * 0x9e3779b97f4a7c15ULL;
 }
 
+inline auto contains(std::vector<std::string> const& list, std::string const& item) -> bool {
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
 }  // namespace dockrock
--- a/source/base/messages.cpp
+++ b/source/base/messages.cpp
@@ -1,5 +1,7 @@
 #include "base/messages.hpp"
 
+#include "base/messages_adapted.hpp"
+
 namespace dockrock {
 
 auto write_message(Message const& message) -> std::string {
--- a/source/base/messages.hpp
+++ b/source/base/messages.hpp
@@ -239,5 +239,3 @@
 auto read_message(std::string_view text) -> std::optional<Message>;
 
 }  // namespace dockrock
-
-#include "base/messages_adapted.hpp"
--- a/source/base/messages_adapted.hpp
+++ b/source/base/messages_adapted.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// The fields of each message, for reading and writing. Included by messages.hpp alone.
+// The fields of each message, for reading and writing. Compiling it takes seconds: only for units that do so.
+#include "base/messages.hpp"
 
 BOOST_HANA_ADAPT_STRUCT(dockrock::Probe, token, members);
 BOOST_HANA_ADAPT_STRUCT(dockrock::ProbeAnswer, token, members);
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -3,16 +3,12 @@
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "process/pause.hpp"
 
 namespace dockrock {
 
 namespace {
 
-auto pause(Microseconds length) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
-    co_await timer.async_wait(use_tuple);
-}
-
 // How long a client waits before it comes again: seconds, as text.
 constexpr auto soon = "0.3";
 constexpr auto not_fresh = "not-fresh";
--- a/source/consensus/changes.cpp
+++ b/source/consensus/changes.cpp
@@ -9,7 +9,6 @@
 namespace {
 constexpr auto outcomes_kept = std::size_t{1024};
 constexpr auto queue_limit = std::size_t{256};
-constexpr Microseconds queued_limit = 2'500 * one_millisecond;
 
 // Of a change that is wrong by itself no version is told.
 auto etag_told(int status, Sequence const& sequence) -> std::string {
--- a/source/consensus/leader_and_follower.cpp
+++ b/source/consensus/leader_and_follower.cpp
@@ -7,7 +7,6 @@
 namespace dockrock {
 
 namespace {
-constexpr Microseconds queued_limit = 2'500 * one_millisecond;
 constexpr Microseconds waiter_limit = 3 * one_second;
 constexpr auto try_spread = std::uint64_t{60'000};  // microseconds, drawn, so that ballots do not race
 constexpr auto outcome_unknown = std::string_view("outcome not known; ask again under the same change identity");
--- a/source/consensus/partition.hpp
+++ b/source/consensus/partition.hpp
@@ -26,6 +26,8 @@
     Microseconds frozen_gap = 400 * one_millisecond;
 };
 
+inline constexpr Microseconds queued_limit = 2'500 * one_millisecond;  // a call waits no longer for its turn
+
 struct CallDone {
     std::string origin;
     std::uint64_t token = 0;
--- a/source/consensus/reconfiguration.cpp
+++ b/source/consensus/reconfiguration.cpp
@@ -6,9 +6,6 @@
 namespace dockrock {
 
 namespace {
-auto contains(std::vector<std::string> const& list, std::string const& item) -> bool {
-    return std::find(list.begin(), list.end(), item) != list.end();
-}
 auto members_of(Record const& record) -> std::vector<std::string> {
     auto members = record.followers;
     members.push_back(record.leader);
--- a/source/consensus/voting_and_lease.cpp
+++ b/source/consensus/voting_and_lease.cpp
@@ -5,12 +5,6 @@
 
 namespace dockrock {
 
-namespace {
-auto contains(std::vector<std::string> const& list, std::string const& item) -> bool {
-    return std::find(list.begin(), list.end(), item) != list.end();
-}
-}  // namespace
-
 auto Partition::save(Context& context, bool with_copy, std::vector<IdentifiedMessage> after) -> std::uint64_t {
     SavedPartition state;
     if (with_copy) state.copy = copy;
--- a/source/membership/membership.cpp
+++ b/source/membership/membership.cpp
@@ -2,12 +2,6 @@
 
 namespace dockrock {
 
-namespace {
-constexpr auto state_alive = static_cast<int>(MemberState::alive);
-constexpr auto state_suspect = static_cast<int>(MemberState::suspect);
-constexpr auto state_dead = static_cast<int>(MemberState::dead);
-}  // namespace
-
 auto Membership::find(std::string const& identity) const -> Member const* {
     if (identity == self.identity) return &self;
     auto const found = known.find(identity);
--- a/source/membership/membership.hpp
+++ b/source/membership/membership.hpp
@@ -21,6 +21,11 @@
     Microseconds frozen_gap = 900 * one_millisecond;
 };
 
+// As messages carry them.
+inline constexpr auto state_alive = static_cast<int>(MemberState::alive);
+inline constexpr auto state_suspect = static_cast<int>(MemberState::suspect);
+inline constexpr auto state_dead = static_cast<int>(MemberState::dead);
+
 // How many other members are told of in one message.
 inline constexpr auto rumours_to_members = std::size_t{6};
 inline constexpr auto rumours_to_strangers = std::size_t{4};
--- a/source/membership/probing.cpp
+++ b/source/membership/probing.cpp
@@ -4,9 +4,6 @@
 namespace dockrock {
 
 namespace {
-constexpr auto state_alive = static_cast<int>(MemberState::alive);
-constexpr auto state_suspect = static_cast<int>(MemberState::suspect);
-constexpr auto state_dead = static_cast<int>(MemberState::dead);
 constexpr Microseconds contact_interval = 2 * one_second;
 constexpr Microseconds lonely_contact_interval = one_second / 4;  // while no member is known
 constexpr auto contacts_at_once = std::size_t{4};
--- a/source/process/news_sight.cpp
+++ b/source/process/news_sight.cpp
@@ -5,7 +5,7 @@
 namespace dockrock {
 
 namespace {
-constexpr Microseconds log_interval = 200 * one_millisecond;
+constexpr Microseconds news_log_interval = 200 * one_millisecond;
 }  // namespace
 
 auto NewsSight::take(NewsCounts const& counts, std::vector<NewsNote> const& notes) -> void {
@@ -28,7 +28,7 @@
     ++refusals;
     if (proof_age > oldest_refusal) oldest_refusal = proof_age;
     auto logged = refusal_logged.load();
-    if (now - logged < log_interval || !refusal_logged.compare_exchange_strong(logged, now)) return;
+    if (now - logged < news_log_interval || !refusal_logged.compare_exchange_strong(logged, now)) return;
     write_log(
         Level::information, "refused-by-rules",
         fields("status", status, "sequence", etag_of(sequence), "proof_age_microseconds", proof_age));
--- a/source/process/node_list.cpp
+++ b/source/process/node_list.cpp
@@ -3,6 +3,7 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
+#include "process/pause.hpp"
 
 namespace dockrock {
 
@@ -10,11 +11,6 @@
 
 constexpr auto most_pages = std::size_t{1'000};
 
-auto pause(Microseconds length) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
-    co_await timer.async_wait(use_tuple);
-}
-
 // One that shows on two pages moved while they were read: the later word
 // counts, but a mark to leave is not undone by it.
 auto add_page(std::map<std::string, ReplicaEntry>& read, std::vector<ReplicaEntry> page) -> void {
--- a/source/process/node_parts.cpp
+++ b/source/process/node_parts.cpp
@@ -3,17 +3,13 @@
 // share the sources and pass on what they read. docs/design.md section 9.9.
 #include "process/clock.hpp"
 #include "process/node.hpp"
+#include "process/pause.hpp"
 #include "request/relayed.hpp"
 
 namespace dockrock {
 
 namespace {
 
-auto pause(Microseconds length) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
-    co_await timer.async_wait(use_tuple);
-}
-
 constexpr Microseconds parts_interval = 300 * one_millisecond;   // events gather meanwhile
 constexpr Microseconds shared_interval = 250 * one_millisecond;  // on their way to others they wait again
 constexpr Microseconds parts_wait = 900 * one_millisecond;       // a call is held until there are some
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -3,16 +3,12 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
+#include "process/pause.hpp"
 
 namespace dockrock {
 
 namespace {
 
-auto pause(std::int64_t milliseconds) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::milliseconds(milliseconds));
-    co_await timer.async_wait(use_tuple);
-}
-
 auto is_list(std::string const& text) -> bool {
     auto const parsed = parse_json(text);
     if (!parsed) return false;
@@ -32,7 +28,7 @@
     auto last_good = std::string();  // read whole once, not again while it stays the same
     auto const listing = http_ask(http::verb::get, "/replicas");
     while (!finished) {
-        co_await pause(100);
+        co_await pause(100 * one_millisecond);
         if (!wanted->load()) {
             in_control([this, wanted] { *wanted = control.wants_list(clock_now()); });
             continue;
@@ -60,7 +56,7 @@
             if (report_loops.insert(entry.name).second)
                 asio::co_spawn(asio::make_strand(context), report_loop(entry.name), asio::detached);
         }
-        co_await pause(resting_now ? 500 : 100);
+        co_await pause((resting_now ? 500 : 100) * one_millisecond);
     }
 }
 
@@ -108,7 +104,7 @@
         }
         auto const busy = clock_now() - last_ticket < 10 * one_second;
         auto const idle_pause = settings.data_folder.empty() ? 2'000 : 1'000;  // the core follows roll-outs
-        co_await pause(resting_now ? 5'000 : busy ? 250 : idle_pause);
+        co_await pause((resting_now ? 5'000 : busy ? 250 : idle_pause) * one_millisecond);
     }
     auto const guard = std::lock_guard(loops_lock);
     report_loops.erase(name);
@@ -119,7 +115,7 @@
 auto Node::order_loop() -> awaitable<void> {
     if (form != nullptr) co_return co_await weights_loop();
     while (!finished) {
-        co_await pause(200);
+        co_await pause(200 * one_millisecond);
         auto due = std::make_shared<std::vector<Order>>();
         auto done = std::make_shared<std::atomic<bool>>(false);
         in_control([this, due, done] {
@@ -128,7 +124,7 @@
             *due = orders.due(control, *current, reports, clock_now());
             *done = true;
         });
-        for (auto count = 0; !done->load() && count < 50; ++count) co_await pause(20);
+        for (auto count = 0; !done->load() && count < 50; ++count) co_await pause(20 * one_millisecond);
         if (!done->load()) continue;
         for (auto const& order : *due) co_await send_order(order);
     }
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -3,6 +3,7 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
+#include "process/pause.hpp"
 
 namespace dockrock {
 
@@ -14,11 +15,6 @@
 constexpr auto checks = 3;
 constexpr Microseconds holder_margin = 200 * one_millisecond;  // on top of the time between two holders' orders
 
-auto pause(Microseconds length) -> awaitable<void> {
-    auto timer = asio::steady_timer(co_await asio::this_coro::executor, std::chrono::microseconds(length));
-    co_await timer.async_wait(use_tuple);
-}
-
 auto end_of(HttpAnswer const& answer) -> OrderEnd {
     switch (answer.status) {
         case 0: return answer.sent ? OrderEnd::unknown : OrderEnd::unreachable;
