Sight of a roll-out: why no orders are given, recalls counted; reasons of an early end

Cause: logs could not tell a holder that may not order yet from one without a lease or without fresh news; an uncaught exception ended a process with the library's own words alone. Change: weights-orders-held with its reason, weights_recalled_total; a handler of uncaught exceptions that tells the reason on standard error, whatever the log is set to. Tests: the next holder tells new-holder, then no. The handler has no test.

--- a/source/control/weights_duty.cpp
+++ b/source/control/weights_duty.cpp
@@ -54,6 +54,7 @@
     auto const leased = control.leads(partition, now);
     auto const waited = tenures[static_cast<std::size_t>(partition)].step(record.term, leader, leased, wait, now);
     if (!leader) {
+        held[static_cast<std::size_t>(partition)] = OrdersHeld::no;
         std::erase_if(rollouts, [&](auto const& item) { return item.first.first == partition; });
         return;
     }
@@ -68,6 +69,7 @@
     auto told = WeightsWords();
     auto words = WeightsWords();
     auto read_told = false;
+    auto behind = false;
     for (auto const& model : models) {
         auto const replicas = listed_for(snapshot, partition, model);
         auto const [place, fresh] = rollouts.try_emplace({partition, model});
@@ -93,14 +95,27 @@
             actions.reports.push_back({replica, address_of(snapshot, replica), model, partition});
         for (auto const& note : due.notes) actions.notes.emplace_back(model, note);
         rollout.words(model, words);
-        actions.under_way = actions.under_way || rollout.under_way();
+        behind = behind || rollout.under_way();
     }
+    actions.under_way = actions.under_way || behind;
+    auto const reason = !leased || !may_order(control, partition, record.term, now) ? OrdersHeld::no_lease
+        : !waited                                                                   ? OrdersHeld::new_holder
+        : !sure                                                                     ? OrdersHeld::no_fresh_news
+                                                                                    : OrdersHeld::no;
+    note_held(partition, behind ? reason : OrdersHeld::no, actions);
     if (!leased) return;
     auto text = json::serialize(write_json(words));
     if (text != news.live && !(text == no_words && news.live.empty()))
         actions.words.emplace_back(partition, std::move(text));
 }
 
+auto WeightsDuty::note_held(int partition, OrdersHeld reason, DutyActions& actions) -> void {
+    auto& known = held[static_cast<std::size_t>(partition)];
+    if (known == reason) return;
+    known = reason;
+    actions.held.emplace_back(partition, reason);
+}
+
 auto WeightsDuty::figures(Microseconds now) const -> RolloutFigures {
     RolloutFigures sum;
     for (auto const& [place, rollout] : rollouts) {
--- a/source/control/weights_duty.hpp
+++ b/source/control/weights_duty.hpp
@@ -20,11 +20,17 @@
     std::string model;
     int partition = 0;
 };
+// Why a leader gives no orders though replicas are behind.
+enum class OrdersHeld : int { no, no_lease, new_holder, no_fresh_news };
+inline constexpr auto orders_held_names =
+    std::to_array<std::string_view>({"no", "no-lease", "new-holder", "no-fresh-news"});
+
 struct DutyActions {
     std::vector<DutyOrder> orders;
     std::vector<DutyReport> reports;
     std::vector<std::pair<int, std::string>> words;          // partition, and the text to be spread for it
     std::vector<std::pair<std::string, RolloutNote>> notes;  // by model
+    std::vector<std::pair<int, OrdersHeld>> held;            // by partition, where it changed
     bool under_way = false;
 };
 
@@ -43,12 +49,15 @@
         DutyReport const& asked, std::optional<ReportedWeights> const& report, Microseconds asked_at, Microseconds now)
         -> void;
 
+    std::array<OrdersHeld, partition_count> held{};
+
     auto figures(Microseconds now) const -> RolloutFigures;  // of all models led here
 
    private:
     auto step_partition(
         int partition, Control const& control, Snapshot const& snapshot, Microseconds now, DutyActions& actions)
         -> void;
+    auto note_held(int partition, OrdersHeld reason, DutyActions& actions) -> void;
 };
 
 // One replica takes orders of one holder: that of the partition which its first model lies in.
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -33,6 +33,12 @@
 }
 
 auto tell_notes(DutyActions const& due) -> void {
+    for (auto const& [partition, reason] : due.held)
+        write_log(
+            Level::information, "weights-orders-held",
+            fields(
+                "partition", std::string(partition_names[static_cast<std::size_t>(partition)]), "reason",
+                std::string(orders_held_names[static_cast<std::size_t>(reason)])));
     for (auto const& [model, note] : due.notes) {
         auto const grave = note.kind == RolloutNote::Kind::overdue || note.kind == RolloutNote::Kind::silent;
         write_log(
@@ -159,6 +165,7 @@
     line("weights_replicas_overdue", counters.weights_overdue.load());
     line("weights_oldest_milliseconds", counters.weights_oldest.load());
     line("weights_withheld", counters.weights_withheld.load());
+    line("weights_recalled_total", counters.weights_recalled.load());
     line("list_reads_total", counters.list_reads.load());
     line("list_failures_total", counters.list_failures.load());
     line("list_calls_total", counters.list_calls.load());
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -1,13 +1,32 @@
 #include "process/run_node.hpp"
 
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 
 #include "process/log.hpp"
 
 namespace dockrock {
 
+namespace {
+
+// An exception that nobody catches ends the process; its reason goes to standard error, whatever the log is set to.
+auto tell_uncaught() -> void {
+    try {
+        if (auto const uncaught = std::current_exception()) std::rethrow_exception(uncaught);
+        std::cerr << "dockrock ends: terminated without an exception\n";
+    } catch (std::exception const& failure) {
+        std::cerr << "dockrock ends: uncaught exception: " << failure.what() << "\n";
+    } catch (...) { std::cerr << "dockrock ends: uncaught exception of an unknown type\n"; }
+    std::cerr.flush();
+    std::abort();
+}
+
+}  // namespace
+
 auto run_node(NodeProgram& program) -> int {
+    std::set_terminate(tell_uncaught);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until the node listens for it; it never ends one
--- a/tests/duty_helpers.hpp
+++ b/tests/duty_helpers.hpp
@@ -37,6 +37,7 @@
         std::uint64_t fence = 0;
     };
     std::vector<Sent> sent;
+    std::map<std::size_t, std::vector<OrdersHeld>> held;  // by node, as it changed
 
     // Orders are lost on their way, so that every holder goes on ordering.
     auto step() -> void {
@@ -49,6 +50,7 @@
             }
             auto const now = world.local(node);
             auto due = duties[index].step(node.control, snapshot_of(node), now);
+            for (auto const& [partition, reason] : due.held) held[index].push_back(reason);
             for (auto const& [partition, text] : due.words)
                 world.act(index, node.control.live_read(partition, now, now, text));
             for (auto const& order : due.orders) {
--- a/tests/weights_duty_test.cpp
+++ b/tests/weights_duty_test.cpp
@@ -50,6 +50,12 @@
         highest = order.fence;
     }
     CHECK(holders.size() == 2);
+    for (auto const next : holders) {
+        if (next == holder) continue;
+        auto const& told = duties.held[next];  // why it gave no orders until then
+        REQUIRE(told.size() >= 2);
+        CHECK(std::vector(told.end() - 2, told.end()) == std::vector{OrdersHeld::new_holder, OrdersHeld::no});
+    }
     CHECK(world->violations.empty());
 }
 
