--- a/source/control/weights_guard.hpp
+++ b/source/control/weights_guard.hpp
@@ -6,6 +6,7 @@
 // docs/design.md section 11.4.
 #include <algorithm>
 #include <bitset>
+#include <limits>
 #include <set>
 
 #include "control/control.hpp"
@@ -20,6 +21,9 @@
     std::map<std::string, NamedVersions> named;         // by model
     std::map<std::string, Microseconds> unheard_since;  // by model
     std::set<std::string> withheld;
+    Microseconds judge_at = never;  // when the next replica's weights get late
+
+    static constexpr auto never = std::numeric_limits<Microseconds>::max();
 
     auto take_targets(std::map<std::string, std::int64_t> const& targets, Microseconds now) -> void {
         for (auto const& [model, version] : targets) named[model].take(version, now);
@@ -42,6 +46,21 @@
             return late(item.first, item.second, now);
         });
     }
+    auto late_from(ReplicaWeights const& held) const -> Microseconds {
+        auto earliest = never;
+        if (bound <= 0) return earliest;
+        for (auto const& [model, version] : held.versions)
+            if (auto const found = named.find(model); found != named.end())
+                if (auto const since = found->second.named_after(version))
+                    earliest = std::min(earliest, *since + bound - weights_margin);
+        return earliest;
+    }
+    // Replicas are judged when something was heard of them, and again at this moment.
+    auto plan_judging(WeightsWords const& replicas, Microseconds now) -> void {
+        judge_at = never;
+        for (auto const& [name, held] : replicas)
+            if (auto const from = late_from(held); from > now) judge_at = std::min(judge_at, from);
+    }
     // What is said to be named, or not to be, counts once its partition was heard of.
     static auto heard_by(Control const& control) -> std::bitset<partition_count> {
         std::bitset<partition_count> partitions;
--- a/source/process/node_relay.cpp
+++ b/source/process/node_relay.cpp
@@ -79,6 +79,7 @@
         auto const closed = held.loading || late || unjudged;
         table.granting.burden.take_weights(name, version == 0 ? "" : std::to_string(version), closed);
     }
+    weights_guard.plan_judging(fresh.replica_weights, now);
     weights_guard.forget_others(fresh.replica_weights);
     counters.weights_withheld = weights_guard.withheld.size();
 }
--- a/tests/version_late_test.cpp
+++ b/tests/version_late_test.cpp
@@ -51,6 +51,23 @@
     CHECK(guard.withhold("a", true));
 }
 
+TEST_CASE("a node judges its replicas anew at the very moment when the next one's weights get late") {
+    auto guard = guard_of_twelve_seconds();
+    guard.take_targets({{"m", 2}}, known_at);
+    guard.take_targets({{"m", 3}}, known_at + 2 * one_second);
+    auto const late_at = known_at + guard.bound - weights_margin;
+    auto const replicas = WeightsWords{{"a", {{{"m", 1}}}}, {"b", {{{"m", 2}}}}, {"c", {{{"m", 3}}}}};
+    guard.plan_judging(replicas, known_at + 3 * one_second);
+    CHECK(guard.judge_at == late_at);
+    guard.plan_judging(replicas, late_at);
+    CHECK(guard.judge_at == late_at + 2 * one_second);
+    guard.plan_judging(replicas, late_at + 2 * one_second);
+    CHECK(guard.judge_at == WeightsGuard::never);
+    guard.bound = 0;
+    guard.plan_judging(replicas, known_at);
+    CHECK(guard.judge_at == WeightsGuard::never);
+}
+
 TEST_CASE("what was named is waited for after a start, for models with weights and for a while") {
     auto guard = guard_of_twelve_seconds();
     CHECK(guard.unjudged("m", 3, known_at));
