--- a/source/control/work_limits.hpp
+++ b/source/control/work_limits.hpp
@@ -15,10 +15,9 @@
 };
 
 // Before the end of the time in which older weights may serve. Both come after `weights_margin`, when the order for
-// the newer version turns away what has not begun; a replica's own word that it did not run something comes before
-// the recall, after which nothing is known.
-inline constexpr Microseconds end_margin = 1'250 * one_millisecond;
+// the newer version turns away what has not begun, so that runs under way have the time between to end.
 inline constexpr Microseconds recall_margin = one_second;  // a node may hear of a naming so much later than the leader
+inline constexpr Microseconds end_margin = 300 * one_millisecond;  // for senders that can't recall any more
 
 // `bound`: within it named weights serve everywhere; none: no limits. A version that is named after `now` leaves at
 // least as much time as one that is named now.
