--- a/tests/days/days_test.py
+++ b/tests/days/days_test.py
@@ -158,7 +158,7 @@
         assert burst["at"] - named[0] <= 3.02 and 15.0 <= burst["for_s"] <= 20.0, day.name
         assert min(times(day, "config_change")) > bound and day.length_s > bound + site.catch_up_s, day.name
     givers = [item for day in days for item in day.faults() if "giver" in item.get("how", "")]
-    assert {item["kind"] for item in givers} == {"node_kill", "core_cut", "node_freeze", "node_slow"}
+    assert {item["kind"] for item in givers} == {"node_kill", "core_cut", "node_freeze", "node_slow", "disk_full"}
 
 
 def test_news_goes_on_past_the_cut(site):
--- a/tests/days/weights.py
+++ b/tests/days/weights.py
@@ -45,6 +45,15 @@
     ]
 
 
+def duty_moves_at_margin(start, random):
+    """The disk of the ordering machine is full from before the margin of a bound of 15 s: the next one orders late."""
+    at = start + random.uniform(11.3, 12.3)
+    return [
+        entry("disk_full", at, count=1, on="core", for_s=6.0, how="giver"),
+        entry("burst", at - 0.3, x=5.0, for_s=1.6),
+    ]
+
+
 # What else goes on while the versions are loaded, by the name of the day.
 COMPANY = {
     "herd": lambda start, random: [],
@@ -75,6 +84,7 @@
     "holder_slow": holder("node_slow", "", 2.0),
     "holder_stalled": lambda start, random: [entry("disk_stall", start + 0.3, count=2, for_s=2.5)],
     "holder_replaced": lambda start, random: [entry("replace_core", start + 0.6, x=1.0, how="leader")],
+    "holder_changes": lambda start, random: duty_moves_at_margin(start, random),
 }
 
 
