Test: a node that can't start says why on standard error, whatever its log is set to

Test: a missing file, no TOML, a missing field, one of another type, each of four ports in use: 8 of 8 as expected on the node; a program that ends without a word fails all 8.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 scripts/unit_tests.sh "$build/dockrock-tests" KNOWN-RED.txt
 "$build/platform-node-check"
+python3 tests/start_failures_test.py "$build"
 python3 scripts/check_files.py
 python3 tests/deploy_build_test.py
 python3 scripts/deploy_build.py
