--- a/tests/days/weights.py
+++ b/tests/days/weights.py
@@ -84,7 +84,7 @@
     "holder_slow": holder("node_slow", "", 2.0),
     "holder_stalled": lambda start, random: [entry("disk_stall", start + 0.3, count=2, for_s=2.5)],
     "holder_replaced": lambda start, random: [entry("replace_core", start + 0.6, x=1.0, how="leader")],
-    "holder_changes": lambda start, random: duty_moves_at_margin(start, random),
+    "holder_changes": duty_moves_at_margin,
 }
 
 
