--- a/source/precompiled_shell.hpp
+++ b/source/precompiled_shell.hpp
@@ -1,21 +1,7 @@
 #pragma once
 #include "precompiled_core.hpp"
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/as_tuple.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+
+#include "connection/http_client.hpp"
 #include <memory>
 #include <mutex>
 #include <thread>
