The guard against older weights computes the moment once: late is late_from reached

Cause: late and late_from computed the same moment in two ways. Behaviour is the same; the unit tests of the guard keep their assertions.

--- a/source/control/weights_guard.hpp
+++ b/source/control/weights_guard.hpp
@@ -31,30 +31,25 @@
     auto take_named(std::map<std::string, NamedVersions> const& known) -> void {
         for (auto const& [model, versions] : known) named[model].merge(versions);
     }
-    auto late(std::string const& model, std::int64_t version, Microseconds now) const -> bool {
+    auto late_from(std::string const& model, std::int64_t version) const -> Microseconds {
         auto const found = named.find(model);
         auto const since = found == named.end() ? std::nullopt : found->second.named_after(version);
-        return bound > 0 && since && now - *since >= bound - weights_margin;
+        return bound > 0 && since ? *since + bound - weights_margin : never;
+    }
+    auto late(std::string const& model, std::int64_t version, Microseconds now) const -> bool {
+        return now >= late_from(model, version);
     }
     // Whether a version was named is not known yet; it is waited for so long.
     auto unjudged(std::string const& model, int partition, Microseconds now) -> bool {
         if (heard[static_cast<std::size_t>(partition)]) return false;
         return now - unheard_since.try_emplace(model, now).first->second < patience;
     }
-    auto late(ReplicaWeights const& held, Microseconds now) const -> bool {
-        return std::any_of(held.versions.begin(), held.versions.end(), [&](auto const& item) {
-            return late(item.first, item.second, now);
-        });
-    }
     auto late_from(ReplicaWeights const& held) const -> Microseconds {
         auto earliest = never;
-        if (bound <= 0) return earliest;
-        for (auto const& [model, version] : held.versions)
-            if (auto const found = named.find(model); found != named.end())
-                if (auto const since = found->second.named_after(version))
-                    earliest = std::min(earliest, *since + bound - weights_margin);
+        for (auto const& [model, version] : held.versions) earliest = std::min(earliest, late_from(model, version));
         return earliest;
     }
+    auto late(ReplicaWeights const& held, Microseconds now) const -> bool { return now >= late_from(held); }
     // Replicas are judged when something was heard of them, and again at this moment.
     auto plan_judging(WeightsWords const& replicas, Microseconds now) -> void {
         judge_at = never;
