A stopped node ends though the messaging library does not let it close its listening socket

Cause: a receive that began after its socket was closed waits for ever, and the close for it; and a close of a listening socket while frames come may wait for ever by itself, and each later close of the process behind it (libnng 1.5.2; told apart with the library alone, start-failures.md 7). Class: an end that rests on somebody else's act. Change: frames are read through one nng_aio, ended for good by nng_aio_stop, which no later receive can pass; sockets are closed on a thread of their own (SocketCloser), for 0.1 s at the most at the end, and never by the thread of the control machines: a node that dials a peer anew waited inside the same call. After its last log line the process ends without taking down what is left. Its sender speaks the protocol over plain TCP now, as the library's own sender hung behind the transport's close, and each round checks that frames came: no weaker, as it failed before. Ruled out: closes of sending sockets (some 35,000, none waited).

--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -218,7 +218,7 @@
     line("messages_malformed_total", transport.malformed.load());
     line("peer_dials_total", transport.dials.load());
     line("peer_redials_total", transport.redials.load());
-    line("peer_connections_lost_total", transport.connections_lost.load());
+    line("peer_connections_lost_total", transport.connections_lost->load());
     sight.write(text);
     line("open_tickets", open_tickets.load());
     line("resting", resting_now ? 1 : 0);
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -131,7 +131,8 @@
     for (auto count = std::int64_t{0}; count < settings.workers; ++count)
         threads.emplace_back([this] { context.run(); });
     for (auto& thread : threads) thread.join();
-    transport.stop();
+    if (!transport.stop())
+        write_log(Level::warning, "sockets-still-open", fields("effect", "they are closed as the process ends"));
     stop_disk();
     write_log(Level::information, "stopped");
     return 0;
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -23,6 +23,14 @@
     std::abort();
 }
 
+// What has to last is synced by now, and the log flushed. The rest is left to the system: to take it down here could
+// wait for a library's threads.
+[[noreturn]] auto end_process(int status) -> void {
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(status);
+}
+
 }  // namespace
 
 auto run_node(NodeProgram& program) -> int {
@@ -46,7 +54,7 @@
     node->settings_file = program.settings_file;
     node->reread = program.read;
     node->form = program.form;
-    return leaf::try_handle_all(
+    auto const status = leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             auto started = node->start();
             if (!started) {
@@ -64,6 +72,7 @@
             std::cerr << "start failed\n";
             return 1;
         });
+    end_process(status);
 }
 
 }  // namespace dockrock
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -17,13 +17,14 @@
 constexpr Microseconds longest_attempt = 1'400 * one_millisecond;
 constexpr auto most_attempt_doublings = 3;
 constexpr Microseconds unused_limit = 120 * one_second;
+constexpr auto close_patience = std::chrono::milliseconds(100);  // at the end, which is within the time to stop
 
 // Where connections take longer to establish than the first patience, the doubled one lets them.
 auto attempt_patience(Microseconds first, int given_up) -> Microseconds {
     return std::min<Microseconds>(first << std::min(given_up, most_attempt_doublings), longest_attempt);
 }
 
-// Runs on a thread of the library; nng_close waits for it.
+// Runs on a thread of the library, until the socket is closed.
 auto count_connections(nng_pipe, nng_pipe_ev event, void* counted) -> void {
     auto& connections = *static_cast<Transport::Peer::Connections*>(counted);
     connections.count += event == NNG_PIPE_EV_ADD_POST ? 1 : -1;
@@ -41,20 +42,23 @@
     nng_socket_set_int(listener, NNG_OPT_RECVBUF, 256);
     if (auto const failure = nng_listen(listener, ("tcp://" + address).c_str(), nullptr, 0); failure != 0)
         return nng_strerror(failure);
-    reader = std::thread([this, heard = std::move(heard)] {
-        while (!stopping) {
-            char* bytes = nullptr;
-            auto size = std::size_t{0};
-            auto const failure = nng_recv(listener, &bytes, &size, NNG_FLAG_ALLOC);
-            if (failure == NNG_ECLOSED) return;
-            if (failure != 0) continue;
-            if (!hear(std::string_view(bytes, size), heard)) ++malformed;
-            nng_free(bytes, size);
-        }
-    });
+    if (auto const failure = nng_aio_alloc(&receipt, nullptr, nullptr); failure != 0) return nng_strerror(failure);
+    reader = std::thread([this, heard = std::move(heard)] { read_frames(heard); });
     return "";
 }
 
+auto Transport::read_frames(Heard const& heard) -> void {
+    while (!stopping) {
+        nng_recv_aio(listener, receipt);
+        nng_aio_wait(receipt);
+        if (nng_aio_result(receipt) != 0) continue;
+        auto* const message = nng_aio_get_msg(receipt);
+        auto const* const bytes = static_cast<char const*>(nng_msg_body(message));
+        if (!hear(std::string_view(bytes, nng_msg_len(message)), heard)) ++malformed;
+        nng_msg_free(message);
+    }
+}
+
 auto Transport::send(std::string const& address, std::string const& frame, Microseconds now) -> void {
     auto const guard = std::lock_guard(lock);
     if (stopping) return;
@@ -72,7 +76,7 @@
             fields(
                 "address", address, "connections", peer.connections->count.load(), "hangs", link.hangs,
                 "dialled_before_microseconds", now - peer.dialed_at));
-        nng_close(peer.socket);
+        closer.close(peer.socket, std::exchange(peer.connections, std::make_shared<Peer::Connections>()));
     }
     if (fresh || anew) {
         link.dialled();
@@ -108,8 +112,7 @@
     ++dials;
     peer.dialed_at = now;
     peer.heard = false;
-    peer.connections->count = 0;
-    peer.connections->lost = &connections_lost;
+    peer.connections->lost = connections_lost;
     nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, 64);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, 50);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, 400);
@@ -156,19 +159,25 @@
             ++other;
             continue;
         }
-        nng_close(other->second.socket);
+        closer.close(other->second.socket, std::move(other->second.connections));
         links.erase(other->first);
         other = peers.erase(other);
     }
 }
 
-auto Transport::stop() -> void {
+// The listening socket comes last: a close that waits holds up those behind it.
+auto Transport::stop() -> bool {
     stopping = true;
-    nng_close(listener);
-    if (reader.joinable()) reader.join();
+    if (receipt == nullptr) return true;
+    nng_aio_stop(receipt);
+    reader.join();
+    nng_aio_free(receipt);
+    receipt = nullptr;
     auto const guard = std::lock_guard(lock);
-    for (auto& [address, peer] : peers) nng_close(peer.socket);
+    for (auto& [address, peer] : peers) closer.close(peer.socket, std::move(peer.connections));
     peers.clear();
+    closer.close(listener, nullptr);
+    return closer.finish(close_patience);
 }
 
 }  // namespace dockrock
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -11,6 +11,7 @@
 #include "base/frame.hpp"
 #include "base/peer_link.hpp"
 #include "membership/membership.hpp"
+#include "process/socket_closer.hpp"
 
 namespace dockrock {
 
@@ -27,6 +28,7 @@
 
     std::string fleet;
     nng_socket listener{};
+    nng_aio* receipt = nullptr;  // the one receive that is under way; once stopped, no other one begins
     std::mutex lock;
     struct Peer {
         nng_socket socket{};
@@ -40,9 +42,9 @@
         Attempts attempts;
         struct Connections {
             std::atomic<int> count{0};
-            std::atomic<std::uint64_t>* lost = nullptr;
+            std::shared_ptr<std::atomic<std::uint64_t>> lost;
         };
-        std::unique_ptr<Connections> connections = std::make_unique<Connections>();
+        std::shared_ptr<Connections> connections = std::make_shared<Connections>();
     };
     std::map<std::string, Peer> peers;
     std::map<std::string, PeerLink> links;  // by address, also of those that are only heard
@@ -56,7 +58,7 @@
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> dials{0};
     std::atomic<std::uint64_t> redials{0};
-    std::atomic<std::uint64_t> connections_lost{0};
+    std::shared_ptr<std::atomic<std::uint64_t>> connections_lost = std::make_shared<std::atomic<std::uint64_t>>(0);
 
     auto start(std::string const& address, std::string const& fleet_name, Heard heard)
         -> std::string;  // empty, or what failed
@@ -64,9 +66,13 @@
     // It was asked something and did not answer in time.
     auto doubt(std::string const& address, Microseconds now) -> void;
     auto peers_seen(Microseconds now) -> std::vector<PeerSeen>;
-    auto stop() -> void;
+    // False: sockets are still being closed. What they hold goes with the process.
+    auto stop() -> bool;
 
    private:
+    SocketCloser closer;
+
+    auto read_frames(Heard const& heard) -> void;
     auto dial(std::string const& address, Peer& peer, Microseconds now) -> bool;
     auto mark_heard(std::string const& address, LinkNote const& note) -> void;
     auto dial_due(Peer const& peer, PeerLink const& link, Microseconds now) const -> bool;
--- a/tests/transport_stop_test.cpp
+++ b/tests/transport_stop_test.cpp
@@ -1,14 +1,15 @@
 // A transport that is stopped ends, whatever its reader is at. docs/incidents/start-failures.md.
 #include <catch2/catch.hpp>
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <boost/asio.hpp>
 
 #include <future>
 #include <thread>
 
 #include "transport_helpers.hpp"
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
 using namespace dockrock;
 using namespace dockrock::testing;
 
@@ -19,27 +20,33 @@
 constexpr auto frames_before_stop = std::uint64_t{20};
 constexpr auto stop_port = std::uint16_t{22'870};
 
-// Sends without a pause to whoever listens at the address; the frames are none of ours.
+constexpr auto greeting = std::string_view("\0SP\0\0\x50\0\0", 8);  // of a sender, in the library's protocol
+constexpr auto frame = std::string_view("\0\0\0\0\0\0\0\x08no frame", 16);
+constexpr auto frames_at_once = 64;
+
+// Sends without a pause to whoever listens at the port; the frames are none of ours.
 struct Flood {
-    nng_socket socket{};
     std::atomic<bool> over{false};
     std::thread sender;
 
-    explicit Flood(std::string const& address) {
-        nng_push0_open(&socket);
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, 1);
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, 2);
-        nng_socket_set_ms(socket, NNG_OPT_SENDTIMEO, 20);
-        nng_dial(socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
-        sender = std::thread([this] {
-            auto text = std::string("no frame");
-            while (!over) nng_send(socket, text.data(), text.size(), 0);
+    explicit Flood(std::uint16_t port) {
+        sender = std::thread([this, port] {
+            auto frames = std::string();
+            for (auto count = 0; count < frames_at_once; ++count) frames += frame;
+            while (!over) send_while_taken(port, frames);
         });
     }
+    auto send_while_taken(std::uint16_t port, std::string const& frames) -> void {
+        boost::system::error_code failure;
+        auto context = asio::io_context();
+        auto socket = tcp::socket(context);
+        socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), port), failure);
+        if (!failure) asio::write(socket, asio::buffer(greeting), failure);
+        while (!failure && !over) asio::write(socket, asio::buffer(frames), failure);
+    }
     ~Flood() {
         over = true;
         sender.join();
-        nng_close(socket);
     }
 };
 
@@ -47,13 +54,14 @@
 
 TEST_CASE("a transport that is stopped while frames come does not wait for another one for ever") {
     auto const address = address_of(stop_port);
-    auto flood = Flood(address);
+    auto flood = Flood(stop_port);
     for (auto round = 0; round < rounds; ++round) {
         auto transport = std::make_unique<Transport>();
         REQUIRE(transport->start(address, "fleet", [](Frame&&) {}).empty());
         auto const limit = std::chrono::steady_clock::now() + stop_limit;
         while (transport->malformed < frames_before_stop && std::chrono::steady_clock::now() < limit)
             std::this_thread::yield();
+        CHECK(transport->malformed >= frames_before_stop);
         auto* const stopped = transport.get();
         auto ended = std::make_shared<std::promise<void>>();
         auto end = ended->get_future();
