A further SIGTERM to a node that is stopping changes nothing

Cause: a second signal of any kind was taken for an impatient person at a terminal. Change: that holds for SIGINT; a further SIGTERM is logged (stopping-already) and the stop goes on in its time.

--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -105,10 +105,11 @@
 auto Node::run() -> int {
     auto signals = asio::signal_set(context, SIGTERM, SIGINT);
     std::function<void()> wait_signal = [&] {
-        signals.async_wait([&](auto failure, int) {
+        signals.async_wait([&](auto failure, int signal) {
             if (failure) return;
-            if (stopping.exchange(true)) std::_Exit(1);  // a second signal: at once
-            asio::co_spawn(context, stop_politely(), asio::detached);
+            if (!stopping.exchange(true)) asio::co_spawn(context, stop_politely(), asio::detached);
+            else if (signal == SIGINT) std::_Exit(1);  // at a terminal, the second one ends it at once
+            else write_log(Level::information, "stopping-already", fields("open_tickets", open_tickets.load()));
             wait_signal();
         });
     };
