A node that is told to end does not wait for a disk that hangs

What operators saw: nothing in a report; found as the same cause elsewhere: the end joined the disk's thread, and a sync that does not return held the process up for good. Change: a write under way is waited for 0.3 s (the end has 0.5 s after the last answers); what is not synced by then was acknowledged to nobody. Test: node_stop_test, three cases on real processes: frames without a pause, SIGTERM in series, a disk that hangs. The settings files of start_failures_test and of this test come from one place. Soak: nodes that stop get up to three more signals (SIGTERM, SIGHUP).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,9 @@
 "$build/platform-node-check"
 python3 tests/start_failures_test.py "$build"
 python3 scripts/check_files.py
+python3 tests/node_stop_test.py "$build"
 python3 tests/deploy_build_test.py
+python3 tests/deploy_warnings_test.py
 python3 scripts/deploy_build.py
 python3 scripts/check_includes.py
 python3 tests/includes_test.py
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -12,7 +12,11 @@
 auto Node::start() -> leaf::result<void> {
     started_at = clock_now();
     auto const core = !settings.data_folder.empty();
-    if (core) disk_thread = std::thread([this] { run_disk(); });
+    if (core)
+        disk_thread = std::thread([this] {
+            run_disk();
+            disk_ended.set_value();
+        });
     // A disk that is not loaded in time is taken up later; until then this node has no duties.
     auto const held = core ? await_disk() : std::nullopt;
     auto const blank = DiskHolding{fresh_identity(), core ? 1 : static_cast<std::uint64_t>(started_at), false, {}};
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -4,6 +4,7 @@
 #include <boost/leaf.hpp>
 #include <condition_variable>
 #include <filesystem>
+#include <future>
 #include <set>
 
 #include "connection/losses.hpp"
@@ -123,6 +124,7 @@
     std::array<std::unique_ptr<tcp::acceptor>, 3> doors;  // by RelayDoor
     std::vector<std::thread> threads;
     std::thread disk_thread;
+    std::promise<void> disk_ended;  // set by the disk's thread
     std::mutex disk_lock;
     std::condition_variable disk_signal;      // to the disk's thread
     std::condition_variable disk_ready;       // from it, to the start
@@ -166,6 +168,7 @@
     auto match_locked(Microseconds now) -> void { table.match_locked(now, proof_age(now)); }
 
     auto run_disk() -> void;
+    // Waits a while for what is being written; a disk that hangs does not hold up the end.
     auto stop_disk() -> void;
     auto disk_state(Microseconds now) const -> DiskState;
     auto log_disk(Microseconds now) -> void;
--- a/source/process/node_disk.cpp
+++ b/source/process/node_disk.cpp
@@ -14,7 +14,8 @@
 constexpr auto start_patience = std::chrono::milliseconds(600);  // then the node starts without its disk
 constexpr auto first_pause = std::chrono::milliseconds(100);     // between tries on a sick disk, doubled up to
 constexpr auto longest_pause = std::chrono::milliseconds(1'000);
-constexpr Microseconds stall_limit = 600 * one_millisecond;  // of one write or sync, as the partitions count it
+constexpr auto end_patience = std::chrono::milliseconds(300);  // of a stop, for a write that is under way
+constexpr Microseconds stall_limit = 600 * one_millisecond;    // of one write or sync, as the partitions count it
 }  // namespace
 
 auto fresh_identity() -> std::string {
@@ -174,6 +175,10 @@
         disk_stop = true;
         disk_signal.notify_all();
     }
+    if (disk_ended.get_future().wait_for(end_patience) != std::future_status::ready) {
+        write_log(Level::warning, "disk-still-busy", fields("effect", "what is being written was not acknowledged"));
+        return disk_thread.detach();
+    }
     disk_thread.join();
     storage.close();
 }
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -142,12 +142,14 @@
         for name in names:
             self.kill(name)
 
-    def stop_all(self, names):
-        """SIGTERM, and SIGKILL `graceS` later, as the platform does."""
-        for name in names:
-            self.processes[name].told = True
-            self.processes[name].send(signal.SIGTERM)
+    def stop_all(self, names, signals=()):
+        """SIGTERM, further `signals` at their seconds after it, and SIGKILL `graceS` later, as the platform does."""
         began = time.monotonic()
+        for moment, sent in [(0.0, signal.SIGTERM), *signals]:
+            time.sleep(max(0.0, began + moment - time.monotonic()))
+            for name in names:
+                self.processes[name].told = True
+                self.processes[name].send(sent)
         for name in names:
             code = self.processes[name].end(0, max(0.1, BOUNDS["graceS"] + began - time.monotonic()))
             took = round(time.monotonic() - began, 2)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -19,6 +19,7 @@
 SLOW_BEFORE_LOSS = "slow 60\n"  # milliseconds of a sync
 AWAITED, AT_ONCE_AFTER = 3.0, (0.0, 0.04)  # seconds to wait for it, and after it
 TOLD_TWICE = 0.5
+MOST_TOLD_AGAIN, TOLD_AGAIN_S = 3, (0.1, 3.0)  # signals to a node that is stopping, seconds after the first one
 
 
 class Troubles:
@@ -107,7 +108,9 @@
 
     def stop(self, kind, chance, wait):
         names = self.target(kind, chance, self.fleet.settled_nodes())
-        return self.held(kind, names, wait, lambda: self.fleet.stop_all(names), lambda: self.start_all(names))
+        again = sorted(chance.uniform(*TOLD_AGAIN_S) for _ in range(chance.randint(0, MOST_TOLD_AGAIN)))
+        signals = [(moment, chance.choice([signal.SIGTERM, signal.SIGHUP])) for moment in again]
+        return self.held(kind, names, wait, lambda: self.fleet.stop_all(names, signals), lambda: self.start_all(names))
 
     def new_settings(self, kind, chance, wait):
         """Other seeds in the settings files of nodes, and SIGHUP; no trouble at all, by the users' words."""
--- a/tests/start_failures_test.py
+++ b/tests/start_failures_test.py
@@ -7,22 +7,9 @@
 import sys
 import tempfile
 
-SETTINGS = """
-nodeName = "edge-1"
-zone = "north"
-ip = "127.9.8.1"
-bootstrap = true
-portRange = [{first}, {last}]
-seeds = ["127.9.8.2:{first}"]
-unknownTable = {{ anything = 1 }}
-[listen]
-front = "127.9.8.1:{front}"
-ready = "127.9.8.1:{ready}"
-[cloud]
-addr = "127.9.8.3:80"
-perS = {calls}
-"""
-PORTS = {"first": 23960, "last": 23965, "front": 23970, "ready": 23971, "calls": "10.0"}
+from node_settings import PORTS, edge_settings, platform_program
+
+ADDRESS = "127.9.8.1"
 LIMIT_S = 10
 
 
@@ -47,14 +34,14 @@
 def busy(port):
     """A socket that holds this port of the node's address."""
     held = socket.socket()
-    held.bind(("127.9.8.1", port))
+    held.bind((ADDRESS, port))
     held.listen(1)
     return held
 
 
 def main(build):
-    program = str(pathlib.Path(build) / "dockrock-platform-node")
-    good = SETTINGS.format(**PORTS)
+    program = platform_program(build)
+    good = edge_settings("edge-1", ADDRESS)
     cases = [
         ("no file", None, None, "cannot read"),
         ("not TOML", "nodeName = ", None, "not TOML at line 1"),
