--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+import traceback
 
 from course import draw
 from day import BOUNDS, FRONT
@@ -39,7 +40,8 @@
         try:
             whom = troubles.play(trouble, self.over.wait)
         except Exception as failure:  # told in the verdict: the course was not played as drawn
-            self.failures.append("%s: %r" % (trouble["kind"], failure))
+            places = ["%s:%d" % (frame.name, frame.lineno) for frame in traceback.extract_tb(failure.__traceback__)]
+            self.failures.append("%s: %s at %s" % (trouble["kind"], failure, " ".join(places)))
             whom = None
         self.note(trouble, began, whom)
 
