--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -24,7 +24,7 @@
                 if end == name:
                     worst[start] = max(share, worst.get(start, 0.0))
         text = "".join("%s %g\n" % (self.ips[start], share) for start, share in sorted(worst.items()))
-        fresh = self.path(name).with_suffix(".new")
+        fresh = self.folder / (name + ".links.new")  # settings have a .new of their own
         fresh.write_text(text)
         os.replace(fresh, self.path(name))
 
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -140,6 +140,14 @@
         assert fleet.launched == launched and fleet.lives["c1"] == launched
 
 
+def links_leave_settings_that_are_being_written():
+    with tempfile.TemporaryDirectory() as made:
+        folder = pathlib.Path(made)
+        (folder / "e1.new").write_text("settings")
+        Links(folder, {"e1": "127.1.0.1", "c1": "127.1.0.2"}).put("cut", one_way(["c1"], ["e1"]))
+        assert (folder / "e1.new").read_text() == "settings"
+
+
 def verdict_lines():
     assert own_ends([], 5)["state"] == "held"
     assert own_ends([{"node": "e1", "at": 4, "code": -11}], 5)["state"] == "BROKEN"
@@ -184,7 +192,8 @@
     for test in (courses_repeat_and_overlap, every_kind_is_known,
                  an_edge_in_trouble_is_out_of_touch, a_core_node_in_trouble_unsettles_all, cuts_by_their_ends,
                  planned_stops_are_told_apart, troubles_that_never_end_are_never_over, ledgers_note_before_and_after,
-                 links_keep_the_worst_of_overlapping_rules, verdict_lines, a_node_that_runs_is_not_started_again,
+                 links_keep_the_worst_of_overlapping_rules,
+                 links_leave_settings_that_are_being_written, verdict_lines, a_node_that_runs_is_not_started_again,
                  planted_faults_are_found_by_their_words, no_two_runs_share_addresses,
                  soaks_of_the_test_command_can_go_side_by_side):  # fmt: skip
         test()
