--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -283,7 +283,7 @@
             known += kept["tokens"]
         run = self.record.add(
             "run", id=identity, replica=self.id, service=self.service, method=method, target=target, tenant=tenant,
-            salt=salt, version=self.version, used=used, headers=headers, body=len(body),
+            salt=salt, version=self.version, used=used[:4], body=len(body),
         )
         prompt, out = (int(number) for number in (headers.get("tokens", "0,1") + ",1").split(",")[:2])
         await asyncio.sleep(0.005 + max(0, prompt - known) / self.tokens_per_ms / 1000)
@@ -500,13 +500,18 @@
         died = fleet.died()
     except (CannotRun, OSError, TimeoutError) as failure:
         print("could not run: %s %s" % (type(failure).__name__, failure))
-        sys.exit(2)
-    finally:
         fleet.stop()
+        sys.stdout.flush()
+        os._exit(2)
+    except BaseException:
+        fleet.stop()
+        raise
+    fleet.stop()
     for line in broken:
         print("BROKEN:", line)
     if died:
         print("ended by themselves:", died)
     if not broken:
         print("held")
-    sys.exit(1 if broken else 0)
+    sys.stdout.flush()
+    os._exit(1 if broken else 0)  # connections that are still open are left to the system
