Answers of replicas: a length that is only named makes no room, and ends its own try at most

Cause: the library's string body reserves what the head names before a byte has come, answers had no limit for bodies, and what is thrown within a read of the library passes every coroutine and leaves context.run().

Ruled out: the memory limit of the node (nothing was written to that room); the pool of connections (the end comes while the head is parsed).

Change: one reader of answers over the library's parser, storing into a message of our own. Room is made as bytes come; what is read whole (failures, answers to other requests, calls, framing of chunks) has a bound. An exception of the library is an error of that message, logged and counted. On related paths: the product's own tries and all calls use the same reader; a coroutine of one connection that throws closes that one, is logged and counted, and leaves no place at a replica taken; a loop that the node needs no longer ends in silence (asio::detached drops exceptions), it ends the process with its reason; a loop that asks one peer leaves its name free for the next.

scripts/check_files.py: the library is extended by deriving from its parser only. The one line is named, any other is told as before, and so is a named one that is gone (tried with a second derived class: told).

--- a/scripts/check_files.py
+++ b/scripts/check_files.py
@@ -9,6 +9,9 @@
 folders = ("source", "programs", "platform", "tests", "scripts")
 # Processes of their own, which keep real time.
 real_time = (root / "tests" / "stand_ins", root / "tests" / "platform" / "live")
+# The HTTP library is extended by deriving from its parser, and in no other way: one line, in one file.
+DERIVED_FROM_LIBRARY = {"source/connection/message_parser.hpp": "public http::basic_parser<"}
+derived = dict(DERIVED_FROM_LIBRARY)
 bad = []
 for folder in folders:
     for path in sorted((root / folder).rglob("*")):
@@ -29,11 +32,13 @@
                     and "::type" not in line
                     and "std::true_type" not in line
                     and "std::false_type" not in line
+                    and derived.pop(str(path.relative_to(root)), "\0") not in line
                 ):
                     bad.append("%s:%d inherits" % (path.relative_to(root), number))
                 timed = any(place in path.parents for place in real_time)
                 if folder == "tests" and not timed and re.search(r"sleep", line):
                     bad.append("%s:%d sleeps" % (path.relative_to(root), number))
+bad += ["%s no longer derives from the library: take it off the list" % path for path in derived]
 if shutil.which("clang-format"):
     sources = [
         str(path)
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -1,5 +1,6 @@
 // What operators and the platform ask of a node. docs/interfaces.md.
 #include "connection/losses.hpp"
+#include "connection/message_reader.hpp"
 #include "connection/peers_status.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
@@ -216,6 +217,8 @@
     line("messages_dropped_total", transport.dropped.load());
     line("messages_received_total", transport.received.load());
     line("messages_malformed_total", transport.malformed.load());
+    line("message_reader_faults_total", message_reader_faults().load());
+    line("connections_failed_total", counters.connections_failed.load());
     line("peer_dials_total", transport.dials.load());
     line("peer_redials_total", transport.redials.load());
     line("peer_connections_lost_total", transport.connections_lost->load());
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -2,8 +2,16 @@
 
 #include <charconv>
 
+#include "connection/message_reader.hpp"
+
 namespace dockrock {
 
+namespace {
+
+constexpr auto answer_body_limit = std::uint64_t{16U << 20U};  // bytes
+
+}  // namespace
+
 auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint> {
     auto const colon = address.rfind(':');
     if (colon == std::string::npos) return std::nullopt;
@@ -48,7 +56,8 @@
         close();
         co_return false;
     }
-    stream.socket().set_option(tcp::no_delay(true));
+    boost::system::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
     open = true;
     used = false;
     co_return true;
@@ -72,18 +81,18 @@
         close();
         co_return answer;
     }
-    auto parser = http::response_parser<http::string_body>();
-    parser.body_limit(16U << 20U);
-    if (auto const [failure, size] = co_await http::async_read(stream, buffer, parser, use_tuple); failure) {
+    auto parser = AnswerParser();
+    parser.body_limit(answer_body_limit);
+    if (auto const failure = co_await read_whole(stream, buffer, parser); failure) {
         close();
         co_return answer;
     }
-    auto const& message = parser.get();
-    answer.status = message.result_int();
+    auto& message = parser.get();
+    answer.status = message.status;
     answer.content_type = std::string(message[http::field::content_type]);
     answer.etag = std::string(message[http::field::etag]);
-    answer.body = parser.get().body();
-    if (!message.keep_alive()) close();
+    answer.body = std::move(message.body);
+    if (!message.keep_alive) close();
     else stream.expires_never();
     co_return answer;
 }
--- /dev/null
+++ b/source/connection/message_reader.hpp
@@ -0,0 +1,30 @@
+#pragma once
+// The reader of answers of replicas and other back ends. Whatever a peer sends, it gets a message or an error code: an
+// exception of the library ends with an error too, is logged, and is counted in `message_reader_faults`.
+#include <atomic>
+
+#include "connection/http_client.hpp"
+#include "connection/message_parser.hpp"
+
+namespace dockrock {
+
+// Bytes of a chunk's header, or of trailers, that are held until they are whole.
+inline constexpr auto chunk_framing_limit = std::size_t{16U << 10U};
+
+// Exceptions of the library that were met in the input since the start.
+auto message_reader_faults() -> std::atomic<std::uint64_t>&;
+
+// Reads until the head is whole; what came behind it stays in `buffer`. Errors: those of the stream, of the library
+// (http::error), end_of_stream where nothing came; not_enough_memory or protocol_error for what the library threw.
+auto read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+    -> awaitable<boost::system::error_code>;
+
+// Reads until more of the body has come, or its end. The body is the caller's to take and clear.
+auto read_some(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+    -> awaitable<boost::system::error_code>;
+
+// Reads until the message is whole, within the limits that `parser` was given.
+auto read_whole(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+    -> awaitable<boost::system::error_code>;
+
+}  // namespace dockrock
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -2,6 +2,7 @@
 #include "connection/relay_session.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
+#include "process/spawn.hpp"
 #include "version/changes.hpp"
 
 namespace dockrock {
@@ -140,10 +141,10 @@
             co_await session.serve();
         };
         auto const executor = context.get_executor();
-        if (door == RelayDoor::ready) asio::co_spawn(executor, serve_ready(*this, std::move(socket)), asio::detached);
+        if (door == RelayDoor::ready) spawn_connection(counters, executor, serve_ready(*this, std::move(socket)));
         else if (door == RelayDoor::operators)
-            asio::co_spawn(executor, serve_operator(*this, std::move(socket)), asio::detached);
-        else asio::co_spawn(executor, serve(*this, std::move(socket)), asio::detached);
+            spawn_connection(counters, executor, serve_operator(*this, std::move(socket)));
+        else spawn_connection(counters, executor, serve(*this, std::move(socket)));
     }
 }
 
--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -1,5 +1,6 @@
 // Heads of requests and answers that are relayed. docs/platform.md section 4.
 #include <boost/beast/core/string.hpp>
+#include <set>
 
 #include "connection/relay_session.hpp"
 
@@ -18,17 +19,24 @@
 
 auto same(View left, std::string_view right) -> bool { return beast::iequals(left, View(right.data(), right.size())); }
 
+struct NamesWithoutCase {
+    using is_transparent = void;
+    auto operator()(View left, View right) const -> bool { return beast::iless()(left, right); }
+};
+
 // Names that concern one connection: the fixed ones, and those that any `Connection` line of this head lists.
-auto of_connection(View name, http::fields const& head) -> bool {
-    for (auto const& field : connection_fields)
-        if (same(name, field)) return true;
-    auto const [first, last] = head.equal_range(http::field::connection);
-    return std::any_of(first, last, [&](auto const& line) {
-        auto const tokens = http::token_list(line.value());
-        return std::any_of(
-            tokens.begin(), tokens.end(), [&](auto const& token) { return beast::iequals(token, name); });
-    });
-}
+struct ConnectionNames {
+    std::set<View, NamesWithoutCase> listed;
+
+    auto add(View line) -> void {
+        for (auto const& token : http::token_list(line)) listed.insert(token);
+    }
+    auto contains(View name) const -> bool {
+        auto const fixed = std::any_of(
+            connection_fields.begin(), connection_fields.end(), [&](auto field) { return same(name, field); });
+        return fixed || listed.contains(name);
+    }
+};
 
 auto add(std::string& head, std::string_view name, std::string_view value) -> void {
     if (name.empty()) return;
@@ -53,12 +61,12 @@
     return {value.data(), value.size()};
 }
 
-auto refusal_reason(http::response_header<> const& head) -> std::string {
-    if (head.result_int() == 421) return "weights";  // another life, or other weights
-    return head.result_int() == 400 ? "bad" : "busy";
+auto refusal_reason(int status) -> std::string {
+    if (status == 421) return "weights";  // another life, or other weights
+    return status == 400 ? "bad" : "busy";
 }
 
-auto without_body(HttpRequest const& request, unsigned status) -> bool {
+auto without_body(HttpRequest const& request, int status) -> bool {
     return request.method() == http::verb::head || status == 204 || status == 304;
 }
 
@@ -72,6 +80,9 @@
         {names.key, names.tenant, names.deadline, names.replica_wanted, names.weights_wanted, names.salt, names.urgency,
          names.fetch_from, names.store_at, names.last_event});
     auto const target = request.target();
+    auto connection_names = ConnectionNames();
+    auto const [first, last] = request.equal_range(http::field::connection);
+    std::for_each(first, last, [&](auto const& line) { connection_names.add(line.value()); });
     std::string head;
     head.reserve(1'024);
     head.append(view(request.method_string())).append(" ").append(view(target)).append(" HTTP/1.1\r\n");
@@ -80,7 +91,7 @@
         auto const replaced = std::any_of(own.begin(), own.end(), [&](auto item) {
             return item.size() == name.size() && !item.empty() && same(name, item);
         });
-        if (replaced || of_connection(name, request)) continue;
+        if (replaced || connection_names.contains(name)) continue;
         add(head, view(name), view(field.value()));
     }
     auto const& placement = course.placement;
@@ -102,14 +113,17 @@
     return head;
 }
 
-auto head_for_client(http::response_header<> const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
+auto head_for_client(ReceivedAnswer const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
     -> std::string {
+    auto connection_names = ConnectionNames();
+    for (auto const& line : from.fields.lines)
+        if (same(line.name, "connection")) connection_names.add(line.value);
     std::string head;
     head.reserve(512);
-    head.append("HTTP/1.1 ").append(std::to_string(from.result_int())).append(" ");
-    head.append(view(from.reason())).append("\r\n");
-    for (auto const& field : from)
-        if (!of_connection(field.name_string(), from)) add(head, view(field.name_string()), view(field.value()));
+    head.append("HTTP/1.1 ").append(std::to_string(from.status)).append(" ");
+    head.append(from.reason).append("\r\n");
+    for (auto const& line : from.fields.lines)
+        if (!connection_names.contains(line.name)) add(head, line.name, line.value);
     if (chunked) add(head, "Transfer-Encoding", "chunked");
     else if (length) add(head, "Content-Length", std::to_string(*length));
     if (!keep) add(head, "Connection", "close");
--- a/source/connection/relay_output.cpp
+++ b/source/connection/relay_output.cpp
@@ -48,9 +48,7 @@
     if (parser.is_done()) co_return boost::system::error_code();
     if (connection->buffer.size() == 0) co_await exchange->send_on(until);  // answered before it was sent whole
     connection->stream.expires_after(answer_patience());
-    auto const [failure, size] =
-        co_await http::async_read_some(connection->stream, connection->buffer, parser, use_tuple);
-    co_return failure;
+    co_return co_await read_some(connection->stream, connection->buffer, parser);
 }
 
 auto RelayTry::pass_pieces(std::string pending) -> awaitable<void> {
@@ -59,8 +57,7 @@
     while (true) {
         auto const failure = co_await read_pieces();
         auto const finished = parser.is_done();
-        auto bytes = std::move(parser.get().body());
-        parser.get().body().clear();
+        auto bytes = std::exchange(parser.get().body, std::string());
         if (whole_events && !bytes.empty()) bytes = answer.events.take(bytes);
         if (finished && whole_events) bytes += answer.events.rest;
         if (!bytes.empty()) note_output();
@@ -91,9 +88,9 @@
     auto& parser = *exchange->parser;
     auto const& message = parser.get();
     auto const length = parser.content_length();
-    auto const empty = without_body(request, message.result_int());
+    auto const empty = without_body(request, message.status);
     facts.received = answer.head_sent ? Received::cut_after_output : Received::cut_before_output;
-    if (!node.form->headers.stamp.empty() && message.find(node.form->headers.stamp) == message.end()) {
+    if (!node.form->headers.stamp.empty() && message.fields.find(node.form->headers.stamp) == nullptr) {
         reason = "no-stamp";  // no replica's answer counts without it
         co_return;
     }
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -4,6 +4,7 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "process/pause.hpp"
+#include "process/spawn.hpp"
 
 namespace dockrock {
 
@@ -21,6 +22,14 @@
     return codings == 1 && request.version() > 10 && beast::iequals(request[http::field::transfer_encoding], "chunked");
 }
 
+// Watches the client for as long as its request is under way.
+struct WatchScope {
+    RelaySession& session;
+    explicit WatchScope(RelaySession& watching) : session(watching) { session.begin_watch(); }
+    WatchScope(WatchScope const&) = delete;
+    ~WatchScope() { session.end_watch(); }
+};
+
 }  // namespace
 
 auto RelaySession::write_all(std::string const& bytes) -> awaitable<bool> {
@@ -86,10 +95,8 @@
             break;
         }
         auto const request = parser.release();
-        ++node.open_requests;
-        auto const usable = co_await handle(request);
-        --node.open_requests;
-        if (!usable) break;
+        auto const counted = CountedScope(node.open_requests);
+        if (!co_await handle(request)) break;
     }
     boost::system::error_code ignored;
     client.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -123,12 +130,9 @@
         node.note_refusal(status, judgement.rules);
         co_return co_await refuse(request, status, verdict.reason, status == 503 ? soon : "");
     }
-    ++node.open_tickets;
-    begin_watch();
-    auto const usable = co_await run(request, std::move(judgement));
-    end_watch();
-    --node.open_tickets;
-    co_return usable;
+    auto const counted = CountedScope(node.open_tickets);
+    auto const watched = WatchScope(*this);
+    co_return co_await run(request, std::move(judgement));
 }
 
 auto RelaySession::wait_for_place(Course& course) -> awaitable<CourseStep> {
@@ -164,7 +168,14 @@
     course.ticket.number = node.next_ticket++;
     course.rules = judgement.rules;
     auto answer = RelayAnswer();
-    auto const usable = co_await follow(request, std::move(judgement), course, answer);
+    auto usable = false;
+    try {
+        usable = co_await follow(request, std::move(judgement), course, answer);
+    } catch (...) {  // its connection ends; no place at a replica may stay taken
+        node.table.abandon(course.ticket.number);
+        node.release(course.placement.replica, course.ticket.number);
+        throw;
+    }
     if (watch->gone) answer.trace.outcome = "caller-gone";
     log_request(course, route, answer.trace, clock_now());
     co_return usable;
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // A client's connection whose requests are relayed as they are. docs/platform.md
 // sections 4 and 5. All of it runs on the one thread of a relaying node.
+#include "connection/http_message.hpp"
 #include "connection/request_trace.hpp"
 #include "connection/session.hpp"
 #include "process/form.hpp"
@@ -67,14 +68,14 @@
 auto head_for_replica(
     RelayForm const& form, HttpRequest const& request, RelayVerdict const& judged, Course const& course,
     std::int64_t last_event, Microseconds time_left) -> std::string;
-auto head_for_client(http::response_header<> const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
+auto head_for_client(ReceivedAnswer const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
     -> std::string;
 // A header's value; empty where it is not there, or has no name on this wire.
 auto field_of(HttpRequest const& request, std::string const& name) -> std::string_view;
 // Why a replica did not run a request, as it says by its status.
-auto refusal_reason(http::response_header<> const& head) -> std::string;
+auto refusal_reason(int status) -> std::string;
 // Whether an answer of this status to this request has no body.
-auto without_body(HttpRequest const& request, unsigned status) -> bool;
+auto without_body(HttpRequest const& request, int status) -> bool;
 auto keeps_connection(HttpRequest const& request) -> bool;
 
 // Readiness and the operator's calls, on addresses of their own.
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -82,19 +82,20 @@
     session.watch->on_gone = nullptr;  // from here on the connection may be another request's
     if (!exchange->reusable() || node.finished || client_left()) return;
     if (may_be_recalled()) reset_on_close(false);
-    connection->idle_limit = told_idle_limit(exchange->parser->get());
+    connection->idle_limit = told_idle_limit(exchange->parser->get()[http::field::keep_alive]);
     node.pool.give_back(course.placement.replica, std::move(connection), clock_now());
 }
 
 auto RelayTry::take_failure() -> awaitable<void> {
     auto& parser = *exchange->parser;
     auto const& message = parser.get();
-    auto const status = static_cast<int>(message.result_int());
-    auto const not_run = message.find(node.form->headers.not_run) != message.end() || status == 421;
+    auto const status = message.status;
+    auto const not_run = message.fields.find(node.form->headers.not_run) != nullptr || status == 421;
     connection->stream.expires_after(answer_patience());
-    auto const [failure, size] = co_await http::async_read(connection->stream, connection->buffer, parser, use_tuple);
+    parser.limit_stored_body(ReplicaExchange::stored_body_bytes);
+    auto const failure = co_await read_whole(connection->stream, connection->buffer, parser);
     facts.received = not_run ? Received::not_run : Received::cut_before_output;
-    reason = not_run ? refusal_reason(message) : "replica-broke";
+    reason = not_run ? refusal_reason(status) : "replica-broke";
     if (failure) co_return;
     if (!not_run) {
         facts.received = retry::promises_not_run(status) ? Received::false_promise : Received::failure;
@@ -102,7 +103,7 @@
     }
     if (facts.received == Received::failure) {
         answer.keep = request.keep_alive() && !node.stopping;
-        answer.failure_head = head_for_client(message, false, message.body().size(), answer.keep) + message.body();
+        answer.failure_head = head_for_client(message, false, message.body.size(), answer.keep) + message.body;
     }
     give_back();
 }
@@ -134,7 +135,7 @@
     asked.head_only = request.method() == http::verb::head;
     attempt.exchange.emplace(*attempt.connection, std::move(asked));
     if (!co_await attempt.read_head()) co_return attempt.result();
-    if (attempt.exchange->parser->get().result_int() / 100 == 2) co_await attempt.pass_success();
+    if (attempt.exchange->parser->get().status / 100 == 2) co_await attempt.pass_success();
     else co_await attempt.take_failure();
     co_return attempt.result();
 }
--- a/source/connection/replica_exchange.cpp
+++ b/source/connection/replica_exchange.cpp
@@ -36,7 +36,7 @@
 
 auto ReplicaExchange::reusable() const -> bool {
     return written == whole_size() && !write_failed && parser && parser->is_done() && !parser->need_eof() &&
-        parser->get().keep_alive();
+        parser->get().keep_alive;
 }
 
 auto ReplicaExchange::write_some() -> boost::system::error_code {
@@ -66,23 +66,19 @@
 
 auto ReplicaExchange::read_one_head(Microseconds until) -> awaitable<boost::system::error_code> {
     parser.emplace();
-    parser->body_limit(boost::none);
+    parser->body_limit(boost::none);  // passed on as it comes
     parser->header_limit(header_bytes);
     if (request.head_only) parser->skip(true);
     connection.stream.expires_after(left_until(until));
-    auto const [failure, size] =
-        co_await http::async_read_header(connection.stream, connection.buffer, *parser, use_tuple);
-    co_return failure;
+    co_return co_await read_head(connection.stream, connection.buffer, *parser);
 }
 
-auto ReplicaExchange::is_own() const -> bool {
-    auto const named = parser->get()[{request.identity_field.data(), request.identity_field.size()}];
-    return std::string_view(named.data(), named.size()) == request.identity;
-}
+auto ReplicaExchange::is_own() const -> bool { return parser->get()[request.identity_field] == request.identity; }
 
 auto ReplicaExchange::skip_stranger() -> awaitable<bool> {
     ++strangers;
-    auto const [failure, size] = co_await http::async_read(connection.stream, connection.buffer, *parser, use_tuple);
+    parser->limit_stored_body(stored_body_bytes);
+    auto const failure = co_await read_whole(connection.stream, connection.buffer, *parser);
     co_return !failure && !parser->need_eof();
 }
 
@@ -91,7 +87,7 @@
         if (connection.buffer.size() == 0) co_await send_on(until);
         if (auto const failure = co_await read_one_head(until); failure)
             co_return failure == beast::error::timeout ? HeadEnd::timed_out : HeadEnd::broke;
-        if (parser->get().result_int() / 100 == 1) continue;  // more follows
+        if (parser->get().status / 100 == 1) continue;  // more follows
         if (is_own()) co_return HeadEnd::own_answer;
         if (!co_await skip_stranger()) co_return HeadEnd::broke;
     }
--- a/source/connection/replica_exchange.hpp
+++ b/source/connection/replica_exchange.hpp
@@ -2,6 +2,7 @@
 // One request on one connection to a replica: its bytes go out while no answer
 // waits, and its own answer is told from answers to other requests. It reports
 // facts and decides nothing (ticket/retry_decision.hpp). docs/requests.md.
+#include "connection/message_reader.hpp"
 #include "connection/replica_pool.hpp"
 #include "ticket/retry_decision.hpp"
 
@@ -17,16 +18,17 @@
 };
 
 struct ReplicaExchange {
-    using Parser = http::response_parser<http::string_body>;
     enum class HeadEnd : int { own_answer, timed_out, broke };
     static constexpr auto header_bytes = std::uint32_t{64U << 10U};
+    // Bodies that are read whole: of failures, which are kept for the client, and of answers to other requests.
+    static constexpr auto stored_body_bytes = std::size_t{1U << 20U};
 
     ReplicaConnection& connection;
     ExchangeRequest request;
     std::size_t written = 0;
     bool write_failed = false;
     std::uint64_t strangers = 0;  // answers to other requests, read and dropped
-    std::optional<Parser> parser;
+    std::optional<AnswerParser> parser;
 
     ReplicaExchange(ReplicaConnection& given, ExchangeRequest asked) : connection(given), request(std::move(asked)) {}
     // Sends until all is out, something can be read, or `until` has passed.
--- a/source/connection/replica_pool.cpp
+++ b/source/connection/replica_pool.cpp
@@ -38,9 +38,7 @@
     return nullptr;
 }
 
-auto told_idle_limit(http::response_header<> const& head) -> Microseconds {
-    auto const value = head[http::field::keep_alive];
-    auto const text = std::string_view(value.data(), value.size());
+auto told_idle_limit(std::string_view text) -> Microseconds {
     auto const place = text.find("timeout=");
     if (place == std::string_view::npos) return 4 * one_second;
     auto seconds = std::int64_t{0};
--- a/source/connection/replica_pool.hpp
+++ b/source/connection/replica_pool.hpp
@@ -43,8 +43,8 @@
     auto sweep(std::set<std::string> const& replicas, Microseconds now) -> void;
 };
 
-// How long the other end keeps an idle connection as its answer says, less a margin.
-auto told_idle_limit(http::response_header<> const& head) -> Microseconds;
+// How long the other end keeps an idle connection, as the value of its `Keep-Alive` says, less a margin.
+auto told_idle_limit(std::string_view keep_alive) -> Microseconds;
 
 // A new connection; nothing where it can't be had in time. A peer that says
 // nothing any more is noticed by probes of the system's own.
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -3,6 +3,7 @@
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "process/spawn.hpp"
 
 namespace dockrock {
 
@@ -15,13 +16,6 @@
     co_await timer.async_wait(use_tuple);
 }
 
-struct OpenRequest {
-    std::atomic<int>& count;
-    explicit OpenRequest(std::atomic<int>& counter) : count(counter) { ++count; }
-    OpenRequest(OpenRequest const&) = delete;
-    ~OpenRequest() { --count; }
-};
-
 auto serve_socket(Node& node, tcp::socket socket) -> awaitable<void> {
     auto session = Session{node, std::move(socket), {}, 0};
     co_await session.serve();
@@ -38,7 +32,7 @@
             continue;
         }
         auto const executor = socket.get_executor();
-        asio::co_spawn(executor, serve_socket(*this, std::move(socket)), asio::detached);
+        spawn_connection(counters, executor, serve_socket(*this, std::move(socket)));
     }
 }
 
@@ -58,7 +52,7 @@
         auto parser = http::request_parser<http::string_body>();
         parser.body_limit(17U << 20U);
         parser.header_limit(16U << 10U);
-        auto const counted = OpenRequest(node.open_requests);
+        auto const counted = CountedScope(node.open_requests);
         auto const read =
             co_await (http::async_read(socket, buffer, parser, use_tuple) || wait_for(std::chrono::seconds(10)));
         auto request = HttpRequest(http::verb::get, "/", 11);
@@ -171,11 +165,10 @@
         co_return co_await answer(request, verdict.status, std::move(body), std::move(headers));
     }
     if (node.stopping) co_return co_await shed(request, "stopping", 1);
-    ++node.open_tickets;
+    auto const counted = CountedScope(node.open_tickets);
     auto const usable = verdict.kind == Verdict::Kind::forward
         ? co_await forward_application(request, std::move(verdict))
         : co_await run_ticket(request, std::move(verdict), current->rules->sequence);
-    --node.open_tickets;
     ticket_number = 0;
     co_return usable;
 }
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -29,6 +29,7 @@
     auto handle_control(HttpRequest const& request) -> awaitable<bool>;
     auto handle_ticket(HttpRequest const& request) -> awaitable<bool>;
     auto forward_application(HttpRequest const& request, Verdict verdict) -> awaitable<bool>;
+    auto follow(HttpRequest const& request, Course& course) -> awaitable<bool>;
     auto run_ticket(HttpRequest const& request, Verdict verdict, Sequence sequence) -> awaitable<bool>;
     auto shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool>;
     auto unknown(HttpRequest const& request, std::string reason) -> awaitable<bool>;
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -1,4 +1,5 @@
 // One try: sent once, its pieces relayed in order. docs/design.md section 10.
+#include "connection/message_reader.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+constexpr auto failure_body_limit = std::size_t{64U << 10U};  // bytes
+
 auto wait_until(Microseconds limit) -> awaitable<void> {
     auto timer = asio::steady_timer(
         co_await asio::this_coro::executor, std::chrono::microseconds(std::max<Microseconds>(0, limit)));
@@ -65,7 +68,8 @@
     stream.expires_after(std::chrono::milliseconds(500));
     if (auto const [failure] = co_await stream.async_connect(*endpoint, use_tuple); failure)
         co_return ended(facts, "unreachable");
-    stream.socket().set_option(tcp::no_delay(true));
+    boost::system::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
     facts.written = BytesWritten::none;
     if (auto const look = node.last_look(course); look != LastLook::send) {
         auto result = ended(facts, "moved-on");
@@ -82,18 +86,18 @@
     facts.written = written == 0 ? BytesWritten::none : unsent ? BytesWritten::head : BytesWritten::whole;
     if (unsent) co_return ended(facts, "replica-broke-while-sending");
     auto buffer = beast::flat_buffer();
-    auto parser = http::response_parser<http::string_body>();
-    parser.body_limit(boost::none);
-    if (auto const [failure, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple); failure)
+    auto parser = AnswerParser();
+    parser.body_limit(boost::none);  // passed on as it comes
+    if (auto const failure = co_await read_head(stream, buffer, parser); failure)
         co_return ended(facts, "replica-broke-before-first-piece");
     facts.received = Received::cut_before_output;
-    if (parser.get().result_int() != 200) {
-        co_await http::async_read(stream, buffer, parser, use_tuple);
-        auto const parsed = parse_json(parser.get().body());
+    if (parser.get().status != 200) {
+        parser.limit_stored_body(failure_body_limit);
+        co_await read_whole(stream, buffer, parser);
+        auto const parsed = parse_json(parser.get().body);
         auto const* ran = parsed && parsed->is_object() ? parsed->as_object().if_contains("ran") : nullptr;
         auto const* reason = parsed && parsed->is_object() ? parsed->as_object().if_contains("reason") : nullptr;
-        auto const did_not_run =
-            parser.get().result_int() == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
+        auto const did_not_run = parser.get().status == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
         auto const text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "replica-error";
         if (did_not_run) facts.received = Received::not_run;
         co_return ended(facts, text);
@@ -117,13 +121,12 @@
     auto reader = PieceReader{};
     auto const stay = keep_alive && !node.stopping && !node.resting_now;
     while (!reader.done && !reader.wrong) {
-        auto failure = boost::system::error_code{};
         if (parser.is_done()) break;
-        std::tie(failure, std::ignore) = co_await http::async_read_some(stream, buffer, parser, use_tuple);
+        auto const failure = co_await read_some(stream, buffer, parser);
         // An answer under way is cut by silence alone, never by its deadline.
         stream.expires_after(std::chrono::seconds(10));
-        auto const whole = reader.take(parser.get().body());
-        parser.get().body().clear();
+        auto const whole = reader.take(parser.get().body);
+        parser.get().body.clear();
         if (!whole.empty() && !reader.wrong) {
             if (!head_sent) {
                 auto head = http::response<http::empty_body>(http::status::ok, 11);
--- a/source/connection/ticket_session.cpp
+++ b/source/connection/ticket_session.cpp
@@ -99,6 +99,16 @@
     course.rules = sequence;
     ticket_number = course.ticket.number;
     if (node.resting_now) node.wake();
+    try {
+        co_return co_await follow(request, course);
+    } catch (...) {  // its connection ends; no place at a replica may stay taken
+        node.table.abandon(course.ticket.number);
+        node.release(course.placement.replica, course.ticket.number);
+        throw;
+    }
+}
+
+auto Session::follow(HttpRequest const& request, Course& course) -> awaitable<bool> {
     auto usable = false;
     for (auto step = course.begin();;) {
         log_ticket(
--- a/source/process/counters.hpp
+++ b/source/process/counters.hpp
@@ -18,6 +18,7 @@
     std::array<std::atomic<std::uint64_t>, order_end_names.size()> order_ends{};
     std::atomic<std::uint64_t> weights_behind{0}, weights_overdue{0}, weights_oldest{0}, weights_withheld{0};  // now
     std::atomic<std::uint64_t> weights_recalled{0};
+    std::atomic<std::uint64_t> connections_failed{0};  // ended by an exception
 };
 
 }  // namespace dockrock
--- a/source/process/node_parts.cpp
+++ b/source/process/node_parts.cpp
@@ -2,8 +2,10 @@
 // with gaps. Small fleets: each node reads every source. Larger ones: core nodes
 // share the sources and pass on what they read. docs/design.md section 9.9.
 #include "process/clock.hpp"
+#include "process/loop_entry.hpp"
 #include "process/node.hpp"
 #include "process/pause.hpp"
+#include "process/spawn.hpp"
 #include "request/relayed.hpp"
 
 namespace dockrock {
@@ -57,7 +59,7 @@
         all, [&](auto const& item) { return !direct && !control.reads_source(item.first, item.second.area); });
     for (auto const& [name, store] : take_sources(std::move(all))) {  // a loop starts at once, and takes the lock
         auto const& cursor = control.kept_feed.cursors[name];
-        asio::co_spawn(context, parts_loop(name, store, cursor.next, cursor.life), asio::detached);
+        spawn_connection(counters, context.get_executor(), parts_loop(name, store, cursor.next, cursor.life));
     }
 }
 
@@ -74,7 +76,7 @@
 auto Node::parts_manager() -> awaitable<void> {
     if (!form->events_call) co_return;
     if (settings.front_address.empty() && settings.load_relays_from == 0) co_return;
-    asio::co_spawn(context, catch_up_loop(), asio::detached);
+    spawn_essential(context.get_executor(), catch_up_loop());
     while (!finished) {
         in_control([this] { step_parts(); });
         co_await pause(500 * one_millisecond);
@@ -117,6 +119,7 @@
 }
 
 auto Node::parts_loop(std::string name, bool store, std::uint64_t since, std::string life) -> awaitable<void> {
+    auto const listed = LoopEntry(loops_lock, report_loops, name);
     auto connection = HttpConnection(co_await asio::this_coro::executor);
     while (!finished) {
         auto const address = parts_address(name);
@@ -147,8 +150,6 @@
         life = told->life;
         co_await pause(settings.front_address.empty() ? shared_interval : parts_interval);
     }
-    auto const guard = std::lock_guard(loops_lock);
-    report_loops.erase(name);
 }
 
 // After a gap in what came through relays: the source itself is asked once.
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -2,8 +2,10 @@
 // docs/design.md sections 8.4, 9.3 and 11.
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "process/loop_entry.hpp"
 #include "process/node.hpp"
 #include "process/pause.hpp"
+#include "process/spawn.hpp"
 
 namespace dockrock {
 
@@ -54,13 +56,14 @@
         for (auto const& entry : current->list.replicas) {
             auto const guard = std::lock_guard(loops_lock);
             if (report_loops.insert(entry.name).second)
-                asio::co_spawn(asio::make_strand(context), report_loop(entry.name), asio::detached);
+                spawn_connection(counters, asio::make_strand(context), report_loop(entry.name));
         }
         co_await pause((resting_now ? 500 : 100) * one_millisecond);
     }
 }
 
 auto Node::report_loop(std::string name) -> awaitable<void> {
+    auto const listed = LoopEntry(loops_lock, report_loops, name);
     auto connection = HttpConnection(co_await asio::this_coro::executor);
     auto next_event = std::uint64_t{0};
     auto incarnation = std::string{};
@@ -106,8 +109,6 @@
         auto const idle_pause = settings.data_folder.empty() ? 2'000 : 1'000;  // the core follows roll-outs
         co_await pause((resting_now ? 5'000 : busy ? 250 : idle_pause) * one_millisecond);
     }
-    auto const guard = std::lock_guard(loops_lock);
-    report_loops.erase(name);
 }
 
 // Orders come from the leased leader of the service's part alone, and carry
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -2,6 +2,7 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
+#include "process/spawn.hpp"
 
 namespace dockrock {
 
@@ -107,7 +108,7 @@
     std::function<void()> wait_signal = [&] {
         signals.async_wait([&](auto failure, int signal) {
             if (failure) return;
-            if (!stopping.exchange(true)) asio::co_spawn(context, stop_politely(), asio::detached);
+            if (!stopping.exchange(true)) spawn_essential(context.get_executor(), stop_politely());
             else if (signal == SIGINT) std::_Exit(1);  // at a terminal, the second one ends it at once
             else write_log(Level::information, "stopping-already", fields("open_tickets", open_tickets.load()));
             wait_signal();
@@ -116,18 +117,18 @@
     wait_signal();
     auto reload_signals = asio::signal_set(context, SIGHUP);
     wait_reload(reload_signals);
-    asio::co_spawn(asio::make_strand(context), tick_loop(), asio::detached);
-    asio::co_spawn(asio::make_strand(context), list_loop(), asio::detached);
-    asio::co_spawn(asio::make_strand(context), report_manager(), asio::detached);
-    asio::co_spawn(asio::make_strand(context), order_loop(), asio::detached);
-    asio::co_spawn(asio::make_strand(context), rest_loop(), asio::detached);
-    asio::co_spawn(accept_strand, accept_loop(), asio::detached);
+    spawn_essential(asio::make_strand(context), tick_loop());
+    spawn_essential(asio::make_strand(context), list_loop());
+    spawn_essential(asio::make_strand(context), report_manager());
+    spawn_essential(asio::make_strand(context), order_loop());
+    spawn_essential(asio::make_strand(context), rest_loop());
+    spawn_essential(accept_strand, accept_loop());
     for (auto door = std::size_t{0}; door < doors.size(); ++door)
         if (doors[door])
-            asio::co_spawn(context, relay_accept(*doors[door], static_cast<RelayDoor>(door)), asio::detached);
+            spawn_essential(context.get_executor(), relay_accept(*doors[door], static_cast<RelayDoor>(door)));
     if (form != nullptr) {
-        asio::co_spawn(context, sweep_loop(), asio::detached);
-        asio::co_spawn(context, parts_manager(), asio::detached);
+        spawn_essential(context.get_executor(), sweep_loop());
+        spawn_essential(context.get_executor(), parts_manager());
     }
     for (auto count = std::int64_t{0}; count < settings.workers; ++count)
         threads.emplace_back([this] { context.run(); });
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -4,6 +4,7 @@
 #include "process/log.hpp"
 #include "process/node.hpp"
 #include "process/pause.hpp"
+#include "process/spawn.hpp"
 
 namespace dockrock {
 
@@ -62,9 +63,9 @@
     counters.weights_oldest = static_cast<std::uint64_t>(figures.oldest / one_millisecond);
     for (auto const& [partition, text] : due.words) act_on(control.live_read(partition, now, now, text));
     for (auto& order : due.orders)
-        asio::co_spawn(asio::make_strand(context), send_duty_order(std::move(order)), asio::detached);
+        spawn_connection(counters, asio::make_strand(context), send_duty_order(std::move(order)));
     for (auto& report : due.reports)
-        asio::co_spawn(asio::make_strand(context), ask_duty_report(std::move(report)), asio::detached);
+        spawn_connection(counters, asio::make_strand(context), ask_duty_report(std::move(report)));
 }
 
 auto Node::weights_loop() -> awaitable<void> {
