Walls: the scope under which prompts are shared names who is walled off from it

Cause: the salt of shared parts says nothing of who shares, so a tenant that goes behind a wall changes its own salt and nobody else's. The product's own tree (shared, group, isolated) had the same fault in its chains.

Ruled out: nodes on an older configuration (6 s after the acknowledgement, and the tenant's own salt had changed); requests that waited while the configuration changed (Course::judged enters them anew when scope or parts differ).

Change: the text of a scope is its domain and a hash of the set walled off within it. A part is found only under the set that was in force when it was made, so its maker is inside still; it follows from the configuration alone. Weighed against a number that rises with each wall: cheaper, but it must outlive every loss of state, and begins anew where that is lost.

Literals of relayed_test that spelled the former texts name the new ones.

--- a/source/request/relayed.cpp
+++ b/source/request/relayed.cpp
@@ -72,13 +72,15 @@
 }
 
 // What granting has to know of a request that its route and its tenant let in.
-auto fill_ticket(RelayArrival const& arrival, Route const& route, ServiceTenant const* tenant, Ticket& ticket) -> void {
+auto fill_ticket(RelayArrival const& arrival, RelayVerdict const& judged, Ticket& ticket) -> void {
+    auto const& route = *judged.route;
+    auto const* const tenant = judged.tenant;
     ticket.body.model = choose_service(route, hash_text(arrival.identity));
     ticket.body.kind = route.name;
     ticket.body.run_once = !route.repeatable;
     ticket.tries = route.tries;
     ticket.tenant_path = tenant == nullptr ? "" : tenant->name;
-    ticket.wall_domain = tenant != nullptr && tenant->isolated ? tenant->name : "";
+    ticket.wall_domain = judged.rules->scope_of(tenant);
     ticket.rank = 9 - urgency_of(tenant, route);
     ticket.arrived_at = arrival.now;
     ticket.deadline = deadline_of(arrival, route);
@@ -110,7 +112,7 @@
         if (result.tenant == nullptr) return refuse(401, "unknown key");
     }
     if (arrival.identity.empty()) return refuse(400, "a request needs its identity");
-    fill_ticket(arrival, route, result.tenant, ticket);
+    fill_ticket(arrival, result, ticket);
     verdict.kind = Verdict::Kind::enter;
     verdict.status = 0;
     return result;
--- a/source/sequence/configuration.cpp
+++ b/source/sequence/configuration.cpp
@@ -6,17 +6,22 @@
 #include <array>
 #include <set>
 
+#include "sequence/sharing_scope.hpp"
+
 namespace dockrock {
 
 namespace {
 
 inline constexpr auto wall_names = std::to_array<std::string_view>({"shared", "group", "isolated"});
+inline constexpr auto whole_fleet = std::string_view("fleet");
 inline constexpr auto deepest_branch = 16;
 inline constexpr auto most_tenants = std::size_t{4'096};
 
+auto group_domain(std::string_view path) -> std::string { return "group:" + std::string(path); }
+
 struct Inherited {
     Wall wall = Wall::shared;
-    std::string wall_domain = "fleet";
+    std::string wall_domain = std::string(whole_fleet);
     int rank = 0;
     int share = 1;
     std::vector<Key> keys;
@@ -56,7 +61,7 @@
                     "walls only tighten downward: a branch above sets " +
                         std::string(wall_names[static_cast<std::size_t>(from.wall)]));
             } else {
-                if (wall == Wall::group) from.wall_domain = "group:" + tree_path;
+                if (wall == Wall::group) from.wall_domain = group_domain(tree_path);
                 from.wall = wall;
             }
         }
@@ -114,14 +119,33 @@
             auto const mine = inherit(tenant, here, place, tenant_path);
             if (!tenant_names.insert(tenant.name).second) problem(place + "/name", "another tenant has this name");
             if (result.tenants.size() >= most_tenants) return problem(place, "more than 4096 tenants");
-            auto const domain = mine.wall == Wall::isolated ? "tenant:" + tenant_path : mine.wall_domain;
+            auto const domain = mine.wall == Wall::isolated ? isolated_scope(tenant_path) : mine.wall_domain;
             result.tenants.push_back(
-                {tenant_path, tenant.name, mine.wall, domain, mine.rank, mine.share, mine.keys, mine.keys_from,
+                {tenant_path, tenant.name, mine.wall, domain, domain, mine.rank, mine.share, mine.keys, mine.keys_from,
                  mine.models});
         }
     }
 };
 
+// The domains that a place in the tree lies in, whether or not they have a wall.
+auto domains_around(std::string const& path) -> std::vector<std::string> {
+    auto domains = std::vector<std::string>(1, std::string(whole_fleet));
+    for (auto end = path.find('/', 1); end != std::string::npos; end = path.find('/', end + 1))
+        domains.push_back(group_domain(path.substr(0, end)));
+    return domains;
+}
+
+auto set_scopes(std::vector<Tenant>& tenants) -> void {
+    std::map<std::string, std::set<std::string>> walled_off;  // by domain that tenants share in
+    for (auto const& tenant : tenants) walled_off[tenant.wall_domain];
+    for (auto const& tenant : tenants)
+        for (auto const& domain : domains_around(tenant.path))
+            if (auto const found = walled_off.find(domain); found != walled_off.end() && domain != tenant.wall_domain)
+                found->second.insert(tenant.wall_domain);
+    for (auto& tenant : tenants)
+        tenant.sharing_scope = sharing_scope(tenant.wall_domain, walled_off[tenant.wall_domain]);
+}
+
 auto check_range(Checker& checker, std::int64_t value, std::int64_t least, std::int64_t most, std::string const& path)
     -> void {
     if (value < least || value > most)
@@ -174,6 +198,7 @@
     check_range(checker, configuration.limits.max_tokens, 1, 1'000'000, "/limits/max_tokens");
     check_range(checker, configuration.limits.buffer_length, 1, 10'000, "/limits/buffer_length");
     checker.group(configuration.root, Inherited{}, "/root", "/" + configuration.root.name, 1);
+    set_scopes(result.tenants);
     return result;
 }
 
--- a/source/ticket/interpreter.cpp
+++ b/source/ticket/interpreter.cpp
@@ -95,7 +95,7 @@
             return refuse(413, "too many prefix parts");
         if (ticket.body.slots > 1'024) return refuse(413, "slots is above the limit");
         ticket.prompt_tokens = static_cast<std::int64_t>(ticket.body.prompt.size() / 4 + 1);
-        auto chain = hash_text(ticket.wall_domain + "\n" + ticket.body.model);
+        auto chain = hash_text(tenant->sharing_scope + "\n" + ticket.body.model);
         for (auto const& part : ticket.body.prefix) {
             chain = hash_text(part.name + "\n" + std::to_string(part.tokens), chain);
             ticket.chain.push_back(chain);
--- a/source/version/services.cpp
+++ b/source/version/services.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "sequence/configuration.hpp"
+#include "sequence/sharing_scope.hpp"
 
 namespace dockrock {
 
@@ -149,6 +150,10 @@
             rules->tenants_by_key.emplace(sha256_of(key), index);
     for (auto index = std::size_t{0}; index < rules->document.services.size(); ++index)
         rules->services_by_name.emplace(rules->document.services[index].name, index);
+    std::set<std::string> isolated;
+    for (auto const& tenant : rules->document.tenants)
+        if (tenant.isolated) isolated.insert(tenant.name);
+    rules->shared_scope = sharing_scope("", isolated);
     return rules;
 }
 
@@ -170,6 +175,10 @@
     return found == services_by_name.end() ? nullptr : &document.services[found->second];
 }
 
+auto ServiceRules::scope_of(ServiceTenant const* tenant) const -> std::string {
+    return tenant != nullptr && tenant->isolated ? isolated_scope(tenant->name) : shared_scope;
+}
+
 auto rank_of(Route const& route, ServiceTenant const* tenant) -> std::int64_t {
     return tenant != nullptr && tenant->ranked ? tenant->rank : route.rank;
 }
--- a/source/version/services.hpp
+++ b/source/version/services.hpp
@@ -84,10 +84,13 @@
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;  // longest prefix first
     std::unordered_map<std::string, std::size_t> tenants_by_key;               // SHA-256 -> place in tenants
     std::unordered_map<std::string, std::size_t> services_by_name;
+    std::string shared_scope;  // of all requests but those of isolated tenants
 
     auto route_of(std::string_view host, std::string_view path) const -> Route const*;
     auto tenant_of(std::string_view key) const -> ServiceTenant const*;  // nullptr: unknown key
     auto service(std::string_view name) const -> Service const*;
+    // Within which scope a tenant's prompts are shared; nullptr: a request without a tenant.
+    auto scope_of(ServiceTenant const* tenant) const -> std::string;
 };
 auto compile_services(ServiceDocument document) -> std::shared_ptr<ServiceRules const>;
 
--- a/tests/relayed_test.cpp
+++ b/tests/relayed_test.cpp
@@ -75,7 +75,7 @@
     CHECK(ticket.body.prefix.size() == 3);
     CHECK(ticket.prefix_tokens == 1'460);
     CHECK(ticket.body.max_tokens == 80);
-    CHECK(ticket.wall_domain == "two");
+    CHECK(ticket.wall_domain == "tenant:two");
     CHECK(judge_relayed(rules, arrival("/x/1", "key-one")).verdict.ticket.body.run_once);
 }
 
@@ -132,9 +132,10 @@
     CHECK(head.find("forged") == std::string::npos);
     CHECK(head.find("key-one") == std::string::npos);
     CHECK(head.find("dropped") == std::string::npos);
-    for (auto const* line :
-         {"Request-Name: id-1\r\n", "Group: one\r\n", "Left: 2000\r\n", "Life: life-1\r\n", "Weights: 4\r\n",
-          "Salt: 4/\r\n", "After: 12\r\n", "X-Kept: kept\r\n", "Content-Length: 4\r\n", "Haste: 5\r\n"})
+    for (auto const& line : std::vector<std::string>{
+             "Request-Name: id-1\r\n", "Group: one\r\n", "Left: 2000\r\n", "Life: life-1\r\n", "Weights: 4\r\n",
+             "Salt: 4/" + judged.rules->shared_scope + "\r\n", "After: 12\r\n", "X-Kept: kept\r\n",
+             "Content-Length: 4\r\n", "Haste: 5\r\n"})
         CHECK(head.find(line) != std::string::npos);
     CHECK(head.ends_with("\r\n\r\n"));
 }
--- a/tests/simulation/fleet.hpp
+++ b/tests/simulation/fleet.hpp
@@ -175,6 +175,7 @@
     // operators, faults, verdict
     auto tree() -> std::string;
     auto put_tree() -> void;
+    auto is_walled(std::string const& name) const -> bool;
     auto tree_told(std::vector<bool> revoked_in_it, std::vector<bool> isolated_in_it) -> void;
     auto some_node() -> std::size_t;
     auto name_weights_at(std::string model, std::string name, std::string identity) -> void;
--- a/tests/simulation/fleet_replicas.cpp
+++ b/tests/simulation/fleet_replicas.cpp
@@ -44,6 +44,13 @@
     work_on(target, replica.life, index, number, ticket, run, memory);
 }
 
+// Whether every node has to know by now that a tenant is isolated.
+auto Fleet::is_walled(std::string const& name) const -> bool {
+    return std::any_of(tenants.begin(), tenants.end(), [&](auto const& tenant) {
+        return tenant.name == name && tenant.isolated_at != 0 && world.now - tenant.isolated_at > 4 * one_second;
+    });
+}
+
 // Drain marks, keys, walls and weights, from the operator's acknowledgement on.
 auto Fleet::judge_run(SimulatedReplica& replica, Asking& asking, Ticket const& ticket) -> std::int64_t {
     auto const& tenant = tenants[asking.tenant];
@@ -54,8 +61,7 @@
     if (tenant.revoked_at != 0 && world.now - tenant.revoked_at > 5 * one_second)
         violation("a revoked key worked after " + std::to_string((world.now - tenant.revoked_at) / 1'000) + " ms");
     auto const isolated = ticket.wall_domain.starts_with("tenant:");
-    if (tenant.isolated_at != 0 && world.now - tenant.isolated_at > 4 * one_second && !isolated)
-        violation("an isolated tenant was told another wall");
+    if (is_walled(tenant.name) && !isolated) violation("an isolated tenant was told another wall");
     auto kept = std::int64_t{0};
     auto so_far = std::int64_t{0};
     for (auto place = std::size_t{0}; place < ticket.chain.size(); ++place) {
@@ -65,6 +71,8 @@
         kept = so_far;
         if (found->second.wall != ticket.wall_domain || (isolated && found->second.tenant != tenant.name))
             violation("memory of " + found->second.tenant + " was touched across a wall");
+        if (found->second.tenant != tenant.name && is_walled(found->second.tenant))
+            violation("memory of " + found->second.tenant + ", from before its wall, was touched by " + tenant.name);
         if (found->second.weights != replica.weights) violation("memory kept under other weights was used");
     }
     return kept;
