Requests: fields of any length within the configured limit are read, served and passed on

Cause: the reader took any limit from the configuration and stored fields in the library's message, whose lengths have 16 bits. Ruled out: the head as a whole (many fields, larger together, were served), the list of parts (a header of another name did the same).

Change: all requests (clients, operators, readiness, the product's own interface) are read by the reader of the answers, into a message whose names and values may have any length. Of the same kind: the limit holds for the whole head, where the library counts only what it parses at once, so that a head of endless small fields had no bound; a limit beyond 32 bits was cut to its lower 32; trailers were merged into the fields that requests are judged by; a last event's number, a route's time-out or an idle limit that does not fit overflowed; names that a head lists as its connection's own were searched for once a field.

--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-auto header(HttpRequest const& request, std::string_view name) -> std::string {
-    return std::string(request[boost::beast::string_view(name.data(), name.size())]);
-}
+auto header(HttpRequest const& request, std::string_view name) -> std::string { return std::string(request[name]); }
 
 auto operator_allowed(NodeSettings const& settings, HttpRequest const& request) -> bool {
     if (settings.operator_key_sha256.empty()) return true;
--- a/source/connection/http_message.cpp
+++ b/source/connection/http_message.cpp
@@ -37,4 +37,8 @@
     return found == nullptr ? std::string_view() : std::string_view(found->value);
 }
 
+auto HttpRequest::chunked() const -> bool {
+    return same_name(fields.value_of(name_of(http::field::transfer_encoding)), "chunked");
+}
+
 }  // namespace dockrock
--- a/source/connection/http_message.hpp
+++ b/source/connection/http_message.hpp
@@ -3,6 +3,7 @@
 // limit for a whole head. The library's own message holds at most 65,533 bytes a field. docs/requests.md.
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,53 @@
     auto value_of(std::string_view name) const -> std::string_view;
 };
 
+// A request as a client, an operator or the platform sent it.
+struct HttpRequest {
+    HeadFields fields;
+
+    HttpRequest() = default;
+    HttpRequest(http::verb method, std::string_view target, unsigned version)
+        : verb(method),
+          method_text(std::string_view(http::to_string(method).data(), http::to_string(method).size())),
+          target_text(target),
+          version_number(version) {}
+
+    auto method() const -> http::verb { return verb; }
+    auto method_string() const -> std::string_view { return method_text; }
+    auto target() const -> std::string_view { return target_text; }
+    auto version() const -> unsigned { return version_number; }  // 10 or 11
+    auto body() const -> std::string const& { return content; }
+    auto body() -> std::string& { return content; }
+    // Whether the connection may be used for another request after this one.
+    auto keep_alive() const -> bool { return persistent; }
+    auto keep_alive(bool wanted) -> void { persistent = wanted; }
+    auto has_content_length() const -> bool { return fields.find(name_of(http::field::content_length)) != nullptr; }
+    auto chunked() const -> bool;
+
+    auto operator[](std::string_view name) const -> std::string_view { return fields.value_of(name); }
+    auto operator[](http::field field) const -> std::string_view { return fields.value_of(name_of(field)); }
+    auto count(http::field field) const -> std::size_t { return fields.count(name_of(field)); }
+    auto set(std::string_view name, std::string_view value) -> void { fields.set(name, value); }
+    auto set(http::field field, std::string_view value) -> void { fields.set(name_of(field), value); }
+
+    auto set_method(http::verb method, std::string_view text) -> void {
+        verb = method;
+        method_text = text;
+    }
+    auto set_target(std::string_view text, unsigned version) -> void {
+        target_text = text;
+        version_number = version;
+    }
+
+   private:
+    http::verb verb = http::verb::unknown;
+    std::string method_text;
+    std::string target_text;
+    unsigned version_number = 11;
+    bool persistent = true;
+    std::string content;
+};
+
 // An answer as a replica or another back end sent it.
 struct ReceivedAnswer {
     int status = 0;
--- a/source/connection/message_parser.hpp
+++ b/source/connection/message_parser.hpp
@@ -1,10 +1,11 @@
 #pragma once
-// The library's parser of HTTP/1.1 answers, storing into a message of our own (connection/http_message.hpp). It makes
-// no room for a body before its bytes have come, and trailers are dropped: merged into the head they would pass for
-// fields that were judged (RFC 9110, 6.5.1).
+// The library's parser of HTTP/1.1, storing into messages of our own (connection/http_message.hpp). It makes no room
+// for a body before its bytes have come, and trailers are dropped: merged into the head they would pass for fields
+// that were judged (RFC 9110, 6.5.1).
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <limits>
+#include <type_traits>
 #include <utility>
 
 #include "connection/http_message.hpp"
@@ -12,10 +13,20 @@
 namespace dockrock {
 
 // The library is extended by deriving from its parser; there is no other way (scripts/check_files.py).
-class AnswerParser final : public http::basic_parser<false> {
+template <bool is_request>
+class MessageParser final : public http::basic_parser<is_request> {
    public:
-    auto get() -> ReceivedAnswer& { return message; }
-    auto get() const -> ReceivedAnswer const& { return message; }
+    using Message = std::conditional_t<is_request, HttpRequest, ReceivedAnswer>;
+
+    auto get() -> Message& { return message; }
+    auto get() const -> Message const& { return message; }
+    auto release() -> Message { return std::move(message); }
+    // The most bytes of the start line and all fields together; http::error::header_limit beyond. The library's own
+    // limit is for what it parses at once.
+    auto limit_head(std::uint32_t bytes) -> void {
+        this->header_limit(bytes);
+        most_in_head = bytes;
+    }
     // The most bytes of a body that are stored at once; http::error::body_limit beyond.
     auto limit_stored_body(std::size_t bytes) -> void { most_stored = bytes; }
 
@@ -23,44 +34,71 @@
     using View = boost::beast::string_view;
     using ErrorCode = boost::system::error_code;
 
-    ReceivedAnswer message;
+    static constexpr auto field_framing = std::size_t{4};  // colon, blank, CR, LF
+    static constexpr auto default_head_limit = std::size_t{16U << 10U};
+
+    Message message;
+    std::size_t in_head = 0;
+    std::size_t most_in_head = default_head_limit;
     std::size_t most_stored = std::numeric_limits<std::size_t>::max();
 
     static auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
 
+    auto body() -> std::string& {
+        if constexpr (is_request) return message.body();
+        else return message.body;
+    }
+
+    auto count_head(std::size_t bytes, ErrorCode& failure) -> void {
+        in_head += bytes;
+        failure = in_head > most_in_head ? ErrorCode(http::error::header_limit) : ErrorCode();
+    }
+
     auto store(View piece, ErrorCode& failure) -> std::size_t {
-        failure = {};
-        if (piece.size() > most_stored - message.body.size()) {
+        if (piece.size() > most_stored - body().size()) {
             failure = http::error::body_limit;
             return 0;
         }
-        message.body.append(piece.data(), piece.size());
+        body().append(piece.data(), piece.size());
         return piece.size();
     }
 
-    auto on_request_impl(http::verb, View, View, int, ErrorCode& failure) -> void override { failure = {}; }
+    auto on_request_impl(http::verb method, View text, View target, int version, ErrorCode& failure) -> void override {
+        count_head(text.size() + target.size(), failure);
+        if constexpr (is_request) {
+            message.set_method(method, view(text));
+            message.set_target(view(target), static_cast<unsigned>(version));
+        }
+    }
 
     auto on_response_impl(int status, View reason, int, ErrorCode& failure) -> void override {
-        failure = {};
-        message.status = status;
-        message.reason = view(reason);
+        count_head(reason.size(), failure);
+        if constexpr (!is_request) {
+            message.status = status;
+            message.reason = view(reason);
+        }
     }
 
     auto on_field_impl(http::field, View name, View value, ErrorCode& failure) -> void override {
         failure = {};
-        if (!is_header_done()) message.fields.add(view(name), view(value));
+        if (this->is_header_done()) return;
+        count_head(name.size() + value.size() + field_framing, failure);
+        if (!failure) message.fields.add(view(name), view(value));
     }
 
     auto on_header_impl(ErrorCode& failure) -> void override {
         failure = {};
-        message.keep_alive = keep_alive();
+        if constexpr (is_request) message.keep_alive(this->keep_alive());
+        else message.keep_alive = this->keep_alive();
     }
 
     auto on_body_init_impl(boost::optional<std::uint64_t> const&, ErrorCode& failure) -> void override { failure = {}; }
 
     auto on_body_impl(View piece, ErrorCode& failure) -> std::size_t override { return store(piece, failure); }
 
-    auto on_chunk_header_impl(std::uint64_t, View, ErrorCode& failure) -> void override { failure = {}; }
+    auto on_chunk_header_impl(std::uint64_t, View, ErrorCode& failure) -> void override {
+        failure = {};
+    }
 
     auto on_chunk_body_impl(std::uint64_t, View piece, ErrorCode& failure) -> std::size_t override {
         return store(piece, failure);
@@ -69,4 +107,7 @@
     auto on_finish_impl(ErrorCode& failure) -> void override { failure = {}; }
 };
 
+using RequestParser = MessageParser<true>;
+using AnswerParser = MessageParser<false>;
+
 }  // namespace dockrock
--- a/source/connection/message_reader.cpp
+++ b/source/connection/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "connection/message_reader.hpp"
 
+#include <limits>
+
 #include "process/log.hpp"
 
 namespace dockrock {
@@ -32,35 +34,40 @@
 }
 
 // Parses what is buffered; how many bytes were used.
-auto parse(beast::flat_buffer& buffer, AnswerParser& parser, error_code& failure) -> std::size_t {
+template <bool is_request>
+auto parse(beast::flat_buffer& buffer, MessageParser<is_request>& parser, error_code& failure) -> std::size_t {
     auto used = std::size_t{0};
     on_input(failure, [&] { used = parser.put(buffer.data(), failure); });
     buffer.consume(used);
     return used;
 }
 
-auto parse_end(AnswerParser& parser) -> error_code {
+template <bool is_request>
+auto parse_end(MessageParser<is_request>& parser) -> error_code {
     if (!parser.got_some()) return http::error::end_of_stream;
     auto failure = error_code();
     on_input(failure, [&] { parser.put_eof(failure); });
     return failure;
 }
 
-auto reached(Goal goal, AnswerParser const& parser, std::size_t used) -> bool {
+template <bool is_request>
+auto reached(Goal goal, MessageParser<is_request> const& parser, std::size_t used) -> bool {
     if (parser.is_done()) return true;
     if (goal == Goal::head) return parser.is_header_done();
     return goal == Goal::some && used > 0;
 }
 
-auto read_until(Goal goal, beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+template <typename Stream, bool is_request>
+auto read_until(Goal goal, Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<error_code> {
     parser.eager(goal != Goal::head);
-    while (!reached(goal, parser, 0)) {
+    if (goal != Goal::some && reached(goal, parser, 0)) co_return error_code();
+    while (true) {
         if (buffer.size() > 0) {
             auto failure = error_code();
             auto const used = parse(buffer, parser, failure);
             if (failure && failure != http::error::need_more) co_return failure;
-            if (reached(goal, parser, used)) break;
+            if (reached(goal, parser, used)) co_return error_code();
             if (used > 0 && !failure) continue;
         }
         if (parser.is_header_done() && buffer.size() > chunk_framing_limit) co_return http::error::bad_chunk;
@@ -70,26 +77,47 @@
         if (failure) co_return failure;
         buffer.commit(size);
     }
-    co_return error_code();
 }
 
 }  // namespace
 
+auto head_limit(std::int64_t bytes) -> std::uint32_t {
+    constexpr auto most = std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(bytes, 1, most));
+}
+
 auto message_reader_faults() -> std::atomic<std::uint64_t>& {
     static auto count = std::atomic<std::uint64_t>(0);
     return count;
 }
 
-auto read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser) -> awaitable<error_code> {
+template <typename Stream, bool is_request>
+auto read_head(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser) -> awaitable<error_code> {
     co_return co_await read_until(Goal::head, stream, buffer, parser);
 }
 
-auto read_some(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser) -> awaitable<error_code> {
+template <typename Stream, bool is_request>
+auto read_some(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser) -> awaitable<error_code> {
     co_return co_await read_until(Goal::some, stream, buffer, parser);
 }
 
-auto read_whole(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser) -> awaitable<error_code> {
+template <typename Stream, bool is_request>
+auto read_whole(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
+    -> awaitable<error_code> {
     co_return co_await read_until(Goal::whole, stream, buffer, parser);
 }
 
+auto is_malformed(error_code const& failure) -> bool {
+    if (failure == boost::system::errc::protocol_error) return true;
+    return failure.category() == http::make_error_code(http::error::bad_method).category() &&
+        failure != http::error::end_of_stream && failure != http::error::partial_message;
+}
+
+template auto read_head(beast::tcp_stream&, beast::flat_buffer&, RequestParser&) -> awaitable<error_code>;
+template auto read_head(beast::tcp_stream&, beast::flat_buffer&, AnswerParser&) -> awaitable<error_code>;
+template auto read_some(beast::tcp_stream&, beast::flat_buffer&, AnswerParser&) -> awaitable<error_code>;
+template auto read_whole(beast::tcp_stream&, beast::flat_buffer&, RequestParser&) -> awaitable<error_code>;
+template auto read_whole(beast::tcp_stream&, beast::flat_buffer&, AnswerParser&) -> awaitable<error_code>;
+template auto read_whole(tcp::socket&, beast::flat_buffer&, RequestParser&) -> awaitable<error_code>;
+
 }  // namespace dockrock
--- a/source/connection/message_reader.hpp
+++ b/source/connection/message_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
-// The reader of answers of replicas and other back ends. Whatever a peer sends, it gets a message or an error code: an
-// exception of the library ends with an error too, is logged, and is counted in `message_reader_faults`.
+// The one reader of HTTP messages: requests of clients, operators and the platform, answers of replicas and other
+// back ends. Whatever a peer sends, it gets a message or an error code: an exception of the library ends with an error
+// too, is logged, and is counted in `message_reader_faults`.
 #include <atomic>
 
 #include "connection/http_client.hpp"
@@ -11,20 +12,29 @@
 // Bytes of a chunk's header, or of trailers, that are held until they are whole.
 inline constexpr auto chunk_framing_limit = std::size_t{16U << 10U};
 
-// Exceptions of the library that were met in the input since the start.
+// A configured limit for heads, as the library takes it.
+auto head_limit(std::int64_t bytes) -> std::uint32_t;
+
+// Exceptions and assertions of the library that were met in the input since the start.
 auto message_reader_faults() -> std::atomic<std::uint64_t>&;
 
 // Reads until the head is whole; what came behind it stays in `buffer`. Errors: those of the stream, of the library
 // (http::error), end_of_stream where nothing came; not_enough_memory or protocol_error for what the library threw.
-auto read_head(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+template <typename Stream, bool is_request>
+auto read_head(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<boost::system::error_code>;
 
 // Reads until more of the body has come, or its end. The body is the caller's to take and clear.
-auto read_some(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+template <typename Stream, bool is_request>
+auto read_some(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<boost::system::error_code>;
 
 // Reads until the message is whole, within the limits that `parser` was given.
-auto read_whole(beast::tcp_stream& stream, beast::flat_buffer& buffer, AnswerParser& parser)
+template <typename Stream, bool is_request>
+auto read_whole(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<boost::system::error_code>;
 
+// Whether an error is one of the message, not of its connection: its sender may be told so.
+auto is_malformed(boost::system::error_code const& failure) -> bool;
+
 }  // namespace dockrock
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -1,4 +1,5 @@
 // Readiness, and the operator's calls in a relaying fleet. docs/platform.md section 6.
+#include "connection/message_reader.hpp"
 #include "connection/relay_session.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
@@ -11,7 +12,7 @@
 
 constexpr auto call_limit = std::uint64_t{6} << 20U;
 
-auto text(boost::beast::string_view from) -> std::string { return {from.data(), from.size()}; }
+auto text(std::string_view from) -> std::string { return std::string(from); }
 
 auto node_call(Node& node, Call call) -> awaitable<CallDone> {
     auto const executor = co_await asio::this_coro::executor;
@@ -80,10 +81,10 @@
     probe_silence(stream.socket());
     auto buffer = beast::flat_buffer();
     while (!node.finished) {
-        auto parser = http::request_parser<http::string_body>();
+        auto parser = RequestParser();
         parser.body_limit(call_limit);
         stream.expires_after(std::chrono::seconds(20));
-        if (auto const [failure, size] = co_await http::async_read(stream, buffer, parser, use_tuple); failure) {
+        if (auto const failure = co_await read_whole(stream, buffer, parser); failure) {
             if (failure != http::error::body_limit) co_return;
             auto bad = HttpRequest(http::verb::put, "/", 11);
             bad.keep_alive(false);
--- a/source/connection/relay_heads.cpp
+++ b/source/connection/relay_heads.cpp
@@ -38,13 +38,18 @@
     }
 };
 
+auto connection_names_of(HeadFields const& fields) -> ConnectionNames {
+    auto names = ConnectionNames();
+    for (auto const& line : fields.lines)
+        if (same(line.name, "connection")) names.add(line.value);
+    return names;
+}
+
 auto add(std::string& head, std::string_view name, std::string_view value) -> void {
     if (name.empty()) return;
     head.append(name).append(": ").append(value).append("\r\n");
 }
 
-auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
-
 // Parts made under weights that are not known, and so may be any, are shared with no other request.
 auto salt_for(Course const& course, std::string_view identity) -> std::string {
     auto const& wall = course.ticket.wall_domain;
@@ -57,8 +62,7 @@
 
 auto field_of(HttpRequest const& request, std::string const& name) -> std::string_view {
     if (name.empty()) return {};
-    auto const value = request[name];
-    return {value.data(), value.size()};
+    return request[name];
 }
 
 auto refusal_reason(int status) -> std::string {
@@ -79,20 +83,14 @@
     auto const own = std::to_array<std::string_view>(
         {names.key, names.tenant, names.deadline, names.replica_wanted, names.weights_wanted, names.salt, names.urgency,
          names.fetch_from, names.store_at, names.last_event});
-    auto const target = request.target();
-    auto connection_names = ConnectionNames();
-    auto const [first, last] = request.equal_range(http::field::connection);
-    std::for_each(first, last, [&](auto const& line) { connection_names.add(line.value()); });
+    auto const connection_names = connection_names_of(request.fields);
     std::string head;
     head.reserve(1'024);
-    head.append(view(request.method_string())).append(" ").append(view(target)).append(" HTTP/1.1\r\n");
-    for (auto const& field : request.base()) {
-        auto const name = field.name_string();
-        auto const replaced = std::any_of(own.begin(), own.end(), [&](auto item) {
-            return item.size() == name.size() && !item.empty() && same(name, item);
-        });
-        if (replaced || connection_names.contains(name)) continue;
-        add(head, view(name), view(field.value()));
+    head.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
+    for (auto const& [name, value] : request.fields.lines) {
+        auto const replaced =
+            std::any_of(own.begin(), own.end(), [&](auto item) { return !item.empty() && same(name, item); });
+        if (!replaced && !connection_names.contains(name)) add(head, name, value);
     }
     auto const& placement = course.placement;
     auto const left = std::max<Microseconds>(1, time_left / one_millisecond);
@@ -100,8 +98,7 @@
     add(head, names.replica_wanted, placement.replica);
     if (judged.tenant != nullptr) add(head, names.tenant, judged.tenant->name);
     if (!placement.weights.empty()) add(head, names.weights_wanted, placement.weights);
-    if (auto const salt = salt_for(course, view(request[names.request_identity])); !salt.empty())
-        add(head, names.salt, salt);
+    if (auto const salt = salt_for(course, request[names.request_identity]); !salt.empty()) add(head, names.salt, salt);
     auto const urgency = placement.short_prompt ? most_urgent : urgency_of(judged.tenant, *judged.route);
     add(head, names.urgency, std::to_string(urgency));
     if (!placement.fetch.source.empty()) add(head, names.fetch_from, placement.fetch.source);
@@ -115,9 +112,7 @@
 
 auto head_for_client(ReceivedAnswer const& from, bool chunked, std::optional<std::uint64_t> length, bool keep)
     -> std::string {
-    auto connection_names = ConnectionNames();
-    for (auto const& line : from.fields.lines)
-        if (same(line.name, "connection")) connection_names.add(line.value);
+    auto const connection_names = connection_names_of(from.fields);
     std::string head;
     head.reserve(512);
     head.append("HTTP/1.1 ").append(std::to_string(from.status)).append(" ");
@@ -133,12 +128,11 @@
 
 auto RelaySession::arrival_of(HttpRequest const& request, Microseconds now) const -> RelayArrival {
     auto const& names = node.form->headers;
-    auto const target = std::string_view(request.target().data(), request.target().size());
-    auto const method = request.method_string();
+    auto const target = request.target();
     return {
-        {method.data(), method.size()},
+        request.method_string(),
         target.substr(0, target.find('?')),
-        {request[http::field::host].data(), request[http::field::host].size()},
+        request[http::field::host],
         field_of(request, names.request_identity),
         field_of(request, names.key),
         field_of(request, names.deadline),
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -1,5 +1,8 @@
 #include "connection/relay_session.hpp"
 
+#include <charconv>
+
+#include "connection/message_reader.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
@@ -13,6 +16,7 @@
 // How long a client waits before it comes again: seconds, as text.
 constexpr auto soon = "0.3";
 constexpr auto not_fresh = "not-fresh";
+constexpr Microseconds longest_wait = 24 * 3'600 * one_second;  // timers take no configured time beyond
 
 // By an unknown coding nobody can tell where the body ends, nor, where it is chunked last, what the body is: the
 // coding is this connection's own and is not passed on. HTTP/1.0 has none.
@@ -22,6 +26,13 @@
     return codings == 1 && request.version() > 10 && beast::iequals(request[http::field::transfer_encoding], "chunked");
 }
 
+// The number of the last event that the client has; -1 where it names none.
+auto event_number(std::string_view text) -> std::int64_t {
+    auto number = std::int64_t{-1};
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failure == std::errc() && end == text.data() + text.size() ? std::max<std::int64_t>(number, -1) : -1;
+}
+
 // Watches the client for as long as its request is under way.
 struct WatchScope {
     RelaySession& session;
@@ -65,22 +76,22 @@
         }();
         if (buffer.size() == 0) {  // idle; a stopping node lets go soon
             client.expires_after(std::chrono::microseconds(
-                node.stopping ? 300 * one_millisecond : std::max(limits.idle_time, one_second)));
+                node.stopping ? 300 * one_millisecond : std::clamp(limits.idle_time, one_second, longest_wait)));
             auto const [failure, size] = co_await client.async_read_some(buffer.prepare(32U << 10U), use_tuple);
             if (failure) co_return;
             buffer.commit(size);
         }
-        auto parser = http::request_parser<http::string_body>();
+        auto parser = RequestParser();
         parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
-        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        client.expires_after(std::chrono::microseconds(limits.header_time));
-        auto [failure, size] = co_await http::async_read_header(client, buffer, parser, use_tuple);
+        parser.limit_head(head_limit(limits.header_bytes));
+        client.expires_after(std::chrono::microseconds(std::min(limits.header_time, longest_wait)));
+        auto failure = co_await read_head(client, buffer, parser);
         if (!failure && !known_coding(parser.get())) failure = http::error::bad_transfer_encoding;
         if (!failure && !parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
                 co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
-            client.expires_after(std::chrono::microseconds(limits.idle_time));
-            std::tie(failure, size) = co_await http::async_read(client, buffer, parser, use_tuple);
+            client.expires_after(std::chrono::microseconds(std::min(limits.idle_time, longest_wait)));
+            failure = co_await read_whole(client, buffer, parser);
         }
         if (failure) {
             auto bad = HttpRequest(http::verb::get, "/", 11);
@@ -88,10 +99,7 @@
             if (failure == http::error::body_limit) co_await refuse(bad, 413, "the body is too large");
             else if (failure == http::error::header_limit) co_await refuse(bad, 431, "the head is too large");
             else if (failure == beast::error::timeout) co_await refuse(bad, 408, "the request did not arrive in time");
-            else if (
-                failure.category() == http::make_error_code(http::error::bad_method).category() &&
-                failure != http::error::end_of_stream && failure != http::error::partial_message)
-                co_await refuse(bad, 400, "not HTTP/1.1");
+            else if (is_malformed(failure)) co_await refuse(bad, 400, "not HTTP/1.1");
             break;
         }
         auto const request = parser.release();
@@ -186,7 +194,7 @@
     -> awaitable<bool> {
     auto judged = std::move(judgement.verdict);
     auto const last = field_of(request, node.form->headers.last_event);
-    if (!last.empty() && judged.route->resumable) answer.events.last = std::atoll(std::string(last).c_str());
+    if (!last.empty() && judged.route->resumable) answer.events.last = event_number(last);
     for (auto step = course.begin();;) {
         answer.trace.outcome = step_names[static_cast<std::size_t>(step.step)];
         if (!step.reason.empty()) answer.trace.outcome += ": " + step.reason;
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -131,7 +131,7 @@
     asked.head = head_for_replica(form, request, judged, course, answer.events.last, time_left);
     asked.body = request.body();
     asked.identity_field = form.headers.request_identity;
-    asked.identity = std::string_view(identity.data(), identity.size());
+    asked.identity = identity;
     asked.head_only = request.method() == http::verb::head;
     attempt.exchange.emplace(*attempt.connection, std::move(asked));
     if (!co_await attempt.read_head()) co_return attempt.result();
--- a/source/connection/replica_exchange.cpp
+++ b/source/connection/replica_exchange.cpp
@@ -67,7 +67,7 @@
 auto ReplicaExchange::read_one_head(Microseconds until) -> awaitable<boost::system::error_code> {
     parser.emplace();
     parser->body_limit(boost::none);  // passed on as it comes
-    parser->header_limit(header_bytes);
+    parser->limit_head(header_bytes);
     if (request.head_only) parser->skip(true);
     connection.stream.expires_after(left_until(until));
     co_return co_await read_head(connection.stream, connection.buffer, *parser);
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -1,5 +1,6 @@
 #include "connection/session.hpp"
 
+#include "connection/message_reader.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
@@ -11,6 +12,9 @@
 
 namespace {
 
+constexpr auto request_body_limit = std::uint64_t{17U << 20U};  // bytes
+constexpr auto request_head_limit = std::uint32_t{16U << 10U};  // bytes
+
 auto wait_for(std::chrono::milliseconds length) -> awaitable<void> {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor, length);
     co_await timer.async_wait(use_tuple);
@@ -49,33 +53,31 @@
                 continue;
             }
         }
-        auto parser = http::request_parser<http::string_body>();
-        parser.body_limit(17U << 20U);
-        parser.header_limit(16U << 10U);
+        auto parser = RequestParser();
+        parser.body_limit(request_body_limit);
+        parser.limit_head(request_head_limit);
         auto const counted = CountedScope(node.open_requests);
-        auto const read =
-            co_await (http::async_read(socket, buffer, parser, use_tuple) || wait_for(std::chrono::seconds(10)));
+        auto const read = co_await (read_whole(socket, buffer, parser) || wait_for(std::chrono::seconds(10)));
         auto request = HttpRequest(http::verb::get, "/", 11);
         request.keep_alive(false);
         if (read.index() == 1) {
             co_await answer(request, 408, fields("error", "the request did not arrive in time", "outcome", "shed"));
             co_return;
         }
-        auto const failure = std::get<0>(std::get<0>(read));
+        auto const failure = std::get<0>(read);
         if (failure == http::error::body_limit || failure == http::error::header_limit) {
             co_await answer(
                 request, failure == http::error::body_limit ? 413 : 431,
                 fields("error", "the request is too large", "outcome", "shed"));
             co_return;
         }
-        if (failure && failure.category() == beast::http::make_error_code(http::error::bad_method).category() &&
-            failure != http::error::end_of_stream && failure != http::error::partial_message) {
+        if (is_malformed(failure)) {
             co_await answer(request, 400, fields("error", "not HTTP/1.1", "outcome", "shed"));
             co_return;
         }
         if (failure) co_return;
         request = parser.release();
-        auto const target = std::string_view(request.target().data(), request.target().size());
+        auto const target = request.target();
         auto const own =
             target.starts_with("/control/") || target == "/health" || target == "/ready" || target == "/metrics";
         auto const usable = own ? co_await handle_control(request) : co_await handle_ticket(request);
@@ -125,8 +127,7 @@
         request.body(),
         std::string(request["Tenant"]),
         clock_now()};
-    auto const credentials =
-        std::string_view(request[http::field::authorization].data(), request[http::field::authorization].size());
+    auto const credentials = request[http::field::authorization];
     if (credentials.starts_with("Bearer ")) arrival.key = std::string(credentials.substr(7));
     auto const executor = co_await asio::this_coro::executor;
     co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(std::pair<Verdict, SnapshotPointer>)>(
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -1,11 +1,11 @@
 #pragma once
 // One client connection and the tickets on it. docs/design.md sections 9.1, 10.
+#include "connection/http_message.hpp"
 #include "process/node.hpp"
 #include "ticket/course.hpp"
 
 namespace dockrock {
 
-using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -1,4 +1,6 @@
 // One try: sent once, its pieces relayed in order. docs/design.md section 10.
+#include <charconv>
+
 #include "connection/message_reader.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
@@ -104,11 +106,14 @@
     }
     {
         auto const number = [&](char const* name) {
-            return std::strtoll(std::string(parser.get()[name]).c_str(), nullptr, 10);
+            auto const text = parser.get()[std::string_view(name)];
+            auto value = std::int64_t{0};
+            std::from_chars(text.data(), text.data() + text.size(), value);
+            return value;
         };
         auto const fetched = number("Fetched-Tokens");
         auto const took = number("Fetch-Microseconds");
-        node.counters.kept_tokens += static_cast<std::uint64_t>(std::max(0LL, number("Kept-Tokens")));
+        node.counters.kept_tokens += static_cast<std::uint64_t>(std::max<std::int64_t>(0, number("Kept-Tokens")));
         node.counters.prefix_tokens += static_cast<std::uint64_t>(ticket.prefix_tokens);
         if (took > 0) {  // measured link speed, for the fetch planner (design 9.7)
             auto const guard = std::lock_guard(node.table.lock);
--- a/source/request/relayed.cpp
+++ b/source/request/relayed.cpp
@@ -21,6 +21,7 @@
 }
 
 constexpr auto most_tokens = std::int64_t{100'000'000};
+constexpr Microseconds longest_timeout = 24 * 3'600 * one_second;
 
 auto read_prefix(std::string_view text, Ticket& ticket) -> void {
     while (!text.empty()) {
@@ -66,7 +67,7 @@
 // The limit of the route, or the client's own where that is shorter.
 auto deadline_of(RelayArrival const& arrival, Route const& route) -> Microseconds {
     auto const given = number_of(arrival.deadline, 0);
-    auto limit = route.timeout;
+    auto limit = std::min(route.timeout, longest_timeout);
     if (given > 0) limit = std::min(limit, std::min<std::int64_t>(given, 3'600'000) * one_millisecond);
     return arrival.now + limit;
 }
--- a/tests/relay_heads_test.cpp
+++ b/tests/relay_heads_test.cpp
@@ -1,6 +1,7 @@
 // What of a client's head reaches a replica, and under which names. docs/users-rules.md, UNASKED.
 #include <catch2/catch.hpp>
 
+#include "connection/message_parser.hpp"
 #include "connection/relay_session.hpp"
 #include "relay_form.hpp"
 
@@ -10,7 +11,7 @@
 namespace {
 
 auto parsed(std::string const& lines, boost::system::error_code& failure) -> HttpRequest {
-    auto parser = http::request_parser<http::string_body>();
+    auto parser = RequestParser();
     parser.eager(true);
     parser.put(asio::buffer("GET /a?b HTTP/1.1\r\nHost: h\r\nRequest-Name: id-1\r\n" + lines + "\r\n"), failure);
     return parser.release();
--- a/tests/session_wire.hpp
+++ b/tests/session_wire.hpp
@@ -12,6 +12,7 @@
     Microseconds idle = 15 * one_second;
     std::int64_t places = 4;
     std::int64_t tries = 2;
+    std::int64_t header_bytes = 16'384;
 };
 
 struct SessionWire {
@@ -28,6 +29,7 @@
         wire.judged(kind.repeatable, kind.stream);
         auto document = wire.rules->document;
         document.limits.idle_time = kind.idle;
+        document.limits.header_bytes = kind.header_bytes;
         document.routes.front().tries = kind.tries;
         auto rules = std::make_shared<Rules>();
         rules->services = compile_services(document);
