Assertions of the libraries: none on input ends the node; a chunked body may come byte by byte

Cause: the production build keeps assertions, as ours are wanted there, and so also one of the library that does not hold for input that may come. Ruled out: our reader handing over consumed bytes (the library's own read operations did the same).

Change: the reader hands over nothing of a chunked body before five bytes are there; none is shorter. The class: assertions of the Boost libraries throw while input is parsed, and the reader makes an error of that one message of it; elsewhere they end the process as before, and our own invariants do so everywhere.

--- a/source/connection/message_parser.hpp
+++ b/source/connection/message_parser.hpp
@@ -29,6 +29,10 @@
     }
     // The most bytes of a body that are stored at once; http::error::body_limit beyond.
     auto limit_stored_body(std::size_t bytes) -> void { most_stored = bytes; }
+    // The head of a chunked body has been read, and nothing behind it.
+    auto awaits_first_chunk() const -> bool {
+        return this->is_header_done() && this->chunked() && !chunk_seen && !this->is_done();
+    }
 
    private:
     using View = boost::beast::string_view;
@@ -41,6 +45,7 @@
     std::size_t in_head = 0;
     std::size_t most_in_head = default_head_limit;
     std::size_t most_stored = std::numeric_limits<std::size_t>::max();
+    bool chunk_seen = false;
 
     static auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
 
@@ -98,6 +103,7 @@
 
     auto on_chunk_header_impl(std::uint64_t, View, ErrorCode& failure) -> void override {
         failure = {};
+        chunk_seen = true;
     }
 
     auto on_chunk_body_impl(std::uint64_t, View piece, ErrorCode& failure) -> std::size_t override {
--- a/source/connection/message_reader.cpp
+++ b/source/connection/message_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <limits>
 
+#include "base/input_scope.hpp"
 #include "process/log.hpp"
 
 namespace dockrock {
@@ -13,16 +14,19 @@
 enum class Goal : int { head, some, whole };
 
 constexpr auto most_read_at_once = std::size_t{64U << 10U};
+// `0 CR LF CR LF`. With the first chunk's header the library asserts that as many are there, though fewer may be.
+constexpr auto least_chunked_body = std::size_t{5};
 
 auto note_fault(char const* what) -> void {
     ++message_reader_faults();
     write_log(Level::failure, "message-reader-fault", {{"what", what}});
 }
 
-// Calls the library on input. What it throws, as for want of room, is an error of this message.
+// Calls the library on input. What it throws, for want of room or by an assertion, is an error of this message.
 template <typename Operation>
 auto on_input(error_code& failure, Operation operation) -> void {
     try {
+        auto const scope = InputScope();
         operation();
     } catch (std::bad_alloc const& thrown) {
         note_fault(thrown.what());
@@ -50,6 +54,12 @@
     return failure;
 }
 
+template <bool is_request>
+auto can_parse(beast::flat_buffer const& buffer, MessageParser<is_request> const& parser) -> bool {
+    auto const least = parser.awaits_first_chunk() ? least_chunked_body : std::size_t{1};
+    return buffer.size() >= least;
+}
+
 template <bool is_request>
 auto reached(Goal goal, MessageParser<is_request> const& parser, std::size_t used) -> bool {
     if (parser.is_done()) return true;
@@ -63,7 +73,7 @@
     parser.eager(goal != Goal::head);
     if (goal != Goal::some && reached(goal, parser, 0)) co_return error_code();
     while (true) {
-        if (buffer.size() > 0) {
+        if (can_parse(buffer, parser)) {
             auto failure = error_code();
             auto const used = parse(buffer, parser, failure);
             if (failure && failure != http::error::need_more) co_return failure;
--- a/source/connection/message_reader.hpp
+++ b/source/connection/message_reader.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // The one reader of HTTP messages: requests of clients, operators and the platform, answers of replicas and other
-// back ends. Whatever a peer sends, it gets a message or an error code: an exception of the library ends with an error
-// too, is logged, and is counted in `message_reader_faults`.
+// back ends. Whatever a peer sends, it gets a message or an error code: an exception or a failed assertion of the
+// library ends with an error too, is logged, and is counted in `message_reader_faults`.
 #include <atomic>
 
 #include "connection/http_client.hpp"
