Streams: an event without an end, and bytes that keep coming past the deadline, end their try

Cause: EventReader searched all that it held with each read and had no limit; the time to wait was never less than a millisecond, so bytes in time kept the answer alive. The product's own lines were the same.

Change: the search goes on where it ended; an event, or a line, has a limit of 1 MiB, beyond which the try has met a spoiled answer after what came before it has gone out; past the deadline and 0.2 s an answer is cut also while bytes keep coming.

--- a/source/connection/relay_output.cpp
+++ b/source/connection/relay_output.cpp
@@ -46,7 +46,8 @@
 auto RelayTry::read_pieces() -> awaitable<boost::system::error_code> {
     auto& parser = *exchange->parser;
     if (parser.is_done()) co_return boost::system::error_code();
-    if (connection->buffer.size() == 0) co_await exchange->send_on(until);  // answered before it was sent whole
+    if (clock_now() >= until + past_deadline) co_return beast::error::timeout;  // also while bytes keep coming
+    if (connection->buffer.size() == 0) co_await exchange->send_on(until);      // answered before it was sent whole
     connection->stream.expires_after(answer_patience());
     co_return co_await read_some(connection->stream, connection->buffer, parser);
 }
@@ -75,6 +76,10 @@
             pending.clear();
         }
         if (finished) break;
+        if (answer.events.too_long) {
+            reason = "event-too-long";
+            co_return;
+        }
         if (!failure) continue;
         reason = answer.head_sent ? "replica-broke" : "replica-broke-before-first-piece";
         if (failure == beast::error::timeout) note_recall();
--- a/source/request/event_reader.cpp
+++ b/source/request/event_reader.cpp
@@ -1,6 +1,8 @@
 #include "request/event_reader.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace dockrock {
 
@@ -23,9 +25,11 @@
     return number;
 }
 
-// One past the blank line that ends the first event; npos where it is not whole.
-auto end_of_event(std::string_view text) -> std::size_t {
-    for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+constexpr auto longest_end = std::size_t{3};  // bytes from the end of an event's last line on
+
+// One past the blank line that ends the first event; npos where it is not whole. It does not begin before `from`.
+auto end_of_event(std::string_view text, std::size_t from) -> std::size_t {
+    for (auto at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
         if (at + 1 < text.size() && text[at + 1] == '\n') return at + 2;
         if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') return at + 3;
     }
@@ -38,8 +42,8 @@
     std::string whole;
     rest.append(bytes);
     auto left = std::string_view(rest);
-    while (!wrong) {
-        auto const end = end_of_event(left);
+    while (!too_long) {
+        auto const end = end_of_event(left, std::exchange(searched, 0));
         if (end == std::string_view::npos) break;
         auto const event = left.substr(0, end);
         auto const number = number_of(event);
@@ -50,6 +54,8 @@
         whole.append(event);
     }
     rest.erase(0, rest.size() - left.size());
+    searched = rest.size() - std::min(rest.size(), longest_end - 1);
+    too_long = rest.size() > event_limit;
     return whole;
 }
 
--- a/source/ticket/answering.cpp
+++ b/source/ticket/answering.cpp
@@ -5,11 +5,14 @@
 namespace dockrock {
 
 auto PieceReader::take(std::string_view bytes) -> std::string {
+    auto const searched = rest.size();  // no line ends in what is left of earlier bytes
     rest.append(bytes);
     std::string whole;
-    for (auto end = rest.find('\n'); end != std::string::npos && !wrong && !done; end = rest.find('\n')) {
-        auto const line = rest.substr(0, end + 1);
-        rest.erase(0, end + 1);
+    auto begin = std::size_t{0};
+    for (auto end = rest.find('\n', searched); end != std::string::npos && !wrong && !done;
+         end = rest.find('\n', begin)) {
+        auto const line = rest.substr(begin, end + 1 - begin);
+        begin = end + 1;
         auto const parsed = parse_json(line);
         auto const* object = parsed && parsed->is_object() ? &parsed->as_object() : nullptr;
         auto const* piece = object != nullptr ? object->if_contains("piece") : nullptr;
@@ -24,6 +27,8 @@
         else done = true;
         whole += line;
     }
+    rest.erase(0, begin);
+    if (rest.size() > line_limit) wrong = true;
     return whole;
 }
 
--- a/source/ticket/answering.hpp
+++ b/source/ticket/answering.hpp
@@ -16,6 +16,8 @@
     bool done = false;
     bool wrong = false;
 
+    static constexpr auto line_limit = std::size_t{1U << 20U};  // bytes
+
     auto take(std::string_view bytes) -> std::string;  // whole lines to relay
 };
 
