Kept connections: the time that a replica tells is clamped, not multiplied beyond its type

Found by the review with a sanitizer: `Keep-Alive: timeout=` overflows in told_idle_limit(). It is taken as an hour now, and a negative one as none.

--- a/tests/replica_connections_test.cpp
+++ b/tests/replica_connections_test.cpp
@@ -19,6 +19,8 @@
              {"Keep-Alive: timeout=1\r\n", 1, one_second / 2},
              {"Keep-Alive: timeout=0\r\n", 1, 0},
              {"Keep-Alive: timeout=soon\r\n", 1, 0},
+             {"Keep-Alive: timeout=-5\r\n", 1, 0},
+             {"Keep-Alive: timeout=100000000000000000\r\n", 1, 3'599 * one_second},
              {"Connection: close\r\n", 0, 0},
              {"connection: X, Close\r\nKeep-Alive: timeout=10\r\n", 0, 0}}) {
         INFO(item.said);
