Operator's calls: a body that is not UTF-8 gets 400 at any node

Seen by the review: such a body got 503 from a node that does not lead, as it cannot be passed on between nodes, and the operator would send it again for good. It is answered where it arrives now.

--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -6,6 +6,15 @@
 
 namespace dockrock {
 
+namespace {
+
+// Calls travel between nodes as JSON, in which only UTF-8 can stand.
+auto can_be_passed_on(std::string const& body) -> bool {
+    return body.empty() || parse_json(body) || parse_json(json::serialize(json::string(body)));
+}
+
+}  // namespace
+
 auto Node::tick_control() -> void {
     auto const now = clock_now();
     act_on(control.tick(now));
@@ -70,6 +79,7 @@
 
 auto Node::make_call(Call call, std::function<void(CallDone)> done) -> void {
     ++counters.calls;
+    if (!can_be_passed_on(call.body)) return done(CallDone{"", 0, 400, R"({"error":"the body is not UTF-8"})", ""});
     in_control([this, call = std::move(call), done = std::move(done)] {
         auto const token = control.random.next() | 1U;
         call_waiters[token] = done;
--- a/tests/operator_door_test.cpp
+++ b/tests/operator_door_test.cpp
@@ -144,6 +144,21 @@
     CHECK(door.heard("HTTP/1.1 200") == 0);
 }
 
+// Guards against 503, again and again, for a body that can never be passed on to the leader.
+TEST_CASE("a change that is not UTF-8 gets 400 at any node, not 503") {
+    auto door = Door(RelayDoor::operators);
+    door.grant(clock_now() - door.machine().times.lease_duration);  // it leads no more
+    door.ticks = true;
+    auto const body = std::string("{\"ver\":2,\"name\":\"\xff\"}");
+    for (auto const* method : {"PUT", "PATCH"}) {
+        door.seen.clear();
+        door.say(method, "/document", "Content-Length: " + std::to_string(body.size()) + "\r\n");
+        REQUIRE(asio::write(door.client, asio::buffer(body)) == body.size());
+        door.run_for(moment);
+        CHECK(door.heard("HTTP/1.1 400") == 1);
+    }
+}
+
 TEST_CASE("an answer to HEAD has no body at the doors of operators and of readiness") {
     for (auto const which : {RelayDoor::operators, RelayDoor::ready}) {
         auto door = Door(which);
