--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -84,7 +84,7 @@
   ) &
 }
 net=101
-for scenario in calm replica_crash drain revoke config_race weights weights_unbegun \
+for scenario in calm replica_crash drain revoke walls config_race weights weights_unbegun \
   kill_edges kill_leader total_kill cut_answers \
   late_answers term_edge planted idle_reuse reset_midway early_answer late_second unframed_ends \
   planted_resend planted_promise planted_reuse planted_smuggle; do
--- a/tests/platform/stand_ins/judge_runs.cpp
+++ b/tests/platform/stand_ins/judge_runs.cpp
@@ -31,7 +31,8 @@
     if (known) court.judge(Rule::unasked, right, run.name + ": the key is not of tenant '" + run.tenant + "'");
 }
 
-auto isolated(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
+// As the newest configuration says that was acknowledged by then.
+auto isolated_at(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
     Change const* newest = nullptr;  // of those acknowledged
     for (auto const& change : court.record.changes)
         if (change.outcome == Outcome::acknowledged && change.answered <= at &&
@@ -41,6 +42,12 @@
     return found != nullptr && found->isolated;
 }
 
+// By every configuration that may be in force on a node: one that is behind by no more than the bound acts on the
+// configuration of that time.
+auto isolated(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
+    return isolated_at(court, tenant, at) && isolated_at(court, tenant, at - court.bounds.apply);
+}
+
 auto judge_memory(Court& court, Run const& run) -> void {
     for (auto const& part : run.used) {
         court.judge(
