--- a/tests/platform/stand_in_rules_test.cpp
+++ b/tests/platform/stand_in_rules_test.cpp
@@ -10,6 +10,15 @@
 namespace {
 using Names = std::set<std::string>;
 
+// A tenant becomes isolated, and one of its requests uses what another left.
+auto wall_goes_up(Story& story, Milliseconds acknowledged_at) -> void {
+    story.record.changes[0].configuration.tenants[0].isolated = false;
+    story.record.changes[0].sent = story.record.changes[0].answered = -20'000;
+    story.record.changes.push_back(acknowledged(2, "s1", "k1", acknowledged_at));
+    story.record.runs[0].used[0].tenant = "t2";
+    story.record.reads.clear();
+}
+
 struct Planted {
     std::string_view rule, what;
     void (*plant)(Story&);
@@ -70,6 +79,7 @@
         }},
     Planted{"STALE", "memory of older weights", [](Story& story) { story.record.runs[0].used[0].version = 0; }},
     Planted{"WALL", "memory of another", [](Story& story) { story.record.runs[0].used[0].tenant = "t2"; }},
+    Planted{"WALL", "memory of another from before a wall", [](Story& story) { wall_goes_up(story, -9000); }},
     Planted{
         "VERSION", "older weights",
         [](Story& story) {
@@ -210,3 +220,12 @@
     story.record.troubles.push_back({-500, -100});
     CHECK(story.broken().empty());
 }
+
+TEST_CASE("a wall binds every node from its bound on, and none that may still act on the configuration before") {
+    auto story = Story();
+    wall_goes_up(story, 500);  // the run began 510 ms later
+    CHECK(story.broken().empty());
+    auto late = Story();
+    wall_goes_up(late, 1010 - late.bounds.apply);
+    CHECK(late.broken() == std::set<std::string>{"WALL"});
+}
--- a/tests/platform/stand_ins/judge_runs.cpp
+++ b/tests/platform/stand_ins/judge_runs.cpp
@@ -1,4 +1,7 @@
 // Rules on what replicas ran.
+#include <algorithm>
+#include <limits>
+
 #include "judge.hpp"
 
 namespace dockrock::platform_stand_in {
@@ -31,21 +34,30 @@
     if (known) court.judge(Rule::unasked, right, run.name + ": the key is not of tenant '" + run.tenant + "'");
 }
 
-// As the newest configuration says that was acknowledged by then.
-auto isolated_at(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
-    Change const* newest = nullptr;  // of those acknowledged
-    for (auto const& change : court.record.changes)
-        if (change.outcome == Outcome::acknowledged && change.answered <= at &&
-            (newest == nullptr || change.configuration.version > newest->configuration.version))
-            newest = &change;
-    auto const* found = newest == nullptr ? nullptr : tenant_named(newest->configuration, tenant);
-    return found != nullptr && found->isolated;
+// The version that every node acts on by then, at least: the newest that was acknowledged a bound before, or the first.
+auto settled_version(Court const& court, Milliseconds at) -> std::int64_t {
+    auto first = std::numeric_limits<std::int64_t>::max();
+    auto newest = std::int64_t{0};
+    for (auto const& change : court.record.changes) {
+        if (change.outcome != Outcome::acknowledged) continue;
+        first = std::min(first, change.configuration.version);
+        if (change.answered <= at - court.bounds.apply) newest = std::max(newest, change.configuration.version);
+    }
+    return newest == 0 ? first : newest;
 }
 
-// By every configuration that may be in force on a node: one that is behind by no more than the bound acts on the
-// configuration of that time.
+// Under every configuration that may be in force on a node at that time.
 auto isolated(Court const& court, std::string const& tenant, Milliseconds at) -> bool {
-    return isolated_at(court, tenant, at) && isolated_at(court, tenant, at - court.bounds.apply);
+    auto const settled = settled_version(court, at);
+    auto walled = false;
+    for (auto const& change : court.record.changes) {
+        if (!change.valid || change.outcome == Outcome::refused || change.sent > at) continue;
+        if (change.configuration.version < settled) continue;
+        auto const* const found = tenant_named(change.configuration, tenant);
+        if (found == nullptr || !found->isolated) return false;
+        walled = true;
+    }
+    return walled;
 }
 
 auto judge_memory(Court& court, Run const& run) -> void {
