--- a/tests/platform/day_scenarios_requests.py
+++ b/tests/platform/day_scenarios_requests.py
@@ -5,6 +5,7 @@
 from day_scenarios import traffic
 
 ONCE, AGAIN = "/write/x", "/read/x?y=1"
+IDLE_REUSE_SECONDS = 14  # few of its requests may run once: enough of them to judge a share
 
 
 def faults(day, **shares):
@@ -28,9 +29,10 @@
 
 def idle_reuse(day, seconds):
     """Replicas forget connections that have rested a while; what comes on them is reset."""
-    traffic(day, seconds, rate=12)
+    length = max(seconds, IDLE_REUSE_SECONDS)
+    traffic(day, length, rate=12)
     faults(day, forget=1.0, restedMs=150)
-    wait_for(seconds)
+    wait_for(length)
     seen(day, "forgotten")
     finish(day)
     finish(day, ONCE, least=0.7)  # the first are lost; then connections don't rest that long
