Limits and use of the machine are shown, and a process that ends says at what

Callers saw processes that end or do not start and nothing said why: limits (ramMb, nofile, getrlimit) were in no log line and no metric, "start failed" had no reason, a fatal signal left no line.

Settings memory_limit_megabytes and descriptor_limit (ramMb and nofile on the platform). No decision rests on them yet.

--- a/programs/dockrock_node.cpp
+++ b/programs/dockrock_node.cpp
@@ -41,6 +41,10 @@
         "", "log-level", "debug, information, warning or failure", false, "", "LEVEL", command);
     auto stop_limit = TCLAP::ValueArg<int>(
         "", "stop-limit", "milliseconds a polite stop waits for answers under way", false, -1, "MILLISECONDS", command);
+    auto memory = TCLAP::ValueArg<int>(
+        "", "memory-limit", "resident memory that the node may take", false, 0, "MEGABYTES", command);
+    auto descriptors =
+        TCLAP::ValueArg<int>("", "descriptor-limit", "descriptors that the node may open", false, 0, "COUNT", command);
     auto no_resting = TCLAP::SwitchArg("", "no-resting", "this node is never rested", command);
     auto scheduling = TCLAP::MultiArg<std::string>(
         "", "scheduling", "an option of the scheduler; may be given again", false, "NAME=VALUE", command);
@@ -61,6 +65,8 @@
     if (log_file.isSet()) settings.log_file = log_file.getValue();
     if (log_level.isSet()) settings.log_level = log_level.getValue();
     if (stop_limit.isSet()) settings.stop_limit_milliseconds = stop_limit.getValue();
+    if (memory.isSet()) settings.memory_limit_megabytes = memory.getValue();
+    if (descriptors.isSet()) settings.descriptor_limit = descriptors.getValue();
     if (scheduling.isSet()) settings.scheduling = scheduling.getValue();
     if (no_resting.isSet()) settings.resting = false;
     for (auto& problem : check_settings(settings)) problems.push_back(std::move(problem));
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -18,6 +18,7 @@
 #include "control/weights_duty.hpp"
 #include "control/weights_guard.hpp"
 #include "control/work_limits.hpp"
+#include "process/machine_limits.hpp"
 #include "process/measures.hpp"
 #include "process/news_sight.hpp"
 #include "process/settings.hpp"
@@ -72,6 +73,7 @@
     NodeSettings settings;                          // as started; what a reload changes is told to its own machine
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
     std::string settings_file;                      // looked at now and then; may be empty
+    MachineLimits limits;                           // read once, at the start
     RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -1,5 +1,6 @@
 // The node's loops, and its polite stop. docs/design.md sections 13 and 14.
 #include "process/clock.hpp"
+#include "process/fatal_signals.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
 #include "process/spawn.hpp"
@@ -152,6 +153,7 @@
 
 // Not ready, duties handed over, streams finished, then out (design 13).
 auto Node::stop_politely() -> awaitable<void> {
+    set_process_phase(ProcessPhase::stopping);
     write_log(Level::information, "stopping", fields("open_tickets", open_tickets.load()));
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
     auto const limit = clock_now() + settings.stop_limit_milliseconds * one_millisecond;
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -5,6 +5,7 @@
 #include <exception>
 #include <iostream>
 
+#include "process/fatal_signals.hpp"
 #include "process/log.hpp"
 
 namespace dockrock {
@@ -23,6 +24,16 @@
     std::abort();
 }
 
+// The reason of a failed start, with what the machine allows and what was in use.
+auto tell_start_failure(std::string const& what, MachineLimits const& limits) -> int {
+    auto const use = process_use();
+    write_log(
+        Level::failure, "start-failed", {{"what", what}, {"limits", write_limits(limits)}, {"in_use", write_use(use)}});
+    std::cerr << "start failed: " << what << "; limits " << json::serialize(write_limits(limits)) << ", in use "
+              << json::serialize(write_use(use)) << "\n";
+    return 1;
+}
+
 // What has to last is synced by now, and the log flushed. The rest is left to the system: to take it down here could
 // wait for a library's threads.
 [[noreturn]] auto end_process(int status) -> void {
@@ -49,8 +60,12 @@
     auto const& name = settings.node_name.empty() ? settings.http_address : settings.node_name;
     start_log(settings.log_file, name, level_of(settings.log_level));
     log_violations();
+    auto const limits = machine_limits_of(settings);
+    tell_fatal_signals(limits);
+    write_log(Level::information, "machine-limits", write_limits(limits));
     auto const node = std::make_unique<Node>();
     node->settings = settings;
+    node->limits = limits;
     node->settings_file = program.settings_file;
     node->reread = program.read;
     node->form = program.form;
@@ -61,17 +76,12 @@
                 node->stop_disk();
                 return started.error();
             }
+            set_process_phase(ProcessPhase::running);
             return node->run();
         },
-        [](StartFailure const& failure) {
-            write_log(Level::failure, "start-failed", {{"what", failure.what}});
-            std::cerr << failure.what << "\n";
-            return 1;
-        },
-        [] {
-            std::cerr << "start failed\n";
-            return 1;
-        });
+        [&](StartFailure const& failure) { return tell_start_failure(failure.what, limits); },
+        [&](std::exception const& failure) { return tell_start_failure(failure.what(), limits); },
+        [&] { return tell_start_failure("for a reason that is not known", limits); });
     end_process(status);
 }
 
--- a/source/process/settings.cpp
+++ b/source/process/settings.cpp
@@ -10,6 +10,13 @@
 
 namespace dockrock {
 
+namespace {
+
+constexpr auto most_megabytes = std::int64_t{1} << 24U;
+constexpr auto most_descriptors = std::int64_t{1} << 24U;
+
+}  // namespace
+
 auto is_address(std::string const& text) -> bool {
     auto const colon = text.rfind(':');
     if (colon == std::string::npos) return false;
@@ -51,6 +58,10 @@
         problems.push_back({"/weights_at_once", "must be 1 to 1000"});
     if (settings.load_relays_from < 0 || settings.load_relays_from > 1'000'000)
         problems.push_back({"/load_relays_from", "must be 0 to 1000000"});
+    if (settings.memory_limit_megabytes < 0 || settings.memory_limit_megabytes > most_megabytes)
+        problems.push_back({"/memory_limit_megabytes", "must be 1 to 16777216, or 0 where it is not told"});
+    if (settings.descriptor_limit < 0 || settings.descriptor_limit > most_descriptors)
+        problems.push_back({"/descriptor_limit", "must be 1 to 16777216, or 0 where it is not told"});
     auto unused = SchedulingOptions();
     for (auto& problem : set_scheduling_options(settings.scheduling, unused)) problems.push_back(std::move(problem));
     auto const& level = settings.log_level;
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -40,16 +40,18 @@
     std::int64_t stop_limit_milliseconds = 20'000;
     std::int64_t stop_notice_milliseconds = 1'200;  // not ready, and still taking connections
     std::int64_t workers = 2;
-    bool resting = true;                  // this node may be rested
-    bool may_form = true;                 // a fleet that nobody knows may be formed by this node
-    std::string front_address;            // for a fleet that relays requests: where clients come,
-    std::string ready_address;            // where the platform asks whether they may,
-    std::string operator_address;         // and where the operator calls; each may be empty
-    std::string node_name;                // in logs
-    std::int64_t platform_calls = 50;     // a second, from all nodes together
-    std::int64_t weights_at_once = 3;     // replicas of one service that load weights at a time
-    std::int64_t load_relays_from = 0;    // nodes from which on load is told through relays; 0: never
-    std::vector<std::string> scheduling;  // NAME=VALUE: options of the scheduler (scheduling/options.hpp)
+    bool resting = true;                      // this node may be rested
+    bool may_form = true;                     // a fleet that nobody knows may be formed by this node
+    std::string front_address;                // for a fleet that relays requests: where clients come,
+    std::string ready_address;                // where the platform asks whether they may,
+    std::string operator_address;             // and where the operator calls; each may be empty
+    std::string node_name;                    // in logs
+    std::int64_t platform_calls = 50;         // a second, from all nodes together
+    std::int64_t weights_at_once = 3;         // replicas of one service that load weights at a time
+    std::int64_t load_relays_from = 0;        // nodes from which on load is told through relays; 0: never
+    std::int64_t memory_limit_megabytes = 0;  // of resident memory; 0: not told
+    std::int64_t descriptor_limit = 0;        // 0: not told
+    std::vector<std::string> scheduling;      // NAME=VALUE: options of the scheduler (scheduling/options.hpp)
     FleetBounds bounds;
 };
 
@@ -82,4 +84,4 @@
     dockrock::NodeSettings, fleet, control_address, http_address, control_listen, area, seeds, data_folder,
     platform_address, core_count, operator_key_sha256, log_file, log_level, stop_limit_milliseconds,
     stop_notice_milliseconds, workers, resting, may_form, front_address, ready_address, operator_address, node_name,
-    platform_calls, weights_at_once, load_relays_from, scheduling, bounds);
+    platform_calls, weights_at_once, load_relays_from, memory_limit_megabytes, descriptor_limit, scheduling, bounds);
