Stacks and arenas of a node are its own, not the machine's: it starts under its limits

What was seen: under a limit of the kernel on address space or data segment as large as ramMb (160 to 260) a node ended by signal 11 inside a library, failed, or neither started nor ended; with a stack limit of 64 MiB it took 3.9 GiB of address space.

Cause: each of 35 threads, 31 of them a library's, gets a stack as large as the stack limit (8 MiB by default, 280 MiB in all), and each allocating thread an arena with 64 MiB reserved (1.8 GiB). Class: a limit of the machine that the node is told or set and does not heed. Ruled out: resident memory (11 MB), descriptors, file size, core and locked memory limits (start and stop well).

Change: default stack 1 MiB for threads, set before the first one; one arena; a fixed threshold for mapped pieces.

--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "process/fatal_signals.hpp"
+#include "process/footprint.hpp"
 #include "process/log.hpp"
 
 namespace dockrock {
@@ -45,6 +46,7 @@
 }  // namespace
 
 auto run_node(NodeProgram& program) -> int {
+    limit_footprint();
     std::set_terminate(tell_uncaught);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -15,6 +15,7 @@
 
 EDGE, CORE = "127.9.6.1", "127.9.6.2"
 START_LIMIT_S, END_LIMIT_S, POLL_S = 10, 12, 0.02
+DISK_WAITED_FOR_S = 0.6
 MEBIBYTE = 1 << 20
 CAPS = "\n[caps]\nramMb = 260\nnofile = 4100\n"
 
@@ -22,10 +23,10 @@
 class Node:
     """A node that was started under `limits`: (resource, value) each."""
 
-    def __init__(self, program, folder, core=False, limits=(), caps=CAPS):
+    def __init__(self, program, folder, core=False, limits=(), caps=CAPS, data="data"):
         self.address, self.log = CORE if core else EDGE, folder / "log"
         (folder / "data").mkdir(exist_ok=True)
-        text = core_settings("core-1", CORE, folder / "data") if core else edge_settings("edge-1", EDGE)
+        text = core_settings("core-1", CORE, folder / data) if core else edge_settings("edge-1", EDGE)
         (folder / "settings.toml").write_text(text + caps)
         with self.log.open("w") as log:
             self.process = subprocess.Popen(
@@ -96,7 +97,30 @@
             return "missing %s in metrics, or the line in the log: %r" % (missing, node.told()[:300])
 
 
+def starts_under(core, *limits):
+    """Bears these limits of the kernel, in MiB, from its start to its polite end."""
+
+    def case(program, folder):
+        with Node(program, folder, core, [(which, value * MEBIBYTE) for which, value in limits]) as node:
+            if not node.starts():
+                return "it does not start: status %s, told %r" % (node.process.poll(), node.told()[-200:])
+            node.process.send_signal(signal.SIGTERM)
+            status = node.ended()
+            if status != 0:
+                return "it ended with %s" % status
+
+    return case
+
+
 CASES = {
+    "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
+    "an edge starts in an address space of 256 MiB": starts_under(False, (resource.RLIMIT_AS, 256)),
+    "a core starts in an address space of 256 MiB": starts_under(True, (resource.RLIMIT_AS, 256)),
+    "an edge starts in a data segment of 160 MiB": starts_under(False, (resource.RLIMIT_DATA, 160)),
+    "a core starts in a data segment of 256 MiB": starts_under(True, (resource.RLIMIT_DATA, 256)),
+    "large stacks of the system are not those of threads": starts_under(
+        False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
+    ),
     "a fatal signal leaves a line with what was in use": fatal_signal_is_told,
     "limits and use are shown": limits_are_shown,
 }
