Signals during the start of a node are kept for when it runs

What was seen: SIGTERM within some 10 ms of a start, or while a core node waits for its disk (0.6 s), ended the process by signal 15 in place of a polite end with 0; it listened already by then. Cause: SIGTERM was listened for only after the start. Class: a start that leaves the system's defaults in force. Now the node listens from the beginning of main; a stop that comes during the start follows it.

--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -21,6 +21,7 @@
 #include "process/machine_limits.hpp"
 #include "process/measures.hpp"
 #include "process/news_sight.hpp"
+#include "process/node_types.hpp"
 #include "process/settings.hpp"
 #include "process/snapshot_holder.hpp"
 #include "process/storage.hpp"
@@ -34,41 +35,6 @@
 
 namespace leaf = boost::leaf;
 
-// A ticket's place while it waits for a replica.
-struct Slot {
-    asio::steady_timer signal;
-    bool ready = false;
-    explicit Slot(asio::any_io_executor const& executor) : signal(executor, asio::steady_timer::time_point::max()) {}
-};
-
-// none: this node has no data folder. loading: what it holds is not known yet.
-enum class DiskState : int { none, loading, failed, stalled, well };
-inline constexpr auto disk_state_names =
-    std::to_array<std::string_view>({"none", "loading", "failed", "stalled", "well"});
-inline auto name_of(DiskState state) -> std::string_view { return disk_state_names[static_cast<std::size_t>(state)]; }
-
-// Who the disk says this node is, and what it held of the partitions.
-struct DiskHolding {
-    std::string identity;
-    std::uint64_t incarnation = 1;
-    bool had_state = false;
-    std::vector<SavedPartition> partitions;
-};
-
-auto fresh_identity() -> std::string;
-
-enum class RelayDoor : int { front, ready, operators };
-
-// A replica or store whose events are read.
-struct KeptSource {
-    std::string address;
-    std::string area;
-    bool store = false;
-};
-
-// Whether a try may be written: not where what it rests on moved on, nor where it would break an invariant.
-enum class LastLook : int { send, moved_on, forbidden };
-
 struct Node {
     NodeSettings settings;                          // as started; what a reload changes is told to its own machine
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
@@ -87,6 +53,10 @@
     NewsSight sight;
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
+    asio::signal_set stop_signals{context, SIGTERM, SIGINT};
+    asio::signal_set reload_signals{context, SIGHUP};
+    bool running = false;     // the start is over
+    bool stop_asked = false;  // by a signal during the start
     std::atomic<bool> stopping{false};
     std::atomic<Microseconds> entry_ends{0};  // stopping: a request that is read later than this is refused; 0: none
     std::atomic<bool> closing{false};         // stopping, and the notice is over: nothing new is taken
@@ -225,10 +195,13 @@
     auto catch_up_loop() -> awaitable<void>;
     auto next_to_catch_up() -> std::string;
     auto stop_politely() -> awaitable<void>;
+    auto await_signals() -> void;  // from now on no signal that a platform sends ends the process by itself
+    auto await_stop() -> void;
+    auto await_reload() -> void;
+    auto begin_stop() -> void;
     auto take_limits() -> void;
     auto reload() -> void;
     auto look_at_settings(Microseconds now) -> void;
-    auto wait_reload(asio::signal_set& signals) -> void;
     auto metrics_text(Microseconds now) -> std::string;
 
     std::filesystem::file_time_type settings_time;  // in tick_loop alone, once running
@@ -239,8 +212,4 @@
     std::mutex loops_lock;
 };
 
-struct StartFailure {
-    std::string what;
-};
-
 }  // namespace dockrock
--- a/source/process/node_reload.cpp
+++ b/source/process/node_reload.cpp
@@ -32,14 +32,6 @@
     settings_looked = clock_now();
 }
 
-auto Node::wait_reload(asio::signal_set& signals) -> void {
-    signals.async_wait([this, &signals](auto failure, int) {
-        if (failure) return;
-        in_control([this] { reload(); });
-        wait_reload(signals);
-    });
-}
-
 // A file may change without any signal.
 auto Node::look_at_settings(Microseconds now) -> void {
     if (settings_file.empty() || now - settings_looked < look_interval) return;
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -115,19 +115,8 @@
 }
 
 auto Node::run() -> int {
-    auto signals = asio::signal_set(context, SIGTERM, SIGINT);
-    std::function<void()> wait_signal = [&] {
-        signals.async_wait([&](auto failure, int signal) {
-            if (failure) return;
-            if (!stopping.exchange(true)) spawn_essential(context.get_executor(), stop_politely());
-            else if (signal == SIGINT) std::_Exit(1);  // at a terminal, the second one ends it at once
-            else write_log(Level::information, "stopping-already", fields("open_tickets", open_tickets.load()));
-            wait_signal();
-        });
-    };
-    wait_signal();
-    auto reload_signals = asio::signal_set(context, SIGHUP);
-    wait_reload(reload_signals);
+    running = true;
+    if (stop_asked) begin_stop();
     spawn_essential(asio::make_strand(context), tick_loop());
     spawn_essential(asio::make_strand(context), list_loop());
     spawn_essential(asio::make_strand(context), report_manager());
--- /dev/null
+++ b/source/process/node_signals.cpp
@@ -0,0 +1,39 @@
+// What signals mean to a node, from its first moment on. docs/design.md section 13.
+#include "process/log.hpp"
+#include "process/node.hpp"
+#include "process/spawn.hpp"
+
+namespace dockrock {
+
+auto Node::await_signals() -> void {
+    await_stop();
+    await_reload();
+}
+
+// One that comes during the start is acted on once the node runs.
+auto Node::await_stop() -> void {
+    stop_signals.async_wait([this](auto failure, int signal) {
+        if (failure) return;
+        if (!running) stop_asked = true;
+        else if (!stopping) begin_stop();
+        else if (signal == SIGINT) std::_Exit(1);  // at a terminal, the second one ends it at once
+        else write_log(Level::information, "stopping-already", fields("open_tickets", open_tickets.load()));
+        await_stop();
+    });
+}
+
+auto Node::begin_stop() -> void {
+    stopping = true;
+    spawn_essential(context.get_executor(), stop_politely());
+}
+
+// A node that starts reads its settings anyway.
+auto Node::await_reload() -> void {
+    reload_signals.async_wait([this](auto failure, int) {
+        if (failure) return;
+        if (running) in_control([this] { reload(); });
+        await_reload();
+    });
+}
+
+}  // namespace dockrock
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -50,14 +50,15 @@
     std::set_terminate(tell_uncaught);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
-    std::signal(SIGHUP, SIG_IGN);  // until the node listens for it; it never ends one
+    auto const node = std::make_unique<Node>();
+    node->await_signals();
     NodeSettings settings;
     auto const problems = program.read(settings);
     for (auto const& problem : problems) std::cerr << problem.path << ": " << problem.what << "\n";
-    if (!problems.empty()) return 2;
+    if (!problems.empty()) end_process(2);
     if (program.check_only) {
         std::cout << "the settings are good\n";
-        return 0;
+        end_process(0);
     }
     auto const& name = settings.node_name.empty() ? settings.http_address : settings.node_name;
     start_log(settings.log_file, name, level_of(settings.log_level));
@@ -65,7 +66,6 @@
     auto const limits = machine_limits_of(settings);
     tell_fatal_signals(limits);
     write_log(Level::information, "machine-limits", write_limits(limits));
-    auto const node = std::make_unique<Node>();
     node->settings = settings;
     node->limits = limits;
     node->settings_file = program.settings_file;
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -112,7 +112,21 @@
     return case
 
 
+def ends_when_told_as_it_starts(program, folder):
+    """A core node waits for its disk for 0.6 s before it goes on without."""
+    with Node(program, folder, core=True, data="settings.toml/none") as node:
+        time.sleep(DISK_WAITED_FOR_S / 3)
+        if node.listens():
+            return "it did not wait for its disk"
+        node.process.send_signal(signal.SIGHUP)
+        node.process.send_signal(signal.SIGTERM)
+        status = node.ended()
+        if status != 0:
+            return "it ended with %s" % status
+
+
 CASES = {
+    "told to end as it starts, it ends with 0": ends_when_told_as_it_starts,
     "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
     "an edge starts in an address space of 256 MiB": starts_under(False, (resource.RLIMIT_AS, 256)),
     "a core starts in an address space of 256 MiB": starts_under(True, (resource.RLIMIT_AS, 256)),
