A node whose addresses are taken waits for them, and before it touches its disk

What was seen: a node whose port was still taken ended with 1 at once, six times in 1.5 s under a supervisor that starts it again (each one counts as an end by itself); a second core node on the settings of a living one wrote a new life into its data folder before it found the ports taken. Cause: addresses were taken last and given up at the first failure. Class: a start that gives up what can be waited for. Change: addresses are taken first; one in use, or not there yet, is tried again each 100 ms for as long as a stop may take (graceS), told once (address-waited-for); SIGTERM meanwhile ends it with 0.

--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -115,19 +115,6 @@
     co_await serve_calls(node, std::move(socket), operator_answer);
 }
 
-// Listens for a relaying fleet; empty text: well.
-auto Node::listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::string {
-    if (address.empty()) return {};
-    auto const endpoint = endpoint_of(address);
-    boost::system::error_code failure;
-    into = std::make_unique<tcp::acceptor>(context);
-    into->open(endpoint->protocol(), failure);
-    into->set_option(tcp::acceptor::reuse_address(true), failure);
-    into->bind(*endpoint, failure);
-    if (!failure) into->listen(1024, failure);
-    return failure ? "cannot listen on " + address + ": " + failure.message() : std::string();
-}
-
 auto Node::relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void> {
     while (!finished) {
         auto [failure, socket] = co_await from.async_accept(use_tuple);
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -10,6 +10,8 @@
 namespace dockrock {
 
 auto Node::start() -> leaf::result<void> {
+    // Before the disk: whoever holds the addresses may be at work in the same data folder.
+    BOOST_LEAF_CHECK(take_addresses());
     started_at = clock_now();
     auto const core = !settings.data_folder.empty();
     if (core)
@@ -51,22 +53,7 @@
     control_work.start();
     ticket_works = std::vector<WorkQueue>(static_cast<std::size_t>(settings.workers));
     for (auto& work : ticket_works) work.start();
-    auto const endpoint = endpoint_of(settings.http_address);
-    boost::system::error_code failure;
-    acceptor = std::make_unique<tcp::acceptor>(context);
-    acceptor->open(endpoint->protocol(), failure);
-    acceptor->set_option(tcp::acceptor::reuse_address(true), failure);
-    acceptor->bind(*endpoint, failure);
-    if (!failure) acceptor->listen(1024, failure);
-    if (failure)
-        return leaf::new_error(StartFailure{"cannot listen on " + settings.http_address + ": " + failure.message()});
-    auto const& addresses =
-        std::to_array({&settings.front_address, &settings.ready_address, &settings.operator_address});
-    for (auto door = std::size_t{0}; door < doors.size(); ++door)
-        if (auto const trouble = listen_at(*addresses[door], doors[door]); !trouble.empty())
-            return leaf::new_error(StartFailure{trouble});
-    auto const& listens = settings.control_listen.empty() ? settings.control_address : settings.control_listen;
-    auto const problem = transport.start(listens, settings.fleet, [this](Frame&& frame) {
+    auto const problem = transport.begin_reading(settings.fleet, [this](Frame&& frame) {
         auto message = read_message(frame.body);
         if (!message) {
             ++transport.malformed;
@@ -76,7 +63,7 @@
             act_on(control.receive(clock_now(), frame.sender, frame.sender_address, message));
         });
     });
-    if (!problem.empty()) return leaf::new_error(StartFailure{"cannot listen on " + listens + ": " + problem});
+    if (!problem.empty()) return leaf::new_error(StartFailure{"cannot hear other nodes: " + problem});
     open_disk_gate();
     write_log(
         Level::information, "started",
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -55,7 +55,8 @@
     std::atomic<std::uint64_t> next_ticket{1};
     asio::signal_set stop_signals{context, SIGTERM, SIGINT};
     asio::signal_set reload_signals{context, SIGHUP};
-    bool running = false;     // the start is over
+    bool running = false;  // the start is over
+    bool control_listens = false;
     bool stop_asked = false;  // by a signal during the start
     std::atomic<bool> stopping{false};
     std::atomic<Microseconds> entry_ends{0};  // stopping: a request that is read later than this is refused; 0: none
@@ -180,7 +181,9 @@
     auto wake() -> void;
     auto judge_resting(Microseconds now) -> void;
     auto accept_loop() -> awaitable<void>;
-    auto listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::string;
+    auto take_addresses() -> leaf::result<void>;
+    auto listen_everywhere() -> std::optional<ListenFailure>;
+    auto listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::optional<ListenFailure>;
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto parts_manager() -> awaitable<void>;
--- a/source/process/node_types.hpp
+++ b/source/process/node_types.hpp
@@ -51,4 +51,7 @@
     std::string what;
 };
 
+// A node was told to end before it had started.
+struct StartCancelled {};
+
 }  // namespace dockrock
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -81,6 +81,10 @@
             set_process_phase(ProcessPhase::running);
             return node->run();
         },
+        [](StartCancelled) {
+            write_log(Level::information, "stopped", fields("effect", "told to end before it had started"));
+            return 0;
+        },
         [&](StartFailure const& failure) { return tell_start_failure(failure.what, limits); },
         [&](std::exception const& failure) { return tell_start_failure(failure.what(), limits); },
         [&] { return tell_start_failure("for a reason that is not known", limits); });
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -33,20 +33,33 @@
 
 }  // namespace
 
-auto Transport::start(std::string const& address, std::string const& fleet_name, Heard heard) -> std::string {
+auto Transport::listen(std::string const& address) -> std::optional<ListenFailure> {
+    auto failure = nng_socket_id(listener) > 0 ? 0 : nng_pull0_open(&listener);
+    if (failure == 0) {
+        nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, frame_limit);
+        nng_socket_set_int(listener, NNG_OPT_RECVBUF, 256);
+        failure = nng_listen(listener, ("tcp://" + address).c_str(), nullptr, 0);
+    }
+    if (failure == 0) return std::nullopt;
+    return ListenFailure{
+        "cannot listen on " + address + ": " + nng_strerror(failure),
+        failure == NNG_EADDRINUSE || failure == NNG_EADDRINVAL};
+}
+
+auto Transport::begin_reading(std::string const& fleet_name, Heard heard) -> std::string {
     fleet = fleet_name;
     auto device = std::random_device();
     life = ((static_cast<std::uint64_t>(device()) << 32U) ^ device()) | 1U;
-    if (auto const failure = nng_pull0_open(&listener); failure != 0) return nng_strerror(failure);
-    nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, frame_limit);
-    nng_socket_set_int(listener, NNG_OPT_RECVBUF, 256);
-    if (auto const failure = nng_listen(listener, ("tcp://" + address).c_str(), nullptr, 0); failure != 0)
-        return nng_strerror(failure);
     if (auto const failure = nng_aio_alloc(&receipt, nullptr, nullptr); failure != 0) return nng_strerror(failure);
     reader = std::thread([this, heard = std::move(heard)] { read_frames(heard); });
     return "";
 }
 
+auto Transport::start(std::string const& address, std::string const& fleet_name, Heard heard) -> std::string {
+    if (auto const failure = listen(address)) return failure->what;
+    return begin_reading(fleet_name, std::move(heard));
+}
+
 auto Transport::read_frames(Heard const& heard) -> void {
     while (!stopping) {
         nng_recv_aio(listener, receipt);
--- a/source/process/transport.hpp
+++ b/source/process/transport.hpp
@@ -23,11 +23,17 @@
     Microseconds dialled_before = 0;
 };
 
+// Why an address was not taken.
+struct ListenFailure {
+    std::string what;
+    bool in_use = false;  // it may be free later
+};
+
 struct Transport {
     using Heard = std::function<void(Frame&&)>;
 
     std::string fleet;
-    nng_socket listener{};
+    nng_socket listener = NNG_SOCKET_INITIALIZER;
     nng_aio* receipt = nullptr;  // the one receive that is under way; once stopped, no other one begins
     std::mutex lock;
     struct Peer {
@@ -60,8 +66,12 @@
     std::atomic<std::uint64_t> redials{0};
     std::shared_ptr<std::atomic<std::uint64_t>> connections_lost = std::make_shared<std::atomic<std::uint64_t>>(0);
 
-    auto start(std::string const& address, std::string const& fleet_name, Heard heard)
-        -> std::string;  // empty, or what failed
+    // May be tried again where it failed. Frames that come wait until they are read.
+    auto listen(std::string const& address) -> std::optional<ListenFailure>;
+    // Once it listens. Empty, or what failed.
+    auto begin_reading(std::string const& fleet_name, Heard heard) -> std::string;
+    // Both.
+    auto start(std::string const& address, std::string const& fleet_name, Heard heard) -> std::string;
     auto send(std::string const& address, std::string const& frame, Microseconds now) -> void;
     // It was asked something and did not answer in time.
     auto doubt(std::string const& address, Microseconds now) -> void;
--- a/tests/start_failures_test.py
+++ b/tests/start_failures_test.py
@@ -41,7 +41,7 @@
 
 def main(build):
     program = platform_program(build)
-    good = edge_settings("edge-1", ADDRESS)
+    good = edge_settings("edge-1", ADDRESS).replace("graceS = 8", "graceS = 1")  # so long it waits for an address
     cases = [
         ("no file", None, None, "cannot read"),
         ("not TOML", "nodeName = ", None, "not TOML at line 1"),
