A node that cannot run inside the limits of its machine says so and ends with 3

What was seen: where memory was too small for a start, a library ended the process by signal 11 or waited for a thread that was never made (no end, no word). Cause: nothing was asked before libraries were started. Now the start asks the kernel for what it is going to take (56 MiB, given back at once), and looks at ramMb and descriptors; what is missing is told with limits and use, status 3.

--- a/source/process/footprint.cpp
+++ b/source/process/footprint.cpp
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 #include <pthread.h>
+#include <sys/mman.h>
 
 #include <cstddef>
 
@@ -14,6 +15,9 @@
 constexpr auto mapped_from = 256 << 10U;  // bytes: larger pieces go back to the system as they are freed
 constexpr auto kept_at_top = 2 << 20U;    // bytes
 
+constexpr auto start_needs = 56 * one_mebibyte;  // forty stacks, and what the start takes beside them
+constexpr auto least_descriptors = std::uint64_t{64};
+
 }  // namespace
 
 auto limit_footprint() -> void {
@@ -28,4 +32,18 @@
     mallopt(M_TRIM_THRESHOLD, kept_at_top);
 }
 
+auto missing_for_start(MachineLimits const& limits) -> std::string {
+    if (limits.resident < start_needs)
+        return "resident memory: " + std::to_string(limits.resident) + " bytes are allowed, the start needs " +
+            std::to_string(start_needs);
+    if (limits.descriptors < least_descriptors)
+        return "descriptors: " + std::to_string(limits.descriptors) + " are allowed, a node needs at least " +
+            std::to_string(least_descriptors);
+    auto* const probe = ::mmap(nullptr, start_needs, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    if (probe == MAP_FAILED)
+        return "memory: the start needs " + std::to_string(start_needs) + " bytes more than are in use now";
+    ::munmap(probe, start_needs);
+    return {};
+}
+
 }  // namespace dockrock
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -107,7 +107,7 @@
     bool disk_stop = false;
 
     auto start() -> leaf::result<void>;
-    auto run() -> int;
+    auto run() -> void;
     auto interpret_in_turn(Work work) -> void;
     auto in_control(Work work) -> void { control_work.put(std::move(work)); }
     auto act_on(ControlOutput output) -> void;
--- a/source/process/node_run.cpp
+++ b/source/process/node_run.cpp
@@ -114,7 +114,7 @@
     });
 }
 
-auto Node::run() -> int {
+auto Node::run() -> void {
     running = true;
     if (stop_asked) begin_stop();
     spawn_essential(asio::make_strand(context), tick_loop());
@@ -137,7 +137,6 @@
         write_log(Level::warning, "sockets-still-open", fields("effect", "they are closed as the process ends"));
     stop_disk();
     write_log(Level::information, "stopped");
-    return 0;
 }
 
 // Not ready, duties handed over, streams finished, then out (design 13).
--- a/source/process/run_node.cpp
+++ b/source/process/run_node.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+enum class ExitStatus : int { well = 0, not_started = 1, wrong_settings = 2, no_room = 3 };
+
 // An exception that nobody catches ends the process; its reason goes to standard error, whatever the log is set to.
 auto tell_uncaught() -> void {
     try {
@@ -26,21 +28,20 @@
 }
 
 // The reason of a failed start, with what the machine allows and what was in use.
-auto tell_start_failure(std::string const& what, MachineLimits const& limits) -> int {
+auto tell_start_failure(std::string const& what, MachineLimits const& limits) -> void {
     auto const use = process_use();
     write_log(
         Level::failure, "start-failed", {{"what", what}, {"limits", write_limits(limits)}, {"in_use", write_use(use)}});
     std::cerr << "start failed: " << what << "; limits " << json::serialize(write_limits(limits)) << ", in use "
               << json::serialize(write_use(use)) << "\n";
-    return 1;
 }
 
 // What has to last is synced by now, and the log flushed. The rest is left to the system: to take it down here could
 // wait for a library's threads.
-[[noreturn]] auto end_process(int status) -> void {
+[[noreturn]] auto end_process(ExitStatus status) -> void {
     std::cout.flush();
     std::cerr.flush();
-    std::_Exit(status);
+    std::_Exit(static_cast<int>(status));
 }
 
 }  // namespace
@@ -55,10 +56,10 @@
     NodeSettings settings;
     auto const problems = program.read(settings);
     for (auto const& problem : problems) std::cerr << problem.path << ": " << problem.what << "\n";
-    if (!problems.empty()) end_process(2);
+    if (!problems.empty()) end_process(ExitStatus::wrong_settings);
     if (program.check_only) {
         std::cout << "the settings are good\n";
-        end_process(0);
+        end_process(ExitStatus::well);
     }
     auto const& name = settings.node_name.empty() ? settings.http_address : settings.node_name;
     start_log(settings.log_file, name, level_of(settings.log_level));
@@ -66,28 +67,41 @@
     auto const limits = machine_limits_of(settings);
     tell_fatal_signals(limits);
     write_log(Level::information, "machine-limits", write_limits(limits));
+    if (auto const missing = missing_for_start(limits); !missing.empty()) {
+        tell_start_failure(missing, limits);
+        end_process(ExitStatus::no_room);
+    }
     node->settings = settings;
     node->limits = limits;
     node->settings_file = program.settings_file;
     node->reread = program.read;
     node->form = program.form;
     auto const status = leaf::try_handle_all(
-        [&]() -> leaf::result<int> {
-            auto started = node->start();
-            if (!started) {
+        [&]() -> leaf::result<ExitStatus> {
+            if (auto started = node->start(); !started) {
                 node->stop_disk();
                 return started.error();
             }
             set_process_phase(ProcessPhase::running);
-            return node->run();
+            node->run();
+            return ExitStatus::well;
         },
         [](StartCancelled) {
             write_log(Level::information, "stopped", fields("effect", "told to end before it had started"));
-            return 0;
+            return ExitStatus::well;
+        },
+        [&](StartFailure const& failure) {
+            tell_start_failure(failure.what, limits);
+            return ExitStatus::not_started;
+        },
+        [&](std::exception const& failure) {
+            tell_start_failure(failure.what(), limits);
+            return ExitStatus::not_started;
         },
-        [&](StartFailure const& failure) { return tell_start_failure(failure.what, limits); },
-        [&](std::exception const& failure) { return tell_start_failure(failure.what(), limits); },
-        [&] { return tell_start_failure("for a reason that is not known", limits); });
+        [&] {
+            tell_start_failure("for a reason that is not known", limits);
+            return ExitStatus::not_started;
+        });
     end_process(status);
 }
 
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -5,9 +5,11 @@
 import sys
 import time
 
-from single_node import Node, run_cases
+from single_node import CAPS, Node, run_cases
 
 DISK_WAITED_FOR_S = 0.6
+NO_ROOM = 3  # exit status
+NEEDS = "memory: the start needs"
 MEBIBYTE = 1 << 20
 
 
@@ -60,6 +62,16 @@
             return "it ended with %s" % status
 
 
+def says_what_is_missing(which, value, words, caps=CAPS):
+    def case(program, folder):
+        with Node(program, folder, limits=[(which, value)] if which else [], caps=caps) as node:
+            status = node.ended()
+            if status != NO_ROOM or words not in node.told():
+                return "status %s, told %r" % (status, node.told()[-300:])
+
+    return case
+
+
 CASES = {
     "told to end as it starts, it ends with 0": ends_when_told_as_it_starts,
     "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
@@ -70,6 +82,10 @@
     "large stacks of the system are not those of threads": starts_under(
         False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
     ),
+    "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
+    "no room in the data segment is told": says_what_is_missing(resource.RLIMIT_DATA, 32 * MEBIBYTE, NEEDS),
+    "too few descriptors are told": says_what_is_missing(resource.RLIMIT_NOFILE, 32, "descriptors: 32 are allowed"),
+    "too little resident memory is told": says_what_is_missing(None, 0, "resident memory: ", "\n[caps]\nramMb = 20\n"),
     "a fatal signal leaves a line with what was in use": fatal_signal_is_told,
     "limits and use are shown": limits_are_shown,
 }
