Bodies and kept failures are held within one budget of memory, once each

Cause: each body had a bound, their sum had none; a body grew by doubling, so it took up to twice its length, and the allocator kept what was freed. Each connection at rest kept 32 KB and more. Class: a limit of the machine that the node is told and does not heed.

Change: messages that are held whole (requests, operators' calls, replicas' failures) take their room from one budget, 3/8 of the smallest limit on memory, as their bytes come. What has no room gets 503 with Retry-After, read as a promise that nothing ran; the connection stays open for its client to read that (2 s). A failure without room is told as 502. Bodies up to 8 KiB cost nothing. A body's room is no larger than its length; a connection at rest holds a buffer of 4 KiB.

Failed try: lingering after 400, 408, 413 and 431 as well. unreadable_request_test asks that such a session is over once its answer is out; left as it was.

--- a/source/connection/message_parser.hpp
+++ b/source/connection/message_parser.hpp
@@ -4,10 +4,12 @@
 // that were judged (RFC 9110, 6.5.1).
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <algorithm>
 #include <limits>
 #include <type_traits>
 #include <utility>
 
+#include "base/memory_budget.hpp"
 #include "connection/http_message.hpp"
 
 namespace dockrock {
@@ -29,6 +31,8 @@
     }
     // The most bytes of a body that are stored at once; http::error::body_limit beyond.
     auto limit_stored_body(std::size_t bytes) -> void { most_stored = bytes; }
+    // Takes the room for a body from `share`; errc::not_enough_memory where it gives none.
+    auto count_in(MemoryShare& share) -> void { body_share = &share; }
     // The head of a chunked body has been read, and nothing behind it.
     auto awaits_first_chunk() const -> bool {
         return this->is_header_done() && this->chunked() && !chunk_seen && !this->is_done();
@@ -45,6 +49,7 @@
     std::size_t in_head = 0;
     std::size_t most_in_head = default_head_limit;
     std::size_t most_stored = std::numeric_limits<std::size_t>::max();
+    MemoryShare* body_share = nullptr;
     bool chunk_seen = false;
 
     static auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
@@ -59,11 +64,31 @@
         failure = in_head > most_in_head ? ErrorCode(http::error::header_limit) : ErrorCode();
     }
 
+    // Doubled as bytes come, to no more than the head says: what it names makes no room by itself.
+    auto capacity_for(std::size_t size) -> std::size_t {
+        auto const doubled = std::max(size, 2 * body().capacity());
+        auto const left = this->is_header_done() ? this->content_length_remaining() : boost::none;
+        if (!left || *left > doubled - body().size()) return doubled;
+        return std::max<std::size_t>(size, body().size() + static_cast<std::size_t>(*left));
+    }
+
+    auto make_room(std::size_t size) -> bool {
+        if (size <= body().capacity()) return true;
+        auto const capacity = capacity_for(size);
+        if (body_share != nullptr && !body_share->grow_to(capacity)) return false;
+        auto larger = std::string();
+        larger.reserve(capacity);  // of a fresh text: one that grows takes twice as much
+        larger.append(body());
+        body().swap(larger);
+        return true;
+    }
+
     auto store(View piece, ErrorCode& failure) -> std::size_t {
-        if (piece.size() > most_stored - body().size()) {
-            failure = http::error::body_limit;
-            return 0;
-        }
+        failure = {};
+        if (piece.size() > most_stored - body().size()) failure = http::error::body_limit;
+        else if (!make_room(body().size() + piece.size()))
+            failure = make_error_code(boost::system::errc::not_enough_memory);
+        if (failure) return 0;
         body().append(piece.data(), piece.size());
         return piece.size();
     }
--- a/source/connection/metrics.cpp
+++ b/source/connection/metrics.cpp
@@ -76,6 +76,9 @@
     line("losses_borne_for_microseconds", now - losses_bearable.since.load());
     measures.write(text);
     write_machine(text, limits, process_use());
+    if (message_memory.most() != MemoryBudget::unlimited) line("message_memory_limit_bytes", message_memory.most());
+    line("message_memory_bytes", message_memory.used());
+    line("message_memory_refusals_total", message_memory.refusals());
     auto const guard = std::lock_guard(table.lock);
     line("waiting_tickets", table.granting.waiting_count());
     line("extra_tries_total", table.granting.extra_tries);
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -1,4 +1,5 @@
 // Readiness, and the operator's calls in a relaying fleet. docs/platform.md section 6.
+#include "connection/lingering_close.hpp"
 #include "connection/message_reader.hpp"
 #include "connection/relay_session.hpp"
 #include "connection/replica_pool.hpp"
@@ -81,15 +82,20 @@
     probe_silence(stream.socket());
     auto buffer = beast::flat_buffer();
     while (!node.finished) {
+        auto room = MemoryShare(node.message_memory);
         auto parser = RequestParser();
+        parser.count_in(room);
         parser.body_limit(call_limit);
         stream.expires_after(std::chrono::seconds(20));
         if (auto const failure = co_await read_whole(stream, buffer, parser); failure) {
-            if (failure != http::error::body_limit) co_return;
+            auto const no_room = failure == boost::system::errc::not_enough_memory;
+            if (failure != http::error::body_limit && !no_room) co_return;
             auto bad = HttpRequest(http::verb::put, "/", 11);
             bad.keep_alive(false);
-            auto const response = response_of(bad, 413, error_text("the body is too large"));
+            auto const response = no_room ? response_of(bad, 503, error_text("no room for the body now"))
+                                          : response_of(bad, 413, error_text("the body is too large"));
             co_await http::async_write(stream, response, use_tuple);
+            if (no_room) co_await close_lingering(stream);
             co_return;
         }
         auto const request = parser.release();
--- /dev/null
+++ b/source/connection/relay_reading.cpp
@@ -0,0 +1,92 @@
+// Reading a client's requests, and what becomes of those that cannot be read. docs/platform.md section 4.
+#include "connection/lingering_close.hpp"
+#include "connection/message_reader.hpp"
+#include "connection/relay_session.hpp"
+#include "connection/replica_pool.hpp"
+#include "process/spawn.hpp"
+
+namespace dockrock {
+
+namespace {
+
+constexpr Microseconds longest_wait = 24 * 3'600 * one_second;  // timers take no configured time beyond
+constexpr auto first_read_bytes = std::size_t{4U << 10U};
+constexpr auto body_read_bytes = std::size_t{64U << 10U};
+
+// By an unknown coding nobody can tell where the body ends, nor, where it is chunked last, what the body is: the
+// coding is this connection's own and is not passed on. HTTP/1.0 has none.
+auto known_coding(HttpRequest const& request) -> bool {
+    auto const codings = request.count(http::field::transfer_encoding);
+    if (codings == 0) return true;
+    return codings == 1 && request.version() > 10 && beast::iequals(request[http::field::transfer_encoding], "chunked");
+}
+
+}  // namespace
+
+auto RelaySession::serve() -> awaitable<void> {
+    probe_silence(client.socket());
+    while (!node.finished) {
+        auto const limits = [&] {
+            auto const current = node.snapshot.load();
+            return current->rules->services ? current->rules->services->document.limits : RequestLimits{};
+        }();
+        if (buffer.size() == 0 && !co_await await_request(limits)) co_return;
+        auto room = MemoryShare(node.message_memory);
+        auto parser = RequestParser();
+        parser.count_in(room);
+        if (auto const failure = co_await read_request(limits, parser); failure) {
+            co_await answer_unread(failure);
+            co_return;
+        }
+        auto const request = parser.release();
+        auto const counted = CountedScope(node.open_requests);
+        if (!co_await handle(request)) break;
+    }
+    boost::system::error_code ignored;
+    client.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+// A connection that rests holds no more than a small buffer; a stopping node lets go of it soon.
+auto RelaySession::await_request(RequestLimits const& limits) -> awaitable<bool> {
+    buffer = beast::flat_buffer();
+    client.expires_after(std::chrono::microseconds(
+        node.stopping ? 300 * one_millisecond : std::clamp(limits.idle_time, one_second, longest_wait)));
+    auto const [failure, size] = co_await client.async_read_some(buffer.prepare(first_read_bytes), use_tuple);
+    if (failure) co_return false;
+    buffer.commit(size);
+    co_return true;
+}
+
+auto RelaySession::read_request(RequestLimits const& limits, RequestParser& parser)
+    -> awaitable<boost::system::error_code> {
+    parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
+    parser.limit_head(head_limit(limits.header_bytes));
+    client.expires_after(std::chrono::microseconds(std::min(limits.header_time, longest_wait)));
+    if (auto const failure = co_await read_head(client, buffer, parser); failure) co_return failure;
+    if (!known_coding(parser.get())) co_return http::error::bad_transfer_encoding;
+    if (parser.is_done()) co_return boost::system::error_code();
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
+    buffer.reserve(body_read_bytes);
+    client.expires_after(std::chrono::microseconds(std::min(limits.idle_time, longest_wait)));
+    co_return co_await read_whole(client, buffer, parser);
+}
+
+// The answer to a request that was not read to its end, if there is anyone to take it.
+auto RelaySession::answer_unread(boost::system::error_code failure) -> awaitable<void> {
+    auto bad = HttpRequest(http::verb::get, "/", 11);
+    bad.keep_alive(false);
+    if (failure == boost::system::errc::not_enough_memory) {
+        ++node.counters.shed;
+        co_await refuse(bad, 503, "no room for the body now", soon);
+        co_return co_await close_lingering(client);
+    }
+    if (failure == http::error::body_limit) co_await refuse(bad, 413, "the body is too large");
+    else if (failure == http::error::header_limit) co_await refuse(bad, 431, "the head is too large");
+    else if (failure == beast::error::timeout) co_await refuse(bad, 408, "the request did not arrive in time");
+    else if (is_malformed(failure)) co_await refuse(bad, 400, "not HTTP/1.1");
+    boost::system::error_code ignored;
+    client.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+}  // namespace dockrock
--- a/source/connection/relay_session.cpp
+++ b/source/connection/relay_session.cpp
@@ -13,18 +13,7 @@
 
 namespace {
 
-// How long a client waits before it comes again: seconds, as text.
-constexpr auto soon = "0.3";
 constexpr auto not_fresh = "not-fresh";
-constexpr Microseconds longest_wait = 24 * 3'600 * one_second;  // timers take no configured time beyond
-
-// By an unknown coding nobody can tell where the body ends, nor, where it is chunked last, what the body is: the
-// coding is this connection's own and is not passed on. HTTP/1.0 has none.
-auto known_coding(HttpRequest const& request) -> bool {
-    auto const codings = request.count(http::field::transfer_encoding);
-    if (codings == 0) return true;
-    return codings == 1 && request.version() > 10 && beast::iequals(request[http::field::transfer_encoding], "chunked");
-}
 
 // The number of the last event that the client has; -1 where it names none.
 auto event_number(std::string_view text) -> std::int64_t {
@@ -67,49 +56,6 @@
     co_return co_await write_all(head) && keep;
 }
 
-auto RelaySession::serve() -> awaitable<void> {
-    probe_silence(client.socket());
-    while (!node.finished) {
-        auto const limits = [&] {
-            auto const current = node.snapshot.load();
-            return current->rules->services ? current->rules->services->document.limits : RequestLimits{};
-        }();
-        if (buffer.size() == 0) {  // idle; a stopping node lets go soon
-            client.expires_after(std::chrono::microseconds(
-                node.stopping ? 300 * one_millisecond : std::clamp(limits.idle_time, one_second, longest_wait)));
-            auto const [failure, size] = co_await client.async_read_some(buffer.prepare(32U << 10U), use_tuple);
-            if (failure) co_return;
-            buffer.commit(size);
-        }
-        auto parser = RequestParser();
-        parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
-        parser.limit_head(head_limit(limits.header_bytes));
-        client.expires_after(std::chrono::microseconds(std::min(limits.header_time, longest_wait)));
-        auto failure = co_await read_head(client, buffer, parser);
-        if (!failure && !known_coding(parser.get())) failure = http::error::bad_transfer_encoding;
-        if (!failure && !parser.is_done()) {
-            if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
-                co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
-            client.expires_after(std::chrono::microseconds(std::min(limits.idle_time, longest_wait)));
-            failure = co_await read_whole(client, buffer, parser);
-        }
-        if (failure) {
-            auto bad = HttpRequest(http::verb::get, "/", 11);
-            bad.keep_alive(false);
-            if (failure == http::error::body_limit) co_await refuse(bad, 413, "the body is too large");
-            else if (failure == http::error::header_limit) co_await refuse(bad, 431, "the head is too large");
-            else if (failure == beast::error::timeout) co_await refuse(bad, 408, "the request did not arrive in time");
-            else if (is_malformed(failure)) co_await refuse(bad, 400, "not HTTP/1.1");
-            break;
-        }
-        auto const request = parser.release();
-        auto const counted = CountedScope(node.open_requests);
-        if (!co_await handle(request)) break;
-    }
-    boost::system::error_code ignored;
-    client.socket().shutdown(tcp::socket::shutdown_send, ignored);
-}
-
 // One snapshot gives the verdict and the sequence that goes with it; the proof is read first (design 8.2.2).
 auto RelaySession::judge(HttpRequest const& request, Microseconds arrived_at) const -> RelayJudgement {
     auto const proven = node.proven_at.load();
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -1,7 +1,9 @@
 #pragma once
 // A client's connection whose requests are relayed as they are. docs/platform.md
 // sections 4 and 5. All of it runs on the one thread of a relaying node.
+#include "base/memory_budget.hpp"
 #include "connection/http_message.hpp"
+#include "connection/message_parser.hpp"
 #include "connection/request_trace.hpp"
 #include "connection/session.hpp"
 #include "process/form.hpp"
@@ -10,6 +12,9 @@
 
 namespace dockrock {
 
+// How long a client waits before it comes again: seconds, as text.
+inline constexpr auto soon = "0.3";
+
 // Told when the client goes away while its request is under way.
 struct ClientWatch {
     bool active = true;
@@ -27,6 +32,7 @@
     std::set<std::string> tried;  // replicas that this request was sent to
     // A replica's own failure that may be passed on where no other try is left.
     std::string failure_head;
+    std::optional<MemoryShare> failure_room;
     RequestTrace trace;
 };
 
@@ -45,6 +51,9 @@
     std::shared_ptr<ClientWatch> watch;
 
     auto serve() -> awaitable<void>;
+    auto await_request(RequestLimits const& limits) -> awaitable<bool>;
+    auto read_request(RequestLimits const& limits, RequestParser& parser) -> awaitable<boost::system::error_code>;
+    auto answer_unread(boost::system::error_code failure) -> awaitable<void>;
     auto handle(HttpRequest const& request) -> awaitable<bool>;
     auto judge(HttpRequest const& request, Microseconds arrived_at) const -> RelayJudgement;
     auto run(HttpRequest const& request, RelayJudgement judgement) -> awaitable<bool>;
--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -93,6 +93,7 @@
     auto const not_run = message.fields.find(node.form->headers.not_run) != nullptr || status == 421;
     connection->stream.expires_after(answer_patience());
     parser.limit_stored_body(ReplicaExchange::stored_body_bytes);
+    parser.count_in(answer.failure_room.emplace(node.message_memory));
     auto const failure = co_await read_whole(connection->stream, connection->buffer, parser);
     facts.received = not_run ? Received::not_run : Received::cut_before_output;
     reason = not_run ? refusal_reason(status) : "replica-broke";
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -53,7 +53,9 @@
                 continue;
             }
         }
+        auto room = MemoryShare(node.message_memory);
         auto parser = RequestParser();
+        parser.count_in(room);
         parser.body_limit(request_body_limit);
         parser.limit_head(request_head_limit);
         auto const counted = CountedScope(node.open_requests);
@@ -71,6 +73,10 @@
                 fields("error", "the request is too large", "outcome", "shed"));
             co_return;
         }
+        if (failure == boost::system::errc::not_enough_memory) {
+            co_await shed(request, "no-room", 1);
+            co_return;
+        }
         if (is_malformed(failure)) {
             co_await answer(request, 400, fields("error", "not HTTP/1.1", "outcome", "shed"));
             co_return;
--- a/source/process/machine_limits.cpp
+++ b/source/process/machine_limits.cpp
@@ -9,10 +9,14 @@
 #include <iterator>
 #include <sstream>
 
+#include "base/memory_budget.hpp"
+
 namespace dockrock {
 
 namespace {
 
+constexpr auto message_share = std::uint64_t{3};  // of eight parts of the memory
+constexpr auto message_share_divisor = std::uint64_t{8};
 constexpr auto one_megabyte = std::uint64_t{1'000'000};
 constexpr auto one_kibibyte = std::uint64_t{1} << 10U;  // the unit of /proc/self/status
 
@@ -48,6 +52,11 @@
     return limits;
 }
 
+auto message_memory_of(MachineLimits const& limits) -> std::uint64_t {
+    auto const whole = limits.memory();
+    return whole == no_limit ? MemoryBudget::unlimited : whole / message_share_divisor * message_share;
+}
+
 auto process_use() -> ProcessUse {
     ProcessUse use;
     auto const sizes = std::to_array<std::pair<std::string_view, std::uint64_t*>>(
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <set>
 
+#include "base/memory_budget.hpp"
 #include "connection/losses.hpp"
 #include "connection/http_client.hpp"
 #include "connection/replica_pool.hpp"
@@ -40,6 +41,7 @@
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
     std::string settings_file;                      // looked at now and then; may be empty
     MachineLimits limits;                           // read once, at the start
+    MemoryBudget message_memory;                    // of bodies that are held whole: requests, calls, failures
     RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
--- a/source/process/node_reload.cpp
+++ b/source/process/node_reload.cpp
@@ -18,6 +18,7 @@
 
 // Before the first thread runs.
 auto Node::take_limits() -> void {
+    message_memory.set_most(message_memory_of(limits));
     auto const& bounds = settings.bounds;
     auto& granting = table.granting;
     granting.budget.each_ticket = bounds.retry_ratio;
--- /dev/null
+++ b/tests/held_bodies_test.cpp
@@ -0,0 +1,86 @@
+// What callers send is held within one budget of memory: what has no room is refused, readably, and nothing else
+// suffers.
+#include <catch2/catch.hpp>
+
+#include "base/memory_budget.hpp"
+#include "session_wire.hpp"
+
+using namespace dockrock;
+using namespace dockrock::testing;
+
+TEST_CASE("a budget of memory is never passed, and gets back what a message took") {
+    auto budget = MemoryBudget();
+    budget.set_most(100'000);
+    {
+        auto first = MemoryShare(budget);
+        CHECK(first.grow_to(60'000));
+        CHECK(first.grow_to(50'000));  // it has it
+        CHECK(budget.used() == 60'000);
+        auto second = MemoryShare(budget);
+        CHECK(second.grow_to(MemoryShare::free_bytes));
+        CHECK(budget.used() == 60'000);
+        CHECK_FALSE(second.grow_to(40'001));
+        CHECK(budget.refusals() == 1);
+        CHECK(second.grow_to(40'000));
+        CHECK_FALSE(first.grow_to(60'001));
+        CHECK(budget.used() == 100'000);
+    }
+    CHECK(budget.used() == 0);
+}
+
+TEST_CASE("a body is held once: in no more room than its length") {
+    constexpr auto length = std::size_t{1'000'000};
+    auto const head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    auto budget = MemoryBudget();
+    auto share = MemoryShare(budget);
+    auto parser = RequestParser();
+    parser.count_in(share);
+    parser.eager(true);
+    auto failure = boost::system::error_code();
+    parser.put(asio::buffer(head), failure);
+    CHECK(budget.used() == 0);  // a length that is only named takes nothing
+    auto const piece = std::string(10'000, 'b');
+    for (auto sent = std::size_t{0}; sent < length; sent += piece.size()) parser.put(asio::buffer(piece), failure);
+    REQUIRE(parser.is_done());
+    CHECK(parser.get().body().capacity() == length);
+    CHECK(budget.used() == length);
+}
+
+TEST_CASE("a body without room gets 503 with Retry-After, and the connection is not reset under it") {
+    auto requests = 0;
+    auto session = SessionWire(answering(requests));
+    session.wire.node->message_memory.set_most(64'000);
+    session.say(post("id-1", 1'000'000));
+    REQUIRE(session.hear("no room for the body now\"}"));
+    CHECK(session.seen.starts_with("HTTP/1.1 503"));
+    CHECK(session.answers("Retry-After: ") == 1);
+    session.leave();
+    CHECK(session.run_until([&] { return session.session_over; }));
+    CHECK(requests == 0);
+    CHECK(session.wire.node->message_memory.used() == 0);
+}
+
+TEST_CASE("a small request is served while the budget is used up") {
+    auto requests = 0;
+    auto session = SessionWire(answering(requests));
+    auto& budget = session.wire.node->message_memory;
+    budget.set_most(64'000);
+    auto other = MemoryShare(budget);
+    REQUIRE(other.grow_to(64'000));
+    session.say(post("id-1"));
+    CHECK(session.hear("text-of-id-1"));
+}
+
+TEST_CASE("a replica's failure that has no room to be kept is told as one of the node's own") {
+    auto session = SessionWire([](Peer& peer) -> awaitable<void> {
+        if (!co_await peer.until("bbbb")) co_return;
+        auto const head = std::string("HTTP/1.1 500 No\r\nRequest-Name: id-1\r\nContent-Length: 500000\r\n\r\n");
+        co_await peer.say(head + std::string(500'000, 'f'));
+        co_await peer.until("never");
+    });
+    auto& budget = session.wire.node->message_memory;
+    budget.set_most(64'000);
+    session.say(post("id-1"));
+    CHECK(session.hear("HTTP/1.1 502"));
+    CHECK(session.run_until([&] { return budget.used() == 0; }));
+}
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -2,13 +2,17 @@
 
 import resource
 import signal
+import socket
 import sys
+import threading
 import time
 
-from single_node import CAPS, Node, run_cases
+from node_settings import PORTS
+from single_node import CAPS, END_LIMIT_S, Node, run_cases
 
 DISK_WAITED_FOR_S = 0.6
 NO_ROOM = 3  # exit status
+LONG_BODY, CLIENTS, RAM_MB = 4_194_304, 100, 260
 NEEDS = "memory: the start needs"
 MEBIBYTE = 1 << 20
 
@@ -72,6 +76,39 @@
     return case
 
 
+def answer_to_body(address, size, answers):
+    """The status that a client with a long body is answered with; what it met in its place."""
+    head = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n" % size
+    try:
+        with socket.create_connection((address, PORTS["front"]), timeout=END_LIMIT_S) as connection:
+            connection.sendall(head.encode() + b"b" * size)
+            answers.append(connection.recv(4096).split(b" ")[1].decode())
+    except (OSError, IndexError) as failure:
+        answers.append(type(failure).__name__)
+
+
+def bears_long_bodies(program, folder):
+    """Clients whose bodies together are more than the memory that the node may take."""
+    with Node(program, folder) as node:
+        if not node.starts():
+            return "it does not start: " + node.told()
+        answers = []
+        clients = [
+            threading.Thread(target=answer_to_body, args=(node.address, LONG_BODY, answers)) for _ in range(CLIENTS)
+        ]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join()
+        peak = node.resident_peak()
+        if not node.listens() or peak is None:
+            return "it is gone: %s, %r" % (node.process.poll(), node.told()[-200:])
+        if peak > RAM_MB * 1_000_000:
+            return "%d MB resident at the peak, %d are allowed" % (peak // 1_000_000, RAM_MB)
+        if set(answers) != {"503"}:  # it has no configuration
+            return "answers %s" % {answer: answers.count(answer) for answer in set(answers)}
+
+
 CASES = {
     "told to end as it starts, it ends with 0": ends_when_told_as_it_starts,
     "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
@@ -82,6 +119,7 @@
     "large stacks of the system are not those of threads": starts_under(
         False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
     ),
+    "long bodies of many clients stay within its memory": bears_long_bodies,
     "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
     "no room in the data segment is told": says_what_is_missing(resource.RLIMIT_DATA, 32 * MEBIBYTE, NEEDS),
     "too few descriptors are told": says_what_is_missing(resource.RLIMIT_NOFILE, 32, "descriptors: 32 are allowed"),
--- a/tests/single_node.py
+++ b/tests/single_node.py
@@ -64,6 +64,15 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def resident_peak(self):
+        """Bytes; nothing where it is gone."""
+        try:
+            status = pathlib.Path("/proc/%d/status" % self.process.pid).read_text()
+        except OSError:
+            return None
+        told = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(told[0]) * 1024 if told else None
+
     def told(self):
         return self.log.read_text(errors="replace")
 
