Soak: nodes run under the limits of their settings, with callers whose bodies are too many

New lines in the verdict: MEMORY (resident peak by the node's own metrics) and BODIES (a caller with a long body is answered).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -108,6 +108,7 @@
 soak configuration --shape configuration --seed 2 --seconds 25
 soak mixed --shape mixed --seed 1 --seconds 25
 soak losses --shape losses --seed 0 --seconds 25
+soak limits --shape losses --seed 7 --seconds 25 --long-bodies --hasty
 soak weights --shape weights --seed 2 --seconds 50
 soak configuration-10 --shape configuration --seed 10 --seconds 45
 soak planted-stale --planted stale --seed 2 --seconds 25
--- a/tests/live/processes.py
+++ b/tests/live/processes.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import subprocess
 import time
@@ -49,8 +50,10 @@
 
 
 class Process:
-    def __init__(self, name, arguments, folder, environment=None):
+    def __init__(self, name, arguments, folder, environment=None, limits=()):
+        """`limits`: of the kernel, (resource, value) each."""
         self.name, self.arguments, self.folder, self.environment = name, arguments, folder, environment
+        self.limits = limits
         self.handle = None
         self.told = False  # whether it was told to end
 
@@ -58,10 +61,15 @@
         self.told = False
         with open(self.folder / (self.name + ".out"), "ab") as output:
             self.handle = subprocess.Popen(
-                self.arguments, stdout=output, stderr=output, cwd=self.folder, env=self.environment
-            )
+                self.arguments, stdout=output, stderr=output, cwd=self.folder, env=self.environment,
+                preexec_fn=self.set_limits if self.limits else None,
+            )  # fmt: skip
         return self
 
+    def set_limits(self):
+        for which, value in self.limits:
+            resource.setrlimit(which, (value, value))
+
     def running(self):
         return self.handle is not None and self.handle.poll() is None
 
--- a/tests/platform/day.py
+++ b/tests/platform/day.py
@@ -17,6 +17,7 @@
 
 FRONT, READY, CONTROL, REPLICA = 8689, 8687, 8683, 8080
 PORTS = [7360, 7375]  # of a node's own; it tells its metrics at the last
+RAM_MB, NOFILE = 260, 4100
 ZONES = ["north", "east", "south", "west"]
 BOUNDS = {
     "seedLagS": 3, "reuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchupS": 4, "drainMs": 3000, "graceS": 8,
@@ -111,7 +112,8 @@
         table["zones"] = {zone: "home" for zone in ZONES}
         table["listen"] = {part: self.address(name, port) for part, port in listen.items()}
         table["caps"] = {
-            "cpuFrac": 0.25, "ncpu": 1, "ramMb": 260, "nofile": 4100, "netMbps": 1000.0, "diskMb": 128 if core else 0,
+            "cpuFrac": 0.25, "ncpu": 1, "ramMb": RAM_MB, "nofile": NOFILE, "netMbps": 1000.0,
+            "diskMb": 128 if core else 0,
         }  # fmt: skip
         table["tolerate"] = {"machines": 1, "zones": 0, "regions": 0}
         table["bounds"] = BOUNDS
@@ -122,6 +124,10 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         return {**environment, "DOCKROCK_NODE_FILE": str(path)}
 
+    def limits(self, name):
+        """Of the kernel, for this node's process."""
+        return ()
+
     def write_settings(self, name):
         path = self.folder / (name + ".toml")
         fresh = path.with_suffix(".new")
@@ -132,7 +138,7 @@
     def start_node(self, name):
         path = self.write_settings(name)
         self.started_before.add(name)
-        self.processes[name] = Process(name, self.node, self.folder, self.environment(name, path))
+        self.processes[name] = Process(name, self.node, self.folder, self.environment(name, path), self.limits(name))
         self.processes[name].start()
         if name in self.edges:
             self.do("started", front=self.address(name, FRONT))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 from day import BOUNDS, FRONT
 from day_requests import configuration
 from soak_fleet import Fleet
+from long_bodies import LongBodies
 from operators import Operators
 from touch import clock, planned_stops, spans
 from troubles import Troubles
@@ -29,6 +30,7 @@
         self.fleet = Fleet(folder, options, node)
         self.operators = Operators(self.fleet, seed, options.shape)
         self.watch = Watch(self.fleet)
+        self.bodies = LongBodies(self.fleet, seed)
         self.over, self.recovered_after, self.failures = threading.Event(), None, []
 
     def note(self, trouble, began, whom):
@@ -78,6 +80,7 @@
     def finish(self):
         self.recover()
         self.operators.stop()
+        self.bodies.stop()
         for _ in range(LAST_READS):
             self.fleet.do("read", limitMs=int(1000 * BOUNDS["recoverS"]))
         self.fleet.traffic(seconds=0)
@@ -97,6 +100,8 @@
             fleet.traffic()
             self.watch.start()
             self.operators.start()
+            if getattr(self.options, "long_bodies", False):
+                self.bodies.start()
             self.play()
             self.finish()
             told = spans(fleet.ledger.harms, fleet.cores, fleet.edges, BOUNDS["contactMs"])
@@ -112,6 +117,7 @@
         finally:
             self.over.set()
             self.operators.ended.set()
+            self.bodies.ended.set()
             self.watch.ended.set()
             fleet.stop()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 def replay(options, seed):
     words = ["python3 tests/soak/soak.py", "--seed %d" % seed, "--shape " + options.shape,
              "--seconds %g" % options.seconds, "--edges %d --cores %d" % (options.edges, options.cores)]  # fmt: skip
+    words += [flag for flag, given in (("--long-bodies", options.long_bodies), ("--hasty", options.hasty)) if given]
     return " ".join(words + (["--planted " + options.planted] if options.planted else []))
 
 
@@ -87,6 +88,8 @@
     parser.add_argument("--net", type=int, help="third part of the loopback addresses")
     parser.add_argument("--build", default="build")
     parser.add_argument("--folder", default="", help="where logs are kept; otherwise a new folder")
+    parser.add_argument("--long-bodies", action="store_true", help="more of them than an edge may hold")
+    parser.add_argument("--hasty", action="store_true", help="successors do not await the end before")
     parser.add_argument("--planted", choices=sorted(PLANTED), help="a careless node, which must be found out")
     return parser.parse_args()
 
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import resource
 import shutil
 import signal
 import tempfile
@@ -11,7 +12,7 @@
 
 from links import Links
 from paths import ROOT, call
-from day import BOUNDS, CONTROL, Day
+from day import BOUNDS, CONTROL, NOFILE, RAM_MB, Day
 from day_requests import KEYS, kinds
 from power import lose_unsynced
 from touch import Ledger, clock
@@ -23,6 +24,7 @@
 # Long streams at many replicas, so that a roll-out takes most of its bound.
 SHAPED = {"weights": {"replicas": 18, "out": 400, "rate": 20, "overload": 60}}
 FIRST_SUCCESSOR = 60  # its place among the addresses
+MEMORY_LIMIT = RAM_MB * 1_000_000  # bytes
 SETTLED_START = 1.5  # seconds of life before a node is sent new settings
 
 
@@ -51,6 +53,7 @@
         self.changed = {"acknowledged": threading.Event(), "sent": threading.Event()}
         self.stops, self.started_at, self.later_writes = [], {}, []
         self.unsynced = getattr(options, "planted", None) == "unsynced"  # disks that say "synced" and do nothing
+        self.peaks, self.hasty = {}, getattr(options, "hasty", False)
         self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
 
     def replica_options(self, place, **more):
@@ -66,6 +69,13 @@
             **({"DOCKROCK_SHIM_UNSYNCED": "1"} if self.unsynced else {}),
         }  # fmt: skip
 
+    def limits(self, name):
+        """What the settings tell a node is what the kernel lets it have."""
+        if not self.knows_patches:
+            return ()  # the careless node is another program
+        memory = [(which, MEMORY_LIMIT) for which in (resource.RLIMIT_AS, resource.RLIMIT_DATA)]
+        return [*memory, (resource.RLIMIT_NOFILE, NOFILE)]
+
     def start_stand_in(self):
         super().start_stand_in()
         if not self.processes["platform"].running():
@@ -143,17 +153,31 @@
             self.kill(name)
 
     def stop_all(self, names, signals=()):
-        """SIGTERM, further `signals` at their seconds after it, and SIGKILL `graceS` later, as the platform does."""
+        """SIGTERM, further `signals` at their seconds after it, and SIGKILL `graceS` later, as the platform does.
+
+        A hasty one starts the successors at once: they have to wait for the addresses."""
         began = time.monotonic()
+        former = [self.processes[name] for name in names]
         for moment, sent in [(0.0, signal.SIGTERM), *signals]:
             time.sleep(max(0.0, began + moment - time.monotonic()))
-            for name in names:
-                self.processes[name].told = True
-                self.processes[name].send(sent)
-        for name in names:
-            code = self.processes[name].end(0, max(0.1, BOUNDS["graceS"] + began - time.monotonic()))
+            for process in former:
+                process.told = True
+                process.send(sent)
+            if self.hasty and moment == 0.0:
+                for name in names:
+                    self.succeed(name)
+        for process in former:
+            code = process.end(0, max(0.1, BOUNDS["graceS"] + began - time.monotonic()))
             took = round(time.monotonic() - began, 2)
-            self.stops.append({"node": name, "at": clock(), "code": code, "seconds": took})
+            self.stops.append({"node": process.name, "at": clock(), "code": code, "seconds": took})
+
+    def succeed(self, name):
+        """Starts a node whose former process has not ended yet."""
+        with self.starting:
+            if not self.closed:
+                self.lives[name] += 1
+                self.started_at[name] = time.monotonic()
+                self.launch(name)
 
     def tell_new_settings(self, names, seeds):
         for name in names:
@@ -227,6 +251,8 @@
         for name in self.cores + self.edges:
             status, _, text = call("%s:%d" % (self.ips[name], port), "GET", path, timeout=0.5)
             for line in text.splitlines() if status == 200 else []:
+                if line.startswith('dockrock_memory_bytes{kind="resident_peak"}'):
+                    self.peaks[name] = max(int(line.rpartition(" ")[2]), self.peaks.get(name, 0))
                 if not line.startswith("dockrock_invariant_violations_total"):
                     continue
                 key, value = (name, self.lives[name], line.rpartition(" ")[0]), float(line.rpartition(" ")[2])
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -13,7 +13,7 @@
 from links import Links, both_ways, one_way
 from planted import PLANTED, found_out
 from soak_fleet import Fleet
-from soak_verdict import broken_rules, invariants, own_ends, polite_stops, recovery
+from soak_verdict import broken_rules, invariants, memory, own_ends, polite_stops, recovery
 from touch import FOREVER, Ledger, harmed_cores, majority_gone, planned_stops, spans
 from troubles import Troubles
 
@@ -156,6 +156,8 @@
     assert polite_stops([], 8)["state"] == "not judged" and polite_stops([stop], 8)["state"] == "held"
     assert polite_stops([{**stop, "code": None, "seconds": 8.0}], 8)["state"] == "BROKEN"
     assert polite_stops([{**stop, "code": -6}], 8)["state"] == "BROKEN"
+    assert memory({}, 9)["state"] == "not judged" and memory({"e1": 9}, 9)["state"] == "held"
+    assert memory({"e1": 9, "e2": 10}, 9)["state"] == "BROKEN"
     assert invariants({})["state"] == "not judged"
     name = "dockrock_invariant_violations_total"
     assert invariants({("c1", 1, name): 0.0})["state"] == "held"
--- a/tests/soak/soak_verdict.py
+++ b/tests/soak/soak_verdict.py
@@ -5,6 +5,7 @@
 
 import paths  # noqa: F401
 from day import BOUNDS
+from soak_fleet import MEMORY_LIMIT
 from touch import clock
 
 STORIES, WORDS = 5, 1000
@@ -32,6 +33,13 @@
     return line_of("RECOVER", 1, broken)
 
 
+def memory(peaks, limit):
+    """Resident memory at its peak, by node; without any figure the nodes do not tell it."""
+    broken = ["%s held %d MB, %d are allowed" % (name, peak // 1_000_000, limit // 1_000_000)
+              for name, peak in sorted(peaks.items()) if peak > limit]  # fmt: skip
+    return line_of("MEMORY", len(peaks), broken)
+
+
 def invariants(violations):
     """By node, life and line of the metric; without any line the nodes do not count them yet."""
     broken = ["%s, life %d: %s = %g" % (*key, value) for key, value in sorted(violations.items()) if value > 0]
@@ -55,6 +63,8 @@
     lines.append(polite_stops(fleet.stops, BOUNDS["graceS"]))
     lines.append(recovery(run.recovered_after, BOUNDS["recoverS"]))
     lines.append(invariants(fleet.violations))
+    lines.append(memory(fleet.peaks, MEMORY_LIMIT))
+    lines.append(line_of("BODIES", sum(run.bodies.answers.values()), run.bodies.unanswered))
     lines.append(line_of("COURSE", len(run.timeline), run.failures))
     counts = fleet.do("counts")[1]
     kinds = {}
@@ -65,6 +75,8 @@
         "troubles": kinds, "operators": run.operators.counts, "platform": fleet.do("seen")[1],
         "requests": {name: counts.get(name, 0) for name in ("served", "refused", "denied", "failed")},
         "starts": sum(fleet.lives.values()), "recovered after": run.recovered_after,
+        "long bodies": dict(run.bodies.answers),
+        "megabytes at the peak": max(fleet.peaks.values(), default=0) // 1_000_000,
         "stalls": run.watch.stalls, "unplanned disk stalls": fleet.unplanned_stalls(),
         "files with writes that no sync covered, as power went": dict(Counter(fleet.later_writes)),
         "judged at": clock(),
