--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -89,7 +89,7 @@
         except TimeoutError:
             self.failures.append("callers still waited 30 s after the last request")
         self.watch.stop()
-        self.fleet.look_at_metrics()
+        self.fleet.metrics.look()
 
     def whole(self):
         """The lines of its verdict, and what it saw."""
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -8,16 +8,15 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 from links import Links
-from paths import ROOT, call
+from node_metrics import HTTP_PORT, NodeMetrics
+from paths import call
 from day import BOUNDS, CONTROL, NOFILE, RAM_MB, Day
 from day_requests import KEYS, kinds
 from power import lose_unsynced
 from touch import Ledger, clock
 
-HTTP_PORT = 7375
 OWN_END_PAUSE = 0.3
 MEMORY = pathlib.Path("/dev/shm")
 USUAL = {"replicas": 6, "out": 60, "rate": 40, "overload": 150}
@@ -28,14 +27,6 @@
 SETTLED_START = 1.5  # seconds of life before a node is sent new settings
 
 
-def metrics_place():
-    """PORT/PATH as the deploy file tells it; the node's own port otherwise."""
-    roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text()).get("roles", {})
-    told = [role["metrics"] for role in roles.values() if "metrics" in role]
-    port, _, path = (told[0] if told else "%d/metrics" % HTTP_PORT).partition("/")
-    return int(port), "/" + path
-
-
 class Fleet(Day):
     def __init__(self, folder, options, node=None):
         self.load = {**USUAL, **SHAPED.get(options.shape, {})}
@@ -53,8 +44,8 @@
         self.changed = {"acknowledged": threading.Event(), "sent": threading.Event()}
         self.stops, self.started_at, self.later_writes = [], {}, []
         self.unsynced = getattr(options, "planted", None) == "unsynced"  # disks that say "synced" and do nothing
-        self.peaks, self.hasty = {}, getattr(options, "hasty", False)
-        self.violations, self.starting, self.closed, self.began = {}, threading.Lock(), False, clock()
+        self.metrics, self.hasty = NodeMetrics(self), getattr(options, "hasty", False)
+        self.starting, self.closed, self.began = threading.Lock(), False, clock()
 
     def replica_options(self, place, **more):
         slow = {"slots": 4, "queue": 8, "stepMs": 40, "loadMs": 500} if more.get("model") != "" else {}
@@ -244,16 +235,3 @@
             process.told = True
             time.sleep(OWN_END_PAUSE)
             self.start_node(name)
-
-    def look_at_metrics(self):
-        """Invariants that nodes found broken, the most of each life."""
-        port, path = metrics_place()
-        for name in self.cores + self.edges:
-            status, _, text = call("%s:%d" % (self.ips[name], port), "GET", path, timeout=0.5)
-            for line in text.splitlines() if status == 200 else []:
-                if line.startswith('dockrock_memory_bytes{kind="resident_peak"}'):
-                    self.peaks[name] = max(int(line.rpartition(" ")[2]), self.peaks.get(name, 0))
-                if not line.startswith("dockrock_invariant_violations_total"):
-                    continue
-                key, value = (name, self.lives[name], line.rpartition(" ")[0]), float(line.rpartition(" ")[2])
-                self.violations[key] = max(value, self.violations.get(key, 0.0))
--- a/tests/soak/soak_verdict.py
+++ b/tests/soak/soak_verdict.py
@@ -62,8 +62,8 @@
     lines.append(own_ends(fleet.own_ends, sum(fleet.lives.values())))
     lines.append(polite_stops(fleet.stops, BOUNDS["graceS"]))
     lines.append(recovery(run.recovered_after, BOUNDS["recoverS"]))
-    lines.append(invariants(fleet.violations))
-    lines.append(memory(fleet.peaks, MEMORY_LIMIT))
+    lines.append(invariants(fleet.metrics.violations))
+    lines.append(memory(fleet.metrics.peaks, MEMORY_LIMIT))
     lines.append(line_of("BODIES", sum(run.bodies.answers.values()), run.bodies.unanswered))
     lines.append(line_of("COURSE", len(run.timeline), run.failures))
     counts = fleet.do("counts")[1]
@@ -76,7 +76,7 @@
         "requests": {name: counts.get(name, 0) for name in ("served", "refused", "denied", "failed")},
         "starts": sum(fleet.lives.values()), "recovered after": run.recovered_after,
         "long bodies": dict(run.bodies.answers),
-        "megabytes at the peak": max(fleet.peaks.values(), default=0) // 1_000_000,
+        "megabytes at the peak": max(fleet.metrics.peaks.values(), default=0) // 1_000_000,
         "stalls": run.watch.stalls, "unplanned disk stalls": fleet.unplanned_stalls(),
         "files with writes that no sync covered, as power went": dict(Counter(fleet.later_writes)),
         "judged at": clock(),
--- a/tests/soak/watch.py
+++ b/tests/soak/watch.py
@@ -26,7 +26,7 @@
     def look(self):
         while not self.ended.wait(LOOK_EVERY):
             self.fleet.restart_ended()
-            self.fleet.look_at_metrics()
+            self.fleet.metrics.look()
 
     def measure(self):
         """A thread that wakes often: how late it wakes tells whether the machine itself stood still."""
