Clients at rest leave descriptors for the platform, replicas and other nodes

What was seen: with more clients at rest at an edge's door than it may open descriptors (128 of them, 256 clients), nobody could ask whether it is ready, until clients left. Cause: the door of clients took descriptors until there were none. Now clients hold at most 3/4 of the smaller one of nofile and the kernel's limit; one more waits to be accepted.

--- a/source/connection/metrics.cpp
+++ b/source/connection/metrics.cpp
@@ -63,6 +63,7 @@
     line("peer_redials_total", transport.redials.load());
     line("peer_connections_lost_total", transport.connections_lost->load());
     sight.write(text);
+    line("client_connections", client_connections.load());
     line("open_tickets", open_tickets.load());
     line("resting", resting_now ? 1 : 0);
     line("ready", ready(now) ? 1 : 0);
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -4,6 +4,7 @@
 #include "connection/relay_session.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
+#include "process/pause.hpp"
 #include "process/spawn.hpp"
 #include "version/changes.hpp"
 
@@ -11,6 +12,7 @@
 
 namespace {
 
+constexpr Microseconds accept_pause = 20 * one_millisecond;
 constexpr auto call_limit = std::uint64_t{6} << 20U;
 
 auto text(std::string_view from) -> std::string { return std::string(from); }
@@ -121,16 +123,26 @@
     co_await serve_calls(node, std::move(socket), operator_answer);
 }
 
+auto Node::has_room_for_client() const -> bool {
+    return static_cast<std::uint64_t>(client_connections.load()) < client_connections_of(limits);
+}
+
+// A client that finds no room waits to be accepted. Whoever asks whether the node is ready, and operators, always have
+// it.
 auto Node::relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void> {
     while (!finished) {
+        if (door == RelayDoor::front && !has_room_for_client()) {
+            co_await pause(accept_pause);
+            continue;
+        }
         auto [failure, socket] = co_await from.async_accept(use_tuple);
         if (failure && !from.is_open()) co_return;
         if (failure) {
-            auto timer = asio::steady_timer(context, std::chrono::milliseconds(20));
-            co_await timer.async_wait(use_tuple);
+            co_await pause(accept_pause);
             continue;
         }
         auto serve = [](Node& node, tcp::socket client) -> awaitable<void> {
+            auto const counted = CountedScope(node.client_connections);
             auto session = RelaySession{node, beast::tcp_stream(std::move(client)), {}, {}};
             co_await session.serve();
         };
--- a/source/process/machine_limits.cpp
+++ b/source/process/machine_limits.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr auto client_share = std::uint64_t{3};  // of four parts of the descriptors
+constexpr auto client_share_divisor = std::uint64_t{4};
 constexpr auto message_share = std::uint64_t{3};  // of eight parts of the memory
 constexpr auto message_share_divisor = std::uint64_t{8};
 constexpr auto one_megabyte = std::uint64_t{1'000'000};
@@ -57,6 +59,10 @@
     return whole == no_limit ? MemoryBudget::unlimited : whole / message_share_divisor * message_share;
 }
 
+auto client_connections_of(MachineLimits const& limits) -> std::uint64_t {
+    return limits.descriptors == no_limit ? no_limit : limits.descriptors / client_share_divisor * client_share;
+}
+
 auto process_use() -> ProcessUse {
     ProcessUse use;
     auto const sizes = std::to_array<std::pair<std::string_view, std::uint64_t*>>(
--- a/source/process/machine_limits.hpp
+++ b/source/process/machine_limits.hpp
@@ -27,6 +27,10 @@
 // The share of messages that are held whole (base/memory_budget.hpp). docs/CAPACITY.md adds up the others.
 auto message_memory_of(MachineLimits const& limits) -> std::uint64_t;
 
+// Connections of clients that may be open at once: what is left of the descriptors goes to replicas, other nodes, the
+// platform's questions and files.
+auto client_connections_of(MachineLimits const& limits) -> std::uint64_t;
+
 // Bytes and counts; 0 where the system does not tell. Source: /proc/self.
 struct ProcessUse {
     std::uint64_t resident = 0;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -70,6 +70,7 @@
     std::atomic<Microseconds> disk_busy_since{0};
     DiskState logged_disk = DiskState::well;  // inside control_work
     std::atomic<int> open_tickets{0};
+    std::atomic<int> client_connections{0};  // at the door of clients
     std::atomic<int> open_requests{0};  // read or being read, not yet answered
     std::atomic<Microseconds> last_ticket{0};
     std::atomic<bool> tick_waiting{false};
@@ -186,6 +187,7 @@
     auto take_addresses() -> leaf::result<void>;
     auto listen_everywhere() -> std::optional<ListenFailure>;
     auto listen_at(std::string const& address, std::unique_ptr<tcp::acceptor>& into) -> std::optional<ListenFailure>;
+    auto has_room_for_client() const -> bool;
     auto relay_accept(tcp::acceptor& from, RelayDoor door) -> awaitable<void>;
     auto sweep_loop() -> awaitable<void>;
     auto parts_manager() -> awaitable<void>;
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -13,6 +13,7 @@
 DISK_WAITED_FOR_S = 0.6
 NO_ROOM = 3  # exit status
 LONG_BODY, CLIENTS, RAM_MB = 4_194_304, 100, 260
+FEW_DESCRIPTORS, SETTLED_S = 128, 0.5
 NEEDS = "memory: the start needs"
 MEBIBYTE = 1 << 20
 
@@ -109,6 +110,26 @@
             return "answers %s" % {answer: answers.count(answer) for answer in set(answers)}
 
 
+def stays_reachable_when_clients_hold_all(program, folder):
+    """More clients rest at its door than it has descriptors."""
+    with Node(program, folder, limits=[(resource.RLIMIT_NOFILE, FEW_DESCRIPTORS)]) as node:
+        if not node.starts():
+            return "it does not start: " + node.told()
+        clients = []
+        for _ in range(2 * FEW_DESCRIPTORS):
+            clients.append(socket.create_connection((node.address, PORTS["front"]), timeout=END_LIMIT_S))
+        time.sleep(SETTLED_S)
+        try:
+            status = node.ready_status()
+        except OSError as failure:
+            return "no word on whether it is ready: %s" % failure
+        finally:
+            for client in clients:
+                client.close()
+        if status != 503:  # it has no configuration
+            return "ready: %s" % status
+
+
 CASES = {
     "told to end as it starts, it ends with 0": ends_when_told_as_it_starts,
     "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
@@ -120,6 +141,7 @@
         False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
     ),
     "long bodies of many clients stay within its memory": bears_long_bodies,
+    "clients that rest leave descriptors for others": stays_reachable_when_clients_hold_all,
     "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
     "no room in the data segment is told": says_what_is_missing(resource.RLIMIT_DATA, 32 * MEBIBYTE, NEEDS),
     "too few descriptors are told": says_what_is_missing(resource.RLIMIT_NOFILE, 32, "descriptors: 32 are allowed"),
--- a/tests/single_node.py
+++ b/tests/single_node.py
@@ -1,5 +1,6 @@
 """A node of the platform's program that is tested alone on loopback, under limits of the kernel if any are given."""
 
+import http.client
 import os
 import pathlib
 import resource
@@ -76,6 +77,14 @@
     def told(self):
         return self.log.read_text(errors="replace")
 
+    def ready_status(self):
+        connection = http.client.HTTPConnection(self.address, PORTS["ready"], timeout=2)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status
+        finally:
+            connection.close()
+
     def metrics(self):
         with urllib.request.urlopen("http://%s:%d/metrics" % (self.address, PORTS["last"]), timeout=2) as answer:
             return answer.read().decode()
