--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -71,7 +71,7 @@
     DiskState logged_disk = DiskState::well;  // inside control_work
     std::atomic<int> open_tickets{0};
     std::atomic<int> client_connections{0};  // at the door of clients
-    std::atomic<int> open_requests{0};  // read or being read, not yet answered
+    std::atomic<int> open_requests{0};       // read or being read, not yet answered
     std::atomic<Microseconds> last_ticket{0};
     std::atomic<bool> tick_waiting{false};
     Microseconds started_at = 0;
