--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -55,8 +55,8 @@
     NewsSight sight;
     EntryTable<SystemPrimitives> table;  // lock order: table.lock, then nothing (design 14)
     std::atomic<std::uint64_t> next_ticket{1};
-    asio::signal_set stop_signals{context, SIGTERM, SIGINT};
-    asio::signal_set reload_signals{context, SIGHUP};
+    asio::signal_set stop_signals{context};
+    asio::signal_set reload_signals{context};
     bool running = false;  // the start is over
     bool control_listens = false;
     bool stop_asked = false;  // by a signal during the start
--- a/source/process/node_signals.cpp
+++ b/source/process/node_signals.cpp
@@ -6,6 +6,8 @@
 namespace dockrock {
 
 auto Node::await_signals() -> void {
+    for (auto signal : {SIGTERM, SIGINT}) stop_signals.add(signal);
+    reload_signals.add(SIGHUP);
     await_stop();
     await_reload();
 }
