Tests: nodes tested alone and callers of long bodies use the processes and calls there are

single_node.py and the soak's long bodies had calls and starts of processes of their own beside tests/live/processes.py.

--- a/tests/address_wait_test.py
+++ b/tests/address_wait_test.py
@@ -25,7 +25,7 @@
         holder = held(port)
         with Node(program, folder) as node:
             time.sleep(HELD_S)
-            status = node.process.poll()
+            status = node.status()
             holder.close()
             if status is not None:
                 return "it ended with %s while the port was taken" % status
@@ -38,7 +38,7 @@
 def ends_when_told_as_it_waits(program, folder):
     with held(PORTS["last"]), Node(program, folder) as node:
         time.sleep(HELD_S)
-        node.process.send_signal(signal.SIGTERM)
+        node.process.send(signal.SIGTERM)
         status = node.ended()
         if status != 0:
             return "it ended with %s" % status
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -22,7 +22,7 @@
     with Node(program, folder) as node:
         if not node.starts():
             return "it does not start: " + node.told()
-        node.process.send_signal(signal.SIGSEGV)
+        node.process.send(signal.SIGSEGV)
         status = node.ended()
         if status != -signal.SIGSEGV or "signal 11 while running, memory limit 260000000 bytes" not in node.told():
             return "status %s, told %r" % (status, node.told()[-200:])
@@ -32,7 +32,7 @@
     with Node(program, folder) as node:
         if not node.starts():
             return "it does not start: " + node.told()
-        text = node.metrics()
+        text = node.ask("last", "/metrics")[2]
         wanted = ['memory_limit_bytes{kind="resident"} 260000000', "descriptor_limit 4100", "threads "]
         missing = [line for line in wanted if "dockrock_" + line not in text]
         if missing or '"event":"machine-limits","resident_bytes":260000000' not in node.told():
@@ -45,8 +45,8 @@
     def case(program, folder):
         with Node(program, folder, core, [(which, value * MEBIBYTE) for which, value in limits]) as node:
             if not node.starts():
-                return "it does not start: status %s, told %r" % (node.process.poll(), node.told()[-200:])
-            node.process.send_signal(signal.SIGTERM)
+                return "it does not start: status %s, told %r" % (node.status(), node.told()[-200:])
+            node.process.send(signal.SIGTERM)
             status = node.ended()
             if status != 0:
                 return "it ended with %s" % status
@@ -60,8 +60,8 @@
         time.sleep(DISK_WAITED_FOR_S / 3)
         if '"event":"started"' in node.told():
             return "it did not wait for its disk"
-        node.process.send_signal(signal.SIGHUP)
-        node.process.send_signal(signal.SIGTERM)
+        node.process.send(signal.SIGHUP)
+        node.process.send(signal.SIGTERM)
         status = node.ended()
         if status != 0:
             return "it ended with %s" % status
@@ -77,36 +77,28 @@
     return case
 
 
-def answer_to_body(address, size, answers):
-    """The status that a client with a long body is answered with; what it met in its place."""
-    head = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n" % size
-    try:
-        with socket.create_connection((address, PORTS["front"]), timeout=END_LIMIT_S) as connection:
-            connection.sendall(head.encode() + b"b" * size)
-            answers.append(connection.recv(4096).split(b" ")[1].decode())
-    except (OSError, IndexError) as failure:
-        answers.append(type(failure).__name__)
-
-
 def bears_long_bodies(program, folder):
     """Clients whose bodies together are more than the memory that the node may take."""
     with Node(program, folder) as node:
         if not node.starts():
             return "it does not start: " + node.told()
         answers = []
-        clients = [
-            threading.Thread(target=answer_to_body, args=(node.address, LONG_BODY, answers)) for _ in range(CLIENTS)
-        ]
+        body, headers = b"b" * LONG_BODY, {"Request-Id": "1"}
+
+        def send_long_body():
+            answers.append(node.ask("front", "/a", body, headers=headers)[0])
+
+        clients = [threading.Thread(target=send_long_body) for _ in range(CLIENTS)]
         for client in clients:
             client.start()
         for client in clients:
             client.join()
         peak = node.resident_peak()
         if not node.listens() or peak is None:
-            return "it is gone: %s, %r" % (node.process.poll(), node.told()[-200:])
+            return "it is gone: %s, %r" % (node.status(), node.told()[-200:])
         if peak > RAM_MB * 1_000_000:
             return "%d MB resident at the peak, %d are allowed" % (peak // 1_000_000, RAM_MB)
-        if set(answers) != {"503"}:  # it has no configuration
+        if set(answers) != {503}:  # it has no configuration
             return "answers %s" % {answer: answers.count(answer) for answer in set(answers)}
 
 
@@ -119,13 +111,9 @@
         for _ in range(2 * FEW_DESCRIPTORS):
             clients.append(socket.create_connection((node.address, PORTS["front"]), timeout=END_LIMIT_S))
         time.sleep(SETTLED_S)
-        try:
-            status = node.ready_status()
-        except OSError as failure:
-            return "no word on whether it is ready: %s" % failure
-        finally:
-            for client in clients:
-                client.close()
+        status = node.ask("ready", "/ready")[0]
+        for client in clients:
+            client.close()
         if status != 503:  # it has no configuration
             return "ready: %s" % status
 
--- a/tests/single_node.py
+++ b/tests/single_node.py
@@ -1,19 +1,20 @@
 """A node of the platform's program that is tested alone on loopback, under limits of the kernel if any are given."""
 
-import http.client
 import os
 import pathlib
-import resource
 import socket
 import subprocess
+import sys
 import tempfile
 import time
-import urllib.request
 
-from node_settings import PORTS, core_settings, edge_settings, platform_program
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent / "live"))
+
+from node_settings import PORTS, core_settings, edge_settings, platform_program  # noqa: E402
+from processes import Process, call  # noqa: E402
 
 EDGE, CORE = "127.9.6.1", "127.9.6.2"
-START_LIMIT_S, END_LIMIT_S, POLL_S = 10, 12, 0.02
+START_LIMIT_S, END_LIMIT_S, ASK_LIMIT_S, POLL_S = 10, 12, 2, 0.02
 CAPS = "\n[caps]\nramMb = 260\nnofile = 4100\n"
 
 
@@ -21,26 +22,23 @@
     """Started under `limits`: (resource, value) each; `changed`: a word of its settings, and what takes its place."""
 
     def __init__(self, program, folder, core=False, limits=(), caps=CAPS, data="data", changed=("", "")):
-        self.address, self.log = CORE if core else EDGE, folder / "log"
+        name, self.address = ("core-1", CORE) if core else ("edge-1", EDGE)
         (folder / "data").mkdir(exist_ok=True)
-        text = core_settings("core-1", CORE, folder / data) if core else edge_settings("edge-1", EDGE)
-        (folder / "settings.toml").write_text(text.replace(*changed) + caps)
-        with self.log.open("a") as log:
-            self.process = subprocess.Popen(
-                [program],
-                env={**os.environ, "DOCKROCK_NODE_FILE": str(folder / "settings.toml")},
-                stdout=subprocess.DEVNULL,
-                stderr=log,
-                preexec_fn=lambda: [resource.setrlimit(which, (value, value)) for which, value in limits],
-            )
+        text = core_settings(name, CORE, folder / data) if core else edge_settings(name, EDGE)
+        settings, self.log = folder / "settings.toml", folder / (name + ".out")
+        settings.write_text(text.replace(*changed) + caps)
+        environment = {**os.environ, "DOCKROCK_NODE_FILE": str(settings)}
+        self.process = Process(name, [program], folder, environment, limits).start()
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+        self.process.end()
+
+    def status(self):
+        """Of its end; nothing where it runs."""
+        return self.process.handle.poll()
 
     def listens(self):
         try:
@@ -52,7 +50,7 @@
 
     def starts(self):
         limit = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < limit and self.process.poll() is None:
+        while time.monotonic() < limit and self.process.running():
             if self.listens():
                 return True
             time.sleep(POLL_S)
@@ -61,14 +59,14 @@
     def ended(self):
         """Its status; nothing where it is still there."""
         try:
-            return self.process.wait(END_LIMIT_S)
+            return self.process.handle.wait(END_LIMIT_S)
         except subprocess.TimeoutExpired:
             return None
 
     def resident_peak(self):
         """Bytes; nothing where it is gone."""
         try:
-            status = pathlib.Path("/proc/%d/status" % self.process.pid).read_text()
+            status = pathlib.Path("/proc/%d/status" % self.process.handle.pid).read_text()
         except OSError:
             return None
         told = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
@@ -77,22 +75,15 @@
     def told(self):
         return self.log.read_text(errors="replace")
 
-    def ready_status(self):
-        connection = http.client.HTTPConnection(self.address, PORTS["ready"], timeout=2)
-        try:
-            connection.request("GET", "/ready")
-            return connection.getresponse().status
-        finally:
-            connection.close()
-
-    def metrics(self):
-        with urllib.request.urlopen("http://%s:%d/metrics" % (self.address, PORTS["last"]), timeout=2) as answer:
-            return answer.read().decode()
+    def ask(self, port, path, *body, headers=None):
+        """One call at a port of its: (status, headers, text); status 0 where there was no answer."""
+        method, limit = ("POST", END_LIMIT_S) if body else ("GET", ASK_LIMIT_S)
+        return call("%s:%d" % (self.address, PORTS[port]), method, path, *body, headers=headers, timeout=limit)
 
 
 def run_cases(test, cases, build):
     """Each case gets the program and a folder of its own, and returns what is wrong, if anything. The exit status."""
-    program, failed = platform_program(build), 0
+    program, failed = str(pathlib.Path(platform_program(build)).resolve()), 0
     for name, case in cases.items():
         with tempfile.TemporaryDirectory() as folder:
             wrong = case(program, pathlib.Path(folder))
--- a/tests/soak/long_bodies.py
+++ b/tests/soak/long_bodies.py
@@ -1,10 +1,10 @@
 """Callers with bodies at the configured limit: more of them at once than an edge may hold."""
 
 import random
-import socket
 import threading
 from collections import Counter
 
+from paths import call
 from day import FRONT
 from day_requests import HOST, KEYS
 
@@ -48,15 +48,10 @@
         seen = self.answer(self.fleet.ips[edge], key)
         with self.lock:
             self.answers[seen] += 1
-            if before is not None and self.calm(edge) == before and not seen.isdigit():
-                self.unanswered.append("%s, life %d: %s" % (edge, before, seen))
+            if before is not None and self.calm(edge) == before and seen == 0:
+                self.unanswered.append("%s, life %d: no answer" % (edge, before))
 
     def answer(self, address, key):
-        head = "POST /none/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: body\r\nDeadline-Ms: 5000\r\nKey: %s\r\n" % (HOST, key)
-        try:
-            with socket.create_connection((address, FRONT), timeout=ANSWER_LIMIT_S) as connection:
-                connection.sendall(("%sContent-Length: %d\r\n\r\n" % (head, BODY)).encode() + b"b" * BODY)
-                answer = connection.recv(4096).split(b" ")
-                return answer[1].decode() if len(answer) > 1 else "closed"
-        except OSError as failure:
-            return type(failure).__name__
+        """The status; 0 where there was none."""
+        headers = {"Host": HOST, "Request-Id": "body", "Deadline-Ms": "5000", "Key": key}
+        return call("%s:%d" % (address, FRONT), "POST", "/none/x", b"b" * BODY, headers, ANSWER_LIMIT_S)[0]
