--- a/source/process/fatal_signals.cpp
+++ b/source/process/fatal_signals.cpp
@@ -52,7 +52,7 @@
     line.add("dockrock ends: signal ");
     line.add_number(static_cast<std::uint64_t>(signal));
     line.add(" while ");
-    line.add(process_phase_name());
+    line.add(phase_names[static_cast<std::size_t>(current_phase.load())]);
     if (auto const limit = known_limit.load(); limit != no_limit) {
         line.add(", memory limit ");
         line.add_number(limit);
@@ -69,8 +69,6 @@
 
 auto set_process_phase(ProcessPhase phase) -> void { current_phase = phase; }
 
-auto process_phase_name() -> char const* { return phase_names[static_cast<std::size_t>(current_phase.load())]; }
-
 // The handler is gone once it has run: what follows is the signal's own end, with a core file where they are kept.
 auto tell_fatal_signals(MachineLimits const& limits) -> void {
     known_limit = limits.memory();
--- a/source/process/fatal_signals.hpp
+++ b/source/process/fatal_signals.hpp
@@ -8,7 +8,6 @@
 // What the process is doing, as that line tells it.
 enum class ProcessPhase : int { starting, running, stopping };
 auto set_process_phase(ProcessPhase phase) -> void;
-auto process_phase_name() -> char const*;
 
 auto tell_fatal_signals(MachineLimits const& limits) -> void;
 
--- a/source/process/footprint.cpp
+++ b/source/process/footprint.cpp
@@ -11,11 +11,10 @@
 namespace {
 
 constexpr auto thread_stack_bytes = std::size_t{1} << 20U;
-constexpr auto arenas = 1;                // each further one reserves 64 MiB of address space
-constexpr auto mapped_from = 256 << 10U;  // bytes: larger pieces go back to the system as they are freed
-constexpr auto kept_at_top = 2 << 20U;    // bytes
-
-constexpr auto start_needs = 56 * one_mebibyte;  // forty stacks, and what the start takes beside them
+constexpr auto arenas = 1;                              // each further one reserves 64 MiB of address space
+constexpr auto mapped_from = 256 << 10U;                // bytes: larger pieces go back to the system as they are freed
+constexpr auto kept_at_top = 2 << 20U;                  // bytes
+constexpr auto start_needs = std::uint64_t{56} << 20U;  // forty stacks, and what the start takes beside them
 constexpr auto least_descriptors = std::uint64_t{64};
 
 }  // namespace
--- a/source/process/machine_limits.cpp
+++ b/source/process/machine_limits.cpp
@@ -15,10 +15,17 @@
 
 namespace {
 
-constexpr auto client_share = std::uint64_t{3};  // of four parts of the descriptors
-constexpr auto client_share_divisor = std::uint64_t{4};
-constexpr auto message_share = std::uint64_t{3};  // of eight parts of the memory
-constexpr auto message_share_divisor = std::uint64_t{8};
+// `parts` of the `whole` that a limit is cut into.
+struct Share {
+    std::uint64_t parts;
+    std::uint64_t whole;
+
+    auto of(std::uint64_t limit) const -> std::uint64_t { return limit == no_limit ? no_limit : limit / whole * parts; }
+};
+constexpr auto client_share = Share{3, 4};   // of the descriptors
+constexpr auto message_share = Share{3, 8};  // of the memory
+static_assert(no_limit == MemoryBudget::unlimited);
+
 constexpr auto one_megabyte = std::uint64_t{1'000'000};
 constexpr auto one_kibibyte = std::uint64_t{1} << 10U;  // the unit of /proc/self/status
 
@@ -54,14 +61,9 @@
     return limits;
 }
 
-auto message_memory_of(MachineLimits const& limits) -> std::uint64_t {
-    auto const whole = limits.memory();
-    return whole == no_limit ? MemoryBudget::unlimited : whole / message_share_divisor * message_share;
-}
+auto message_memory_of(MachineLimits const& limits) -> std::uint64_t { return message_share.of(limits.memory()); }
 
-auto client_connections_of(MachineLimits const& limits) -> std::uint64_t {
-    return limits.descriptors == no_limit ? no_limit : limits.descriptors / client_share_divisor * client_share;
-}
+auto client_connections_of(MachineLimits const& limits) -> std::uint64_t { return client_share.of(limits.descriptors); }
 
 auto process_use() -> ProcessUse {
     ProcessUse use;
--- a/source/process/machine_limits.hpp
+++ b/source/process/machine_limits.hpp
@@ -8,7 +8,6 @@
 namespace dockrock {
 
 inline constexpr auto no_limit = std::numeric_limits<std::uint64_t>::max();
-inline constexpr auto one_mebibyte = std::uint64_t{1} << 20U;
 
 // Bytes and counts; `no_limit` where there is none. Source: the settings, getrlimit(2).
 struct MachineLimits {
