A running node begins no thread: the one that closes sockets is there from the start

What was seen: an edge whose memory is used up ends by itself, signal 6, "uncaught exception: Resource temporarily unavailable". Cause: the thread that closes sockets between nodes began with the first close, as a link was dialled anew; std::thread throws where there is no room for its stack, in the control machines, so the process ends. All other threads begin at the start. Ruled out: a thread of the resolver (addresses are numbers here), one of the messaging library (all 31 are there when it listens). Change: SocketCloser::start, called where the reader's thread begins. A start that has no room for it says so, as before. Evidence: "once it runs it begins no thread" (the kernel's limit is set to what is in use) ended with -6 on, passes now.

--- a/source/process/socket_closer.cpp
+++ b/source/process/socket_closer.cpp
@@ -16,15 +16,16 @@
     }
 }
 
-auto SocketCloser::close(nng_socket socket, std::shared_ptr<void const> kept) -> void {
-    {
-        auto const guard = std::lock_guard(queue->lock);
-        queue->waiting.push_back({socket, std::move(kept)});
-        queue->changed.notify_all();
-    }
+auto SocketCloser::start() -> void {
     if (!thread.joinable()) thread = std::thread([queue = queue] { run(*queue); });
 }
 
+auto SocketCloser::close(nng_socket socket, std::shared_ptr<void const> kept) -> void {
+    auto const guard = std::lock_guard(queue->lock);
+    queue->waiting.push_back({socket, std::move(kept)});
+    queue->changed.notify_all();
+}
+
 auto SocketCloser::finish(std::chrono::milliseconds limit) -> bool {
     if (!thread.joinable()) return true;
     auto guard = std::unique_lock(queue->lock);
--- a/source/process/socket_closer.hpp
+++ b/source/process/socket_closer.hpp
@@ -12,8 +12,10 @@
 
 namespace dockrock {
 
-// Closes sockets one after the other on a thread of its own, which begins with the first one.
+// Closes sockets one after the other on a thread of its own.
 struct SocketCloser {
+    // Before the first one is closed, while there is room for a thread: a running node may have none.
+    auto start() -> void;
     // `kept` is what callbacks of the socket use; it is held until the socket is closed.
     auto close(nng_socket socket, std::shared_ptr<void const> kept) -> void;
     // After the last one. False: not all are closed within `limit`; the thread then goes on to the end of the process.
--- a/source/process/transport.cpp
+++ b/source/process/transport.cpp
@@ -51,6 +51,7 @@
     auto device = std::random_device();
     life = ((static_cast<std::uint64_t>(device()) << 32U) ^ device()) | 1U;
     if (auto const failure = nng_aio_alloc(&receipt, nullptr, nullptr); failure != 0) return nng_strerror(failure);
+    closer.start();
     reader = std::thread([this, heard = std::move(heard)] { read_frames(heard); });
     return "";
 }
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -15,6 +15,7 @@
 LONG_BODY, CLIENTS, RAM_MB = 4_194_304, 100, 260
 FEW_DESCRIPTORS, SETTLED_S = 128, 0.5
 NEEDS = "memory: the start needs"
+REDIALLED_S = 2.5  # a seed that never answers is dialled anew after 1.5 s
 MEBIBYTE = 1 << 20
 
 
@@ -118,6 +119,20 @@
             return "ready: %s" % status
 
 
+def needs_no_thread_once_it_runs(program, folder):
+    """From its start on there is no room for another stack."""
+    with Node(program, folder) as node:
+        if not node.starts():
+            return "it does not start: " + node.told()
+        in_use = node.address_space() + MEBIBYTE // 2
+        resource.prlimit(node.process.handle.pid, resource.RLIMIT_AS, (in_use, in_use))
+        time.sleep(REDIALLED_S)
+        if '"event":"peer-dialled-anew"' not in node.told():
+            return "no link was dialled anew"
+        if not node.listens():
+            return "status %s: %r" % (node.status(), node.told()[-200:])
+
+
 CASES = {
     "told to end as it starts, it ends with 0": ends_when_told_as_it_starts,
     "an edge starts in an address space of 160 MiB": starts_under(False, (resource.RLIMIT_AS, 160)),
@@ -129,6 +144,7 @@
         False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
     ),
     "long bodies of many clients stay within its memory": bears_long_bodies,
+    "once it runs it begins no thread": needs_no_thread_once_it_runs,
     "clients that rest leave descriptors for others": stays_reachable_when_clients_hold_all,
     "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
     "no room in the data segment is told": says_what_is_missing(resource.RLIMIT_DATA, 32 * MEBIBYTE, NEEDS),
--- a/tests/single_node.py
+++ b/tests/single_node.py
@@ -64,12 +64,18 @@
             return None
 
     def resident_peak(self):
+        return self.memory("VmHWM:")
+
+    def address_space(self):
+        return self.memory("VmSize:")
+
+    def memory(self, kind):
         """Bytes; nothing where it is gone."""
         try:
             status = pathlib.Path("/proc/%d/status" % self.process.handle.pid).read_text()
         except OSError:
             return None
-        told = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        told = [line.split()[1] for line in status.splitlines() if line.startswith(kind)]
         return int(told[0]) * 1024 if told else None
 
     def told(self):
