Heads and the buffers that requests are read into are held within the budget of memory too

What was seen: 2,900 clients whose heads have 1,900 small fields (8 KB, within the limit) take 579 MB of the 260 that an edge is told; under the kernel's limit of 260 MB it ends by itself, signal 6. Bodies that stop on their way: 323 MB, or 349 of 2,900 connections reset without an answer. Cause: the budget counted bodies alone. A body of any length was read through a buffer of 64 KiB that stayed until the next request, and a field of a head is stored in 64 bytes and more, however small it is. Ruled out: the number of connections by itself (3,500 at rest: 33 MB); heads without an end (14 KB each: 85 MB). Change: a message takes from one budget the room for its head as stored, its body, and the buffer it is read into. The buffer is no larger than what the body has left and is given back as the request is read. What is free of it is 24 KiB a message for all three (before: 8 KiB of body beside 64 KiB of buffer and any head). Beyond: 503 with Retry-After, read to its end, as before. Tests: held_bodies_test (parser and session), process_limits_test "heads of many small fields ...", "unfinished bodies ..." (three), which failed on with the figures above. "a body is held once" counts its two fields as well now, by their exact size.

--- a/source/base/memory_budget.cpp
+++ b/source/base/memory_budget.cpp
@@ -20,4 +20,11 @@
     return true;
 }
 
+auto MemoryShare::shrink_to(std::uint64_t bytes) -> void {
+    auto const kept = bytes <= free_bytes ? 0 : bytes;
+    if (kept >= taken) return;
+    budget.give_back(taken - kept);
+    taken = kept;
+}
+
 }  // namespace dockrock
--- a/source/base/memory_budget.hpp
+++ b/source/base/memory_budget.hpp
@@ -30,14 +30,16 @@
 // What one message has taken; given back with it.
 class MemoryShare {
    public:
-    // A message up to this size costs nothing: their number is bounded by that of the connections.
-    static constexpr auto free_bytes = std::uint64_t{8U << 10U};
+    // A message that holds no more than this costs nothing: their number is bounded by that of the connections.
+    static constexpr auto free_bytes = std::uint64_t{24U << 10U};
 
     explicit MemoryShare(MemoryBudget& from) : budget(from) {}
     MemoryShare(MemoryShare const&) = delete;
     ~MemoryShare() { budget.give_back(taken); }
     // Takes what is missing for a message of `bytes`. False where that is not left.
     auto grow_to(std::uint64_t bytes) -> bool;
+    // Gives back what a message of `bytes` has too much.
+    auto shrink_to(std::uint64_t bytes) -> void;
 
    private:
     MemoryBudget& budget;
--- a/source/connection/message_parser.hpp
+++ b/source/connection/message_parser.hpp
@@ -31,8 +31,21 @@
     }
     // The most bytes of a body that are stored at once; http::error::body_limit beyond.
     auto limit_stored_body(std::size_t bytes) -> void { most_stored = bytes; }
-    // Takes the room for a body from `share`; errc::not_enough_memory where it gives none.
-    auto count_in(MemoryShare& share) -> void { body_share = &share; }
+    // Takes the room for this message from `share`: its head, its body and the buffer it is read into;
+    // errc::not_enough_memory where it gives none.
+    auto count_in(MemoryShare& share) -> void { room = &share; }
+    // Room for a buffer of `bytes` until the message is read. False: there is none.
+    auto hold_buffer(std::size_t bytes) -> bool {
+        if (bytes <= buffer_bytes) return true;
+        if (!has_room(bytes, head_bytes, body().capacity())) return false;
+        buffer_bytes = bytes;
+        return true;
+    }
+    // The buffer holds no more than `bytes` from here on.
+    auto shrink_buffer(std::size_t bytes) -> void {
+        buffer_bytes = bytes;
+        if (room != nullptr) room->shrink_to(buffer_bytes + head_bytes + body().capacity());
+    }
     // The head of a chunked body has been read, and nothing behind it.
     auto awaits_first_chunk() const -> bool {
         return this->is_header_done() && this->chunked() && !chunk_seen && !this->is_done();
@@ -49,7 +62,9 @@
     std::size_t in_head = 0;
     std::size_t most_in_head = default_head_limit;
     std::size_t most_stored = std::numeric_limits<std::size_t>::max();
-    MemoryShare* body_share = nullptr;
+    MemoryShare* room = nullptr;
+    std::size_t buffer_bytes = 0;
+    std::size_t head_bytes = 0;  // as stored
     bool chunk_seen = false;
 
     static auto view(View from) -> std::string_view { return {from.data(), from.size()}; }
@@ -59,11 +74,22 @@
         else return message.body;
     }
 
+    auto has_room(std::size_t buffer, std::size_t head, std::size_t body_room) -> bool {
+        return room == nullptr || room->grow_to(buffer + head + body_room);
+    }
+
     auto count_head(std::size_t bytes, ErrorCode& failure) -> void {
         in_head += bytes;
         failure = in_head > most_in_head ? ErrorCode(http::error::header_limit) : ErrorCode();
     }
 
+    // A field costs its own size beside its text, and once more while the lines are moved to a larger place.
+    auto count_field(std::size_t bytes, ErrorCode& failure) -> void {
+        auto const stored = head_bytes + bytes + 2 * sizeof(HeadField);
+        if (has_room(buffer_bytes, stored, body().capacity())) head_bytes = stored;
+        else failure = make_error_code(boost::system::errc::not_enough_memory);
+    }
+
     // Doubled as bytes come, to no more than the head says: what it names makes no room by itself.
     auto capacity_for(std::size_t size) -> std::size_t {
         auto const doubled = std::max(size, 2 * body().capacity());
@@ -75,7 +101,7 @@
     auto make_room(std::size_t size) -> bool {
         if (size <= body().capacity()) return true;
         auto const capacity = capacity_for(size);
-        if (body_share != nullptr && !body_share->grow_to(capacity)) return false;
+        if (!has_room(buffer_bytes, head_bytes, capacity)) return false;
         auto larger = std::string();
         larger.reserve(capacity);  // of a fresh text: one that grows takes twice as much
         larger.append(body());
@@ -113,6 +139,7 @@
         failure = {};
         if (this->is_header_done()) return;
         count_head(name.size() + value.size() + field_framing, failure);
+        if (!failure) count_field(name.size() + value.size(), failure);
         if (!failure) message.fields.add(view(name), view(value));
     }
 
--- a/source/connection/message_reader.cpp
+++ b/source/connection/message_reader.cpp
@@ -22,6 +22,8 @@
     write_log(Level::failure, "message-reader-fault", {{"what", what}});
 }
 
+auto no_room() -> error_code { return make_error_code(boost::system::errc::not_enough_memory); }
+
 // Calls the library on input. What it throws, for want of room or by an assertion, is an error of this message.
 template <typename Operation>
 auto on_input(error_code& failure, Operation operation) -> void {
@@ -30,7 +32,7 @@
         operation();
     } catch (std::bad_alloc const& thrown) {
         note_fault(thrown.what());
-        failure = make_error_code(boost::system::errc::not_enough_memory);
+        failure = no_room();
     } catch (std::exception const& thrown) {
         note_fault(thrown.what());
         failure = make_error_code(boost::system::errc::protocol_error);
@@ -67,10 +69,17 @@
     return goal == Goal::some && used > 0;
 }
 
+// Of the buffer once `more` bytes can be put into it: it grows to twice what it holds, or to what is wanted.
+auto capacity_with(beast::flat_buffer const& buffer, std::size_t more) -> std::size_t {
+    auto const least = buffer.size() + more;
+    return least <= buffer.capacity() ? buffer.capacity() : std::max(2 * buffer.size(), least);
+}
+
 template <typename Stream, bool is_request>
 auto read_until(Goal goal, Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<error_code> {
     parser.eager(goal != Goal::head);
+    if (!parser.hold_buffer(buffer.capacity())) co_return no_room();
     if (goal != Goal::some && reached(goal, parser, 0)) co_return error_code();
     while (true) {
         if (can_parse(buffer, parser)) {
@@ -81,7 +90,9 @@
             if (used > 0 && !failure) continue;
         }
         if (parser.is_header_done() && buffer.size() > chunk_framing_limit) co_return http::error::bad_chunk;
-        auto const room = buffer.prepare(beast::read_size(buffer, most_read_at_once));
+        auto const wanted = beast::read_size(buffer, most_read_at_once);
+        if (!parser.hold_buffer(capacity_with(buffer, wanted))) co_return no_room();
+        auto const room = buffer.prepare(wanted);
         auto const [failure, size] = co_await stream.async_read_some(room, use_tuple);
         if (failure == asio::error::eof) co_return parse_end(parser);
         if (failure) co_return failure;
@@ -117,6 +128,11 @@
     co_return co_await read_until(Goal::whole, stream, buffer, parser);
 }
 
+auto release_buffer(beast::flat_buffer& buffer, RequestParser& parser) -> void {
+    buffer.shrink_to_fit();
+    parser.shrink_buffer(buffer.capacity());
+}
+
 auto is_malformed(error_code const& failure) -> bool {
     if (failure == boost::system::errc::protocol_error) return true;
     return failure.category() == http::make_error_code(http::error::bad_method).category() &&
--- a/source/connection/message_reader.hpp
+++ b/source/connection/message_reader.hpp
@@ -34,6 +34,9 @@
 auto read_whole(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<boost::system::error_code>;
 
+// After a request was read: the buffer keeps what came behind it, in no more room than that takes.
+auto release_buffer(beast::flat_buffer& buffer, RequestParser& parser) -> void;
+
 // Whether an error is one of the message, not of its connection: its sender may be told so.
 auto is_malformed(boost::system::error_code const& failure) -> bool;
 
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -94,12 +94,13 @@
             if (failure != http::error::body_limit && !no_room) co_return;
             auto bad = HttpRequest(http::verb::put, "/", 11);
             bad.keep_alive(false);
-            auto const response = no_room ? response_of(bad, 503, error_text("no room for the body now"))
+            auto const response = no_room ? response_of(bad, 503, error_text("no room for the request now"))
                                           : response_of(bad, 413, error_text("the body is too large"));
             co_await http::async_write(stream, response, use_tuple);
             if (no_room) co_await close_lingering(stream);
             co_return;
         }
+        release_buffer(buffer, parser);
         auto const request = parser.release();
         auto const response = co_await answerer(node, request);
         stream.expires_after(std::chrono::seconds(10));
--- a/source/connection/relay_reading.cpp
+++ b/source/connection/relay_reading.cpp
@@ -38,6 +38,7 @@
             co_await answer_unread(failure);
             co_return;
         }
+        release_buffer(buffer, parser);
         auto const request = parser.release();
         auto const counted = CountedScope(node.open_requests);
         if (!co_await handle(request)) break;
@@ -67,18 +68,26 @@
     if (parser.is_done()) co_return boost::system::error_code();
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await write_all("HTTP/1.1 100 Continue\r\n\r\n");
-    buffer.reserve(body_read_bytes);
+    make_body_buffer(parser);
     client.expires_after(std::chrono::microseconds(std::min(limits.idle_time, longest_wait)));
     co_return co_await read_whole(client, buffer, parser);
 }
 
+// A body is read through no more than it has left, and through what the head has needed where there is no room.
+auto RelaySession::make_body_buffer(RequestParser& parser) -> void {
+    auto const left = parser.content_length_remaining();
+    auto const wanted =
+        static_cast<std::size_t>(std::min<std::uint64_t>(left.value_or(body_read_bytes), body_read_bytes));
+    if (wanted > buffer.capacity() && parser.hold_buffer(wanted)) buffer.reserve(wanted);
+}
+
 // The answer to a request that was not read to its end, if there is anyone to take it.
 auto RelaySession::answer_unread(boost::system::error_code failure) -> awaitable<void> {
     auto bad = HttpRequest(http::verb::get, "/", 11);
     bad.keep_alive(false);
     if (failure == boost::system::errc::not_enough_memory) {
         ++node.counters.shed;
-        co_await refuse(bad, 503, "no room for the body now", soon);
+        co_await refuse(bad, 503, "no room for the request now", soon);
         co_return co_await close_lingering(client);
     }
     if (failure == http::error::body_limit) co_await refuse(bad, 413, "the body is too large");
--- a/source/connection/relay_session.hpp
+++ b/source/connection/relay_session.hpp
@@ -53,6 +53,7 @@
     auto serve() -> awaitable<void>;
     auto await_request(RequestLimits const& limits) -> awaitable<bool>;
     auto read_request(RequestLimits const& limits, RequestParser& parser) -> awaitable<boost::system::error_code>;
+    auto make_body_buffer(RequestParser& parser) -> void;
     auto answer_unread(boost::system::error_code failure) -> awaitable<void>;
     auto handle(HttpRequest const& request) -> awaitable<bool>;
     auto judge(HttpRequest const& request, Microseconds arrived_at) const -> RelayJudgement;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -82,6 +82,7 @@
             co_return;
         }
         if (failure) co_return;
+        release_buffer(buffer, parser);
         request = parser.release();
         auto const target = request.target();
         auto const own =
--- a/tests/held_bodies_test.cpp
+++ b/tests/held_bodies_test.cpp
@@ -39,11 +39,68 @@
     auto failure = boost::system::error_code();
     parser.put(asio::buffer(head), failure);
     CHECK(budget.used() == 0);  // a length that is only named takes nothing
+    constexpr auto stored_head = 4 + 1 + 14 + 7 + 2 * 2 * sizeof(HeadField);  // two lines' texts, and their places
     auto const piece = std::string(10'000, 'b');
     for (auto sent = std::size_t{0}; sent < length; sent += piece.size()) parser.put(asio::buffer(piece), failure);
     REQUIRE(parser.is_done());
     CHECK(parser.get().body().capacity() == length);
-    CHECK(budget.used() == length);
+    CHECK(budget.used() == length + stored_head);
+}
+
+TEST_CASE("a head takes room for each of its fields, however small they are") {
+    constexpr auto lines = std::size_t{2'000};
+    auto budget = MemoryBudget();
+    auto share = MemoryShare(budget);
+    auto parser = RequestParser();
+    parser.count_in(share);
+    parser.limit_head(64'000);
+    auto head = std::string("GET /a HTTP/1.1\r\nHost: h\r\n");
+    for (auto line = std::size_t{0}; line < lines; ++line) head += "a:b\r\n";
+    auto failure = boost::system::error_code();
+    SECTION("which it gets") {
+        parser.put(asio::buffer(head + "\r\n"), failure);
+        REQUIRE(parser.is_header_done());
+        CHECK(budget.used() > lines * sizeof(HeadField));
+    }
+    SECTION("which there is not") {
+        budget.set_most(lines * sizeof(HeadField));
+        parser.put(asio::buffer(head + "\r\n"), failure);
+        CHECK(failure == boost::system::errc::not_enough_memory);
+        CHECK(budget.used() <= budget.most());
+    }
+}
+
+TEST_CASE("the buffer that a request is read into counts while it is read, and is let go then") {
+    auto requests = 0;
+    auto session = SessionWire(answering(requests));
+    auto& budget = session.wire.node->message_memory;
+    constexpr auto length = std::size_t{40'000};
+    auto const whole = post("id-1", length);
+    session.say(whole.substr(0, whole.size() - length));
+    REQUIRE(session.run_until([&] { return budget.used() > length; }));
+    session.say(whole.substr(whole.size() - length, length - 1));
+    REQUIRE(session.run_until([&] { return budget.used() > 2 * length; }));
+    session.say("b");
+    REQUIRE(session.run_until([&] { return budget.used() < 2 * length; }));
+    CHECK(session.wire.session->buffer.capacity() == 0);
+    CHECK(session.hear("text-of-id-1"));
+    CHECK(session.run_until([&] { return budget.used() == 0; }));
+}
+
+TEST_CASE("a head without room gets 503 with Retry-After") {
+    auto requests = 0;
+    auto kind = Kind();
+    kind.header_bytes = 200'000;
+    auto session = SessionWire(answering(requests), kind);
+    session.wire.node->message_memory.set_most(64'000);
+    session.say(post("id-1", 4, "Long: " + std::string(150'000, 'v') + "\r\n"));
+    REQUIRE(session.hear("no room for the request now\"}"));
+    CHECK(session.seen.starts_with("HTTP/1.1 503"));
+    CHECK(session.answers("Retry-After: ") == 1);
+    session.leave();
+    CHECK(session.run_until([&] { return session.session_over; }));
+    CHECK(requests == 0);
+    CHECK(session.wire.node->message_memory.used() == 0);
 }
 
 TEST_CASE("a body without room gets 503 with Retry-After, and the connection is not reset under it") {
@@ -51,7 +108,7 @@
     auto session = SessionWire(answering(requests));
     session.wire.node->message_memory.set_most(64'000);
     session.say(post("id-1", 1'000'000));
-    REQUIRE(session.hear("no room for the body now\"}"));
+    REQUIRE(session.hear("no room for the request now\"}"));
     CHECK(session.seen.starts_with("HTTP/1.1 503"));
     CHECK(session.answers("Retry-After: ") == 1);
     session.leave();
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 from node_settings import PORTS
 from single_node import CAPS, END_LIMIT_S, Node, run_cases
@@ -15,6 +16,12 @@
 LONG_BODY, CLIENTS, RAM_MB = 4_194_304, 100, 260
 FEW_DESCRIPTORS, SETTLED_S = 128, 0.5
 NEEDS = "memory: the start needs"
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n"
+LENGTH = b"Content-Length: 100000\r\n\r\n"
+SMALL_FIELDS = HEAD + 1_900 * b"a:b\r\n" + LENGTH + b"bb"
+HALF_A_BODY = HEAD + LENGTH + 60_000 * b"b"
+START_OF_A_BODY = HEAD + LENGTH + 6_000 * b"b"
+MANY_CLIENTS, TEST_DESCRIPTORS = 2_900, 8_192
 REDIALLED_S = 2.5  # a seed that never answers is dialled anew after 1.5 s
 MEBIBYTE = 1 << 20
 
@@ -119,6 +126,46 @@
             return "ready: %s" % status
 
 
+def holds_unfinished(request, *limits):
+    """Many clients whose requests do not go on: each of them waits or is told 503, none is reset."""
+
+    def case(program, folder):
+        with Node(program, folder, limits=limits) as node:
+            if not node.starts():
+                return "it does not start: " + node.told()
+            ends, clients = Counter(), []
+            try:
+                for _ in range(MANY_CLIENTS):
+                    clients.append(socket.create_connection((node.address, PORTS["front"]), timeout=END_LIMIT_S))
+                    clients[-1].setblocking(False)
+                    clients[-1].send(request)
+                time.sleep(SETTLED_S)
+                ends = Counter(end_of(client) for client in clients)
+            except OSError as failure:
+                return "client %d: %s, status %s: %r" % (len(clients), failure, node.status(), node.told()[-200:])
+            finally:
+                for client in clients:
+                    client.close()
+            peak = node.resident_peak() or 0
+            if not node.listens() or set(ends) - {"open", "503"}:
+                return "status %s, clients %s: %r" % (node.status(), dict(ends), node.told()[-200:])
+            if peak > RAM_MB * 1_000_000:
+                return "%d MB resident at the peak, %d are allowed" % (peak // 1_000_000, RAM_MB)
+
+    return case
+
+
+def end_of(client):
+    """What a client that waits for its answer has seen."""
+    try:
+        answer = client.recv(1024)
+    except BlockingIOError:
+        return "open"
+    except OSError as failure:
+        return failure.strerror
+    return answer[9:12].decode() if answer else "closed"
+
+
 def needs_no_thread_once_it_runs(program, folder):
     """From its start on there is no room for another stack."""
     with Node(program, folder) as node:
@@ -144,6 +191,11 @@
         False, (resource.RLIMIT_STACK, 64), (resource.RLIMIT_AS, 512)
     ),
     "long bodies of many clients stay within its memory": bears_long_bodies,
+    "heads of many small fields stay within its memory": holds_unfinished(SMALL_FIELDS),
+    "unfinished bodies stay within its memory": holds_unfinished(HALF_A_BODY),
+    "unfinished bodies stay within its address space": holds_unfinished(
+        START_OF_A_BODY, (resource.RLIMIT_AS, RAM_MB * 1_000_000)
+    ),
     "once it runs it begins no thread": needs_no_thread_once_it_runs,
     "clients that rest leave descriptors for others": stays_reachable_when_clients_hold_all,
     "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
@@ -156,4 +208,5 @@
 
 
 if __name__ == "__main__":
+    resource.setrlimit(resource.RLIMIT_NOFILE, (TEST_DESCRIPTORS, TEST_DESCRIPTORS))
     sys.exit(run_cases("process_limits_test", CASES, sys.argv[1] if len(sys.argv) > 1 else "build"))
