Shares of memory are cut from what the start leaves of the limit; connections have a share of it

Cause: messages got 3/8 of the whole limit, while a node that has started takes 57 MiB of any address space; and the messages that cost nothing of the budget were bounded by descriptors alone, whatever memory there is. Change: the memory that is left beside what is in use at the start is cut: 3/8 for messages, 3/8 for connections at 32 KiB each (24 of them a message that costs nothing), the rest for index, configurations and frames. At 260 MB resident 2,850 clients are let in, at 160 MB 1,700, or 3/4 of the descriptors where that is less; further ones wait to be accepted. Metric client_connections_limit.

--- a/source/connection/metrics.cpp
+++ b/source/connection/metrics.cpp
@@ -64,6 +64,7 @@
     line("peer_connections_lost_total", transport.connections_lost->load());
     sight.write(text);
     line("client_connections", client_connections.load());
+    if (most_client_connections != no_limit) line("client_connections_limit", most_client_connections);
     line("open_tickets", open_tickets.load());
     line("resting", resting_now ? 1 : 0);
     line("ready", ready(now) ? 1 : 0);
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -125,7 +125,7 @@
 }
 
 auto Node::has_room_for_client() const -> bool {
-    return static_cast<std::uint64_t>(client_connections.load()) < client_connections_of(limits);
+    return static_cast<std::uint64_t>(client_connections.load()) < most_client_connections;
 }
 
 // A client that finds no room waits to be accepted. Whoever asks whether the node is ready, and operators, always have
--- a/source/process/machine_limits.cpp
+++ b/source/process/machine_limits.cpp
@@ -22,8 +22,10 @@
 
     auto of(std::uint64_t limit) const -> std::uint64_t { return limit == no_limit ? no_limit : limit / whole * parts; }
 };
-constexpr auto client_share = Share{3, 4};   // of the descriptors
-constexpr auto message_share = Share{3, 8};  // of the memory
+constexpr auto descriptor_share = Share{3, 4};                            // of clients' connections
+constexpr auto connection_share = Share{3, 8};                            // of the memory
+constexpr auto message_share = Share{3, 8};                               // of the memory
+constexpr auto connection_bytes = MemoryShare::free_bytes + (8U << 10U);  // at rest, and a message beside the budget
 static_assert(no_limit == MemoryBudget::unlimited);
 
 constexpr auto one_megabyte = std::uint64_t{1'000'000};
@@ -39,6 +41,10 @@
     return number > 0 ? static_cast<std::uint64_t>(number) * unit : no_limit;
 }
 
+auto left_of(std::uint64_t limit, std::uint64_t used) -> std::uint64_t {
+    return limit == no_limit ? no_limit : limit - std::min(limit, used);
+}
+
 auto open_descriptors() -> std::uint64_t {
     std::error_code failure;
     auto const entries = std::filesystem::directory_iterator("/proc/self/fd", failure);
@@ -61,10 +67,6 @@
     return limits;
 }
 
-auto message_memory_of(MachineLimits const& limits) -> std::uint64_t { return message_share.of(limits.memory()); }
-
-auto client_connections_of(MachineLimits const& limits) -> std::uint64_t { return client_share.of(limits.descriptors); }
-
 auto process_use() -> ProcessUse {
     ProcessUse use;
     auto const sizes = std::to_array<std::pair<std::string_view, std::uint64_t*>>(
@@ -86,6 +88,18 @@
     return use;
 }
 
+auto node_shares(MachineLimits const& limits, ProcessUse const& in_use) -> NodeShares {
+    auto const memory = std::min(
+        {left_of(limits.resident, in_use.resident), left_of(limits.address_space, in_use.address_space),
+         left_of(limits.data, in_use.data)});
+    NodeShares shares;
+    shares.message_memory = message_share.of(memory);
+    shares.client_connections = descriptor_share.of(limits.descriptors);
+    if (memory != no_limit)
+        shares.client_connections = std::min(shares.client_connections, connection_share.of(memory) / connection_bytes);
+    return shares;
+}
+
 auto write_limits(MachineLimits const& limits) -> json::object {
     json::object written;
     auto const put = [&](char const* name, std::uint64_t limit) {
--- a/source/process/machine_limits.hpp
+++ b/source/process/machine_limits.hpp
@@ -23,13 +23,6 @@
 };
 auto machine_limits_of(NodeSettings const& settings) -> MachineLimits;
 
-// The share of messages that are held whole (base/memory_budget.hpp). docs/CAPACITY.md adds up the others.
-auto message_memory_of(MachineLimits const& limits) -> std::uint64_t;
-
-// Connections of clients that may be open at once: what is left of the descriptors goes to replicas, other nodes, the
-// platform's questions and files.
-auto client_connections_of(MachineLimits const& limits) -> std::uint64_t;
-
 // Bytes and counts; 0 where the system does not tell. Source: /proc/self.
 struct ProcessUse {
     std::uint64_t resident = 0;
@@ -41,6 +34,16 @@
 };
 auto process_use() -> ProcessUse;
 
+// What a node shares out among those who call it: bytes and counts, `no_limit` where there is no limit. The rest of the
+// memory is for the index, configurations and frames, and that of the descriptors for replicas, other nodes, the
+// platform's questions and files. docs/CAPACITY.md.
+struct NodeShares {
+    std::uint64_t message_memory = no_limit;      // of messages that are held whole (base/memory_budget.hpp)
+    std::uint64_t client_connections = no_limit;  // that may be open at once
+};
+// Cut from what the limits leave beside what is `in_use` by a node that has started.
+auto node_shares(MachineLimits const& limits, ProcessUse const& in_use) -> NodeShares;
+
 // For the log: limits that are set, and what is used.
 auto write_limits(MachineLimits const& limits) -> json::object;
 auto write_use(ProcessUse const& use) -> json::object;
--- a/source/process/node.hpp
+++ b/source/process/node.hpp
@@ -41,7 +41,7 @@
     std::function<Problems(NodeSettings&)> reread;  // set by the program: the settings as they are now
     std::string settings_file;                      // looked at now and then; may be empty
     MachineLimits limits;                           // read once, at the start
-    MemoryBudget message_memory;                    // of bodies that are held whole: requests, calls, failures
+    MemoryBudget message_memory;                    // of messages held whole: requests, calls, failures
     RelayForm const* form = nullptr;                // where this fleet relays requests: how its wire speaks
     asio::io_context context;
     Storage storage;
@@ -71,7 +71,8 @@
     DiskState logged_disk = DiskState::well;  // inside control_work
     std::atomic<int> open_tickets{0};
     std::atomic<int> client_connections{0};  // at the door of clients
-    std::atomic<int> open_requests{0};       // read or being read, not yet answered
+    std::uint64_t most_client_connections = no_limit;
+    std::atomic<int> open_requests{0};  // read or being read, not yet answered
     std::atomic<Microseconds> last_ticket{0};
     std::atomic<bool> tick_waiting{false};
     Microseconds started_at = 0;
--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -196,6 +196,9 @@
     "unfinished bodies stay within its address space": holds_unfinished(
         START_OF_A_BODY, (resource.RLIMIT_AS, RAM_MB * 1_000_000)
     ),
+    "its shares stay within a small address space": holds_unfinished(
+        HALF_A_BODY, (resource.RLIMIT_AS, 160 * MEBIBYTE)
+    ),
     "once it runs it begins no thread": needs_no_thread_once_it_runs,
     "clients that rest leave descriptors for others": stays_reachable_when_clients_hold_all,
     "no room in the address space is told": says_what_is_missing(resource.RLIMIT_AS, 64 * MEBIBYTE, NEEDS),
