Events that are not whole yet are held within the budget of memory

Now what a stream holds of one is taken from the budget; without room its try ends, as for an event that is too long. Test: endless_answer_test "an event that is not whole yet is held within the budget of memory" (the stream went on to the limit of 1 MiB before; it was not run on the old code by itself: the member it looks at is new).

--- a/source/connection/relay_output.cpp
+++ b/source/connection/relay_output.cpp
@@ -76,8 +76,9 @@
             pending.clear();
         }
         if (finished) break;
-        if (answer.events.too_long) {
-            reason = "event-too-long";
+        auto const room = answer.event_room->grow_to(answer.events.rest.capacity());
+        if (answer.events.too_long || !room) {
+            reason = room ? "event-too-long" : "no-room-for-event";
             co_return;
         }
         if (!failure) continue;
@@ -105,6 +106,7 @@
     }
     facts.output_resumable = answer.head_sent && route.resumable;
     answer.events.restart();
+    if (!answer.event_room) answer.event_room.emplace(node.message_memory);
     answer.keep = request.keep_alive() && !node.stopping && !parser.need_eof();
     auto pending = std::string();
     if (!answer.head_sent) {
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -101,3 +101,21 @@
         CHECK(endless.take(std::string(64U << 10U, 'x')).empty());
     CHECK(endless.wrong);
 }
+
+TEST_CASE("an event that is not whole yet is held within the budget of memory") {
+    auto session = SessionWire(
+        [](Peer& peer) -> awaitable<void> {
+            if (!co_await peer.until("bbbb")) co_return;
+            co_await peer.say(stream_head + chunk("id: 1\ndata: first\n\n"));
+            for (auto count = 0; count < 10; ++count) co_await peer.say(chunk(std::string(64U << 10U, 'e') + "\n"));
+            co_await peer.until("never");
+        },
+        Kind{.stream = true, .tries = 1});
+    auto& budget = session.wire.node->message_memory;
+    budget.set_most(200'000);
+    session.say(post("id-1"));
+    REQUIRE(session.hear("data: first"));
+    CHECK(session.run_until([&] { return session.session_over; }));
+    CHECK(budget.refusals() > 0);
+    CHECK(budget.used() == 0);
+}
