Operators' calls wait for room in the budget of memory for their copies

What was seen: eight operators who change a document of 4 MB at once: the leader holds 293 MB of 260. Cause: only the body of a call was counted, while a change is held some times over: on its way, and where it is judged, kept, saved and told on; and a message that waits for the control machines kept its frame's text too. Change: before a call is made, room for 16 copies of a change, or 3 of the document that is read, is taken from the budget (no more than half of it, so that one call always finds room), waited for up to half a second, then 503 with Retry-After. The room is given back when the answer is written. Both interfaces make calls through connection/node_call, which stood twice before.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,7 @@
 python3 tests/start_failures_test.py "$build"
 python3 tests/process_limits_test.py "$build"
 python3 tests/address_wait_test.py "$build"
+python3 tests/operator_memory_test.py "$build"
 python3 scripts/check_files.py
 python3 tests/node_stop_test.py "$build"
 python3 tests/deploy_build_test.py
--- a/source/connection/control_calls.cpp
+++ b/source/connection/control_calls.cpp
@@ -1,6 +1,7 @@
 // What operators and the platform ask of a node. docs/interfaces.md.
 #include "connection/losses.hpp"
 #include "connection/message_reader.hpp"
+#include "connection/node_call.hpp"
 #include "connection/peers_status.hpp"
 #include "connection/session.hpp"
 #include "process/clock.hpp"
@@ -65,21 +66,6 @@
 
 }  // namespace
 
-auto Session::make_node_call(Call call) -> awaitable<CallDone> {
-    auto const executor = co_await asio::this_coro::executor;
-    co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(CallDone)>(
-        [&](auto handler) {
-            auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
-            auto told = [executor, shared](CallDone done) {
-                asio::post(
-                    executor, [shared, done = std::move(done)]() mutable { std::move (*shared)(std::move(done)); });
-            };
-            if (call.operation == "form-anew") node.form_anew(std::move(told));
-            else node.make_call(call, std::move(told));
-        },
-        asio::use_awaitable);
-}
-
 auto Session::handle_control(HttpRequest const& request) -> awaitable<bool> {
     auto const target = std::string(request.target().substr(0, request.target().find('?')));
     auto const method = request.method();
@@ -174,7 +160,8 @@
     if (call.operation != "get" && call.identity.empty())
         call.identity = "node-" + std::to_string(clock_now()) + "-" + std::to_string(node.next_ticket++);
     auto const asked_at = clock_now();
-    auto done = co_await make_node_call(call);
+    auto room = MemoryShare(node.message_memory);
+    auto done = co_await node_call(node, call, room);
     if (call.operation != "get" && done.status == 200) node.measures.in_force.add(clock_now() - asked_at);
     auto headers = Headers();
     if (!done.etag.empty()) headers.emplace_back("ETag", done.etag);
--- a/source/connection/relay_control.cpp
+++ b/source/connection/relay_control.cpp
@@ -1,6 +1,7 @@
 // Readiness, and the operator's calls in a relaying fleet. docs/platform.md section 6.
 #include "connection/lingering_close.hpp"
 #include "connection/message_reader.hpp"
+#include "connection/node_call.hpp"
 #include "connection/relay_session.hpp"
 #include "connection/replica_pool.hpp"
 #include "process/clock.hpp"
@@ -17,19 +18,6 @@
 
 auto text(std::string_view from) -> std::string { return std::string(from); }
 
-auto node_call(Node& node, Call call) -> awaitable<CallDone> {
-    auto const executor = co_await asio::this_coro::executor;
-    co_return co_await asio::async_initiate<asio::use_awaitable_t<> const, void(CallDone)>(
-        [&](auto handler) {
-            auto const shared = std::make_shared<decltype(handler)>(std::move(handler));
-            node.make_call(std::move(call), [executor, shared](CallDone done) {
-                asio::post(
-                    executor, [shared, done = std::move(done)]() mutable { std::move (*shared)(std::move(done)); });
-            });
-        },
-        asio::use_awaitable);
-}
-
 auto response_of(HttpRequest const& request, int status, std::string body) -> HttpResponse {
     auto response = HttpResponse(static_cast<http::status>(status), 11);
     response.set(http::field::content_type, "application/json");
@@ -43,7 +31,7 @@
 
 auto error_text(char const* what) -> std::string { return json::serialize(fields("error", what)); }
 
-auto operator_answer(Node& node, HttpRequest const& request) -> awaitable<HttpResponse> {
+auto operator_answer(Node& node, HttpRequest const& request, MemoryShare& room) -> awaitable<HttpResponse> {
     auto const& form = *node.form;
     auto const target = text(request.target().substr(0, request.target().find('?')));
     auto const method = request.method();
@@ -70,14 +58,15 @@
             request, known ? 405 : 404, error_text(known ? "this path does not take that method" : "no such path"));
     }
     auto const reads = call.operation == "get";
-    auto done = co_await node_call(node, std::move(call));
+    auto done = co_await node_call(node, std::move(call), room);
     if (done.status == 504) done.status = 503;  // not known: the same call, sent again, finds what became of it
     if (reads && done.status == 200 && done.body.empty())
         co_return response_of(request, 404, error_text("no configuration yet"));
     co_return response_of(request, done.status, std::move(done.body));
 }
 
-using Answerer = std::function<awaitable<HttpResponse>(Node&, HttpRequest const&)>;
+// `room`: held until the answer has been written.
+using Answerer = std::function<awaitable<HttpResponse>(Node&, HttpRequest const&, MemoryShare& room)>;
 
 auto serve_calls(Node& node, tcp::socket socket, Answerer answerer) -> awaitable<void> {
     auto stream = beast::tcp_stream(std::move(socket));
@@ -102,14 +91,15 @@
         }
         release_buffer(buffer, parser);
         auto const request = parser.release();
-        auto const response = co_await answerer(node, request);
+        auto answer_room = MemoryShare(node.message_memory);
+        auto const response = co_await answerer(node, request, answer_room);
         stream.expires_after(std::chrono::seconds(10));
         if (auto const [failure, size] = co_await http::async_write(stream, response, use_tuple); failure) co_return;
         if (!response.keep_alive()) co_return;
     }
 }
 
-auto ready_answer(Node& node, HttpRequest const& request) -> awaitable<HttpResponse> {
+auto ready_answer(Node& node, HttpRequest const& request, MemoryShare&) -> awaitable<HttpResponse> {
     auto const ready = node.ready(clock_now());
     co_return response_of(request, ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})");
 }
--- a/source/connection/session.hpp
+++ b/source/connection/session.hpp
@@ -34,7 +34,6 @@
     auto shed(HttpRequest const& request, std::string reason, std::int64_t retry_after) -> awaitable<bool>;
     auto unknown(HttpRequest const& request, std::string reason) -> awaitable<bool>;
     auto interpret_now(HttpRequest const& request) -> awaitable<std::pair<Verdict, SnapshotPointer>>;
-    auto make_node_call(Call call) -> awaitable<CallDone>;
     // Waits for a placement or a shedding; neither: the caller went away.
     auto wait_for_slot(std::shared_ptr<Slot> slot) -> awaitable<bool>;
     auto enter_buffer(Course& course) -> awaitable<CourseStep>;
--- a/source/control/snapshot.cpp
+++ b/source/control/snapshot.cpp
@@ -60,6 +60,7 @@
 auto make_snapshot(Control const& control, Snapshot const& old, DocumentForm const* form) -> std::shared_ptr<Snapshot> {
     auto fresh = std::make_shared<Snapshot>();
     auto const& configuration = control.news[configuration_partition];
+    fresh->document_bytes = configuration.copy.document.size();
     fresh->rules = old.rules && old.rules->sequence == configuration.copy.sequence ? old.rules
         : form == nullptr ? compile_rules(configuration.copy.sequence, configuration.copy.document)
                           : compile_relayed(configuration.copy, *form);
--- a/source/control/snapshot.hpp
+++ b/source/control/snapshot.hpp
@@ -11,6 +11,7 @@
 
 struct Snapshot {
     std::shared_ptr<Rules const> rules;
+    std::size_t document_bytes = 0;  // of the configuration as it was given
     ReplicaList list;
     std::map<std::string, std::string> target_weights;
     std::map<std::string, std::int64_t> target_versions;  // by model, where a version was named
--- a/source/process/node.cpp
+++ b/source/process/node.cpp
@@ -59,8 +59,9 @@
             ++transport.malformed;
             return;
         }
-        in_control([this, frame = std::move(frame), message = std::move(*message)] {
-            act_on(control.receive(clock_now(), frame.sender, frame.sender_address, message));
+        in_control([this, sender = std::move(frame.sender), address = std::move(frame.sender_address),
+                    message = std::move(*message)] {  // not the frame's text, which is as large once more
+            act_on(control.receive(clock_now(), sender, address, message));
         });
     });
     if (!problem.empty()) return leaf::new_error(StartFailure{"cannot hear other nodes: " + problem});
