--- a/source/connection/node_call.cpp
+++ b/source/connection/node_call.cpp
@@ -12,7 +12,7 @@
 constexpr auto copies_of_change = std::uint64_t{16};  // on its way, and where it is judged, kept, saved and told on
 constexpr auto copies_of_read = std::uint64_t{3};     // answered, in the response, and as it is written
 constexpr Microseconds room_limit = one_second / 2;   // operators turn to another node after a second of silence
-constexpr Microseconds look_again = 20 * one_millisecond;
+constexpr Microseconds room_look_interval = 20 * one_millisecond;
 
 // No more than half of the budget, so that one call always finds room.
 auto room_for(Node const& node, Call const& call) -> std::uint64_t {
@@ -27,7 +27,7 @@
     auto const limit = clock_now() + room_limit;
     while (!room.grow_to(bytes)) {
         if (clock_now() >= limit) co_return false;
-        co_await pause(look_again);
+        co_await pause(room_look_interval);
     }
     co_return true;
 }
