--- a/tests/process_limits_test.py
+++ b/tests/process_limits_test.py
@@ -10,17 +10,13 @@
 
 from node_settings import PORTS
 from single_node import CAPS, END_LIMIT_S, Node, run_cases
+from unfinished import HALF_A_BODY, SMALL_FIELDS, START_OF_A_BODY, begin, end_of
 
 DISK_WAITED_FOR_S = 0.6
 NO_ROOM = 3  # exit status
 LONG_BODY, CLIENTS, RAM_MB = 4_194_304, 100, 260
 FEW_DESCRIPTORS, SETTLED_S = 128, 0.5
 NEEDS = "memory: the start needs"
-HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n"
-LENGTH = b"Content-Length: 100000\r\n\r\n"
-SMALL_FIELDS = HEAD + 1_900 * b"a:b\r\n" + LENGTH + b"bb"
-HALF_A_BODY = HEAD + LENGTH + 60_000 * b"b"
-START_OF_A_BODY = HEAD + LENGTH + 6_000 * b"b"
 MANY_CLIENTS, TEST_DESCRIPTORS = 2_900, 8_192
 REDIALLED_S = 2.5  # a seed that never answers is dialled anew after 1.5 s
 MEBIBYTE = 1 << 20
@@ -136,9 +132,7 @@
             ends, clients = Counter(), []
             try:
                 for _ in range(MANY_CLIENTS):
-                    clients.append(socket.create_connection((node.address, PORTS["front"]), timeout=END_LIMIT_S))
-                    clients[-1].setblocking(False)
-                    clients[-1].send(request)
+                    clients.append(begin(node.address, PORTS["front"], request))
                 time.sleep(SETTLED_S)
                 ends = Counter(end_of(client) for client in clients)
             except OSError as failure:
@@ -155,17 +149,6 @@
     return case
 
 
-def end_of(client):
-    """What a client that waits for its answer has seen."""
-    try:
-        answer = client.recv(1024)
-    except BlockingIOError:
-        return "open"
-    except OSError as failure:
-        return failure.strerror
-    return answer[9:12].decode() if answer else "closed"
-
-
 def needs_no_thread_once_it_runs(program, folder):
     """From its start on there is no room for another stack."""
     with Node(program, folder) as node:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 import argparse
 import json
 import pathlib
+import resource
 import sys
 import tempfile
 
@@ -19,6 +20,7 @@
 from run import Run
 from soak_verdict import STORIES, broken_rules
 
+DESCRIPTORS = 16_384  # of the driver: its callers are thousands
 LIVE_STATES = {"held": "kept", "BROKEN": "BROKEN", "not judged": "not exercised"}
 
 
@@ -95,6 +97,7 @@
 
 
 def main():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
     options = read_options()
     first, _, last = (options.seeds or str(options.seed)).partition("-")
     if not first.isdigit() or not (last or first).isdigit():
--- a/tests/soak/soak_verdict.py
+++ b/tests/soak/soak_verdict.py
@@ -75,7 +75,7 @@
         "troubles": kinds, "operators": run.operators.counts, "platform": fleet.do("seen")[1],
         "requests": {name: counts.get(name, 0) for name in ("served", "refused", "denied", "failed")},
         "starts": sum(fleet.lives.values()), "recovered after": run.recovered_after,
-        "long bodies": dict(run.bodies.answers),
+        "long bodies": dict(run.bodies.answers), "unfinished requests": dict(run.bodies.unfinished),
         "megabytes at the peak": max(fleet.metrics.peaks.values(), default=0) // 1_000_000,
         "stalls": run.watch.stalls, "unplanned disk stalls": fleet.unplanned_stalls(),
         "files with writes that no sync covered, as power went": dict(Counter(fleet.later_writes)),
