The answer to a call, and to the product's own run, is the one behind its interim answers

Seen by callers: an application that sends `103 Early Hints` before its answer: the client of a forwarded call did not get that answer (its bytes did not begin with a 200). A call of the node took the interim head for the answer (status 103, no body); a replica's run behind one ended as not known to have run, also where the replica said that it had not.

Cause: the relay skips heads of 1xx, the two other readers did not: they took the first head for the answer.

--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -10,6 +10,13 @@
 
 constexpr auto answer_body_limit = std::uint64_t{16U << 20U};  // bytes
 
+auto read_answer(beast::tcp_stream& stream, beast::flat_buffer& buffer, std::optional<AnswerParser>& parser)
+    -> awaitable<boost::system::error_code> {
+    auto const failure = co_await read_final_head(stream, buffer, parser, answer_body_limit);
+    if (failure) co_return failure;
+    co_return co_await read_whole(stream, buffer, *parser);
+}
+
 }  // namespace
 
 auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint> {
@@ -81,13 +88,12 @@
         close();
         co_return answer;
     }
-    auto parser = AnswerParser();
-    parser.body_limit(answer_body_limit);
-    if (auto const failure = co_await read_whole(stream, buffer, parser); failure) {
+    auto parser = std::optional<AnswerParser>();
+    if (auto const failure = co_await read_answer(stream, buffer, parser); failure) {
         close();
         co_return answer;
     }
-    auto& message = parser.get();
+    auto& message = parser->get();
     answer.status = message.status;
     answer.content_type = std::string(message[http::field::content_type]);
     answer.etag = std::string(message[http::field::etag]);
--- a/source/connection/message_grammar.hpp
+++ b/source/connection/message_grammar.hpp
@@ -11,6 +11,9 @@
 inline constexpr auto greatest_status = 599;
 constexpr auto is_answer_status(int status) -> bool { return status >= least_status && status <= greatest_status; }
 
+// RFC 9110, 15.2: the answer itself is still to come.
+constexpr auto is_interim(int status) -> bool { return status / 100 == 1; }
+
 // RFC 9112, 6.1 and 6.3: by another transfer coding than chunked nobody can tell where the body ends, nor, where it is
 // chunked last, what the body is: the coding is this connection's own and is not passed on. HTTP/1.0 has none.
 inline auto has_known_coding(HeadFields const& fields, unsigned version) -> bool {
--- a/source/connection/message_reader.cpp
+++ b/source/connection/message_reader.cpp
@@ -132,6 +132,18 @@
     co_return co_await read_until(Goal::head, stream, buffer, parser);
 }
 
+auto read_final_head(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, std::optional<AnswerParser>& parser,
+    boost::optional<std::uint64_t> body_limit) -> awaitable<error_code> {
+    for (auto count = 0; count <= most_interim_answers; ++count) {
+        parser.emplace();
+        parser->body_limit(body_limit);
+        if (auto const failure = co_await read_head(stream, buffer, *parser); failure) co_return failure;
+        if (!is_interim(parser->get().status)) co_return error_code();
+    }
+    co_return http::error::header_limit;
+}
+
 template <typename Stream, bool is_request>
 auto read_some(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser) -> awaitable<error_code> {
     co_return co_await read_until(Goal::some, stream, buffer, parser);
--- a/source/connection/message_reader.hpp
+++ b/source/connection/message_reader.hpp
@@ -12,6 +12,8 @@
 // Bytes of a chunk's header, or of trailers, that are held until they are whole.
 inline constexpr auto chunk_framing_limit = std::size_t{16U << 10U};
 
+inline constexpr auto most_interim_answers = 100;  // before one answer
+
 // A configured limit for heads, as the library takes it.
 auto head_limit(std::int64_t bytes) -> std::uint32_t;
 
@@ -27,6 +29,12 @@
 auto read_head(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
     -> awaitable<boost::system::error_code>;
 
+// Reads the heads of interim answers and drops them, then the head behind them; http::error::header_limit beyond
+// `most_interim_answers`. `parser` is made anew for each, with this limit for the body of the answer.
+auto read_final_head(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, std::optional<AnswerParser>& parser,
+    boost::optional<std::uint64_t> body_limit) -> awaitable<boost::system::error_code>;
+
 // Reads until more of the body has come, or its end. The body is the caller's to take and clear.
 template <typename Stream, bool is_request>
 auto read_some(Stream& stream, beast::flat_buffer& buffer, MessageParser<is_request>& parser)
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -88,10 +88,11 @@
     facts.written = written == 0 ? BytesWritten::none : unsent ? BytesWritten::head : BytesWritten::whole;
     if (unsent) co_return ended(facts, "replica-broke-while-sending");
     auto buffer = beast::flat_buffer();
-    auto parser = AnswerParser();
-    parser.body_limit(boost::none);  // passed on as it comes
-    if (auto const failure = co_await read_head(stream, buffer, parser); failure)
+    auto last_head = std::optional<AnswerParser>();
+    auto const no_limit = boost::none;  // passed on as it comes
+    if (auto const failure = co_await read_final_head(stream, buffer, last_head, no_limit); failure)
         co_return ended(facts, "replica-broke-before-first-piece");
+    auto& parser = *last_head;
     facts.received = Received::cut_before_output;
     if (parser.get().status != 200) {
         parser.limit_stored_body(failure_body_limit);
--- a/tests/call_answer_test.cpp
+++ b/tests/call_answer_test.cpp
@@ -1,5 +1,5 @@
 // Answers to calls of the node itself (platform list, reports, events, orders, the application's forwarding) and to the
-// product's own runs: what is no answer by the grammar counts as none.
+// product's own runs: what is no answer by the grammar counts as none, and heads of interim answers are not the answer.
 // docs/requests.md section 3.
 #include <catch2/catch.hpp>
 
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr auto early_hints = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
 constexpr auto body = "{\"whole\":true}";
 
 auto head_of(std::string const& status, std::string const& more) -> std::string {
@@ -110,6 +111,27 @@
     }
 }
 
+TEST_CASE("the answer to a call is the one behind its interim answers") {
+    auto const seen = called(std::string(early_hints) + early_hints + answer_of("200"));
+    CHECK(seen.answer.status == 200);
+    CHECK(seen.answer.body == body);
+    CHECK(seen.kept);
+    CHECK(called(early_hints).answer.status == 0);
+}
+
+TEST_CASE("a call whose interim answers go on and on ends at its limit") {
+    auto wire = Wire([](Peer& peer) -> awaitable<void> {
+        co_await peer.until("\r\n\r\n");
+        auto const end = clock_now() + 2 * one_second;
+        while (clock_now() < end) co_await peer.say(early_hints);
+    });
+    auto connection = HttpConnection(wire.context.get_executor());
+    auto const ask = http_ask(http::verb::get, "/list");
+    auto const began = clock_now();
+    CHECK(outcome_of(wire.context, connection.call(address_of(wire), ask, 300 * one_millisecond)).status == 0);
+    CHECK(clock_now() - began < one_second);
+}
+
 TEST_CASE("a replica's run that is answered by no answer is not known to have run or not") {
     for (auto const& text : broken_answers) {
         INFO(text);
@@ -119,9 +141,22 @@
     CHECK(run_against(refusal).end == TryEnd::did_not_run);
 }
 
+TEST_CASE("a replica's run is answered behind its interim answers") {
+    auto const pieces = std::string("{\"piece\":0}\n{\"pieces\":1}\n");
+    auto const text =
+        early_hints + head_of("200", "Content-Length: " + std::to_string(pieces.size()) + "\r\n") + pieces;
+    CHECK(run_against(text).end == TryEnd::answered);
+    CHECK(
+        run_against(early_hints + head_of("409", "Content-Length: 13\r\n") + "{\"ran\":false}").end ==
+        TryEnd::did_not_run);
+}
+
 TEST_CASE("what is no answer of the application reaches no client") {
     for (auto const& text : broken_answers) {
         INFO(text);
         CHECK(forwarded(text).starts_with("HTTP/1.1 502 "));
     }
+    auto const seen = forwarded(early_hints + answer_of("200"));
+    CHECK(seen.starts_with("HTTP/1.1 200 "));
+    CHECK(seen.ends_with(body));
 }
