A promise in an answer whose body breaks off the grammar is none

Seen by callers: a replica's 503 or 421 with the word for "not run" in its head, and chunks or trailers that are no HTTP: on a route that may run once, the request went to a second replica, or its client was told 503.

Cause: `take_failure` and the product's own `run_try` took the word from the head whatever became of the body.

Change: the word counts unless the rest of the answer is malformed or beyond its limit. One that is merely cut (closed, reset, silent) has said so in a whole head, and counts as before.

--- a/source/connection/relay_try.cpp
+++ b/source/connection/relay_try.cpp
@@ -91,11 +91,12 @@
     auto& parser = *exchange->parser;
     auto const& message = parser.get();
     auto const status = message.status;
-    auto const not_run = message.fields.find(node.form->headers.not_run) != nullptr || status == 421;
+    auto const says_not_run = message.fields.find(node.form->headers.not_run) != nullptr || status == 421;
     connection->stream.expires_after(answer_patience());
     parser.limit_stored_body(ReplicaExchange::stored_body_bytes);
     parser.count_in(answer.failure_room.emplace(node.message_memory));
     auto const failure = co_await read_whole(connection->stream, connection->buffer, parser);
+    auto const not_run = says_not_run && !is_malformed(failure);  // one that is merely cut has said so in a whole head
     facts.received = not_run ? Received::not_run : Received::cut_before_output;
     reason = not_run ? refusal_reason(status) : "replica-broke";
     if (failure) co_return;
--- a/source/connection/ticket_run.cpp
+++ b/source/connection/ticket_run.cpp
@@ -96,13 +96,13 @@
     facts.received = Received::cut_before_output;
     if (parser.get().status != 200) {
         parser.limit_stored_body(failure_body_limit);
-        co_await read_whole(stream, buffer, parser);
+        auto const failure = co_await read_whole(stream, buffer, parser);
         auto const parsed = parse_json(parser.get().body);
         auto const* ran = parsed && parsed->is_object() ? parsed->as_object().if_contains("ran") : nullptr;
         auto const* reason = parsed && parsed->is_object() ? parsed->as_object().if_contains("reason") : nullptr;
         auto const did_not_run = parser.get().status == 409 && ran != nullptr && ran->is_bool() && !ran->as_bool();
         auto const text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "replica-error";
-        if (did_not_run) facts.received = Received::not_run;
+        if (did_not_run && !is_malformed(failure)) facts.received = Received::not_run;
         co_return ended(facts, text);
     }
     {
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -54,3 +54,13 @@
     text.replace(0, 8, "HTTP/1.0");
     check_no_answer(text, true);
 }
+
+TEST_CASE("a promise in an answer whose body breaks off the grammar is none") {
+    for (auto const* status : {"503", "421"})
+        for (auto const* end : {"zz\r\n\r\n", "0\r\nX Y: 1\r\n\r\n"}) {
+            INFO(status << " " << end);
+            check_no_answer(head_of(status, "Untouched: 1\r\nTransfer-Encoding: chunked\r\n") + end);
+        }
+}
+
+// Heads of interim answers, and answers to other requests, are waited through no longer than the request may wait.
--- a/tests/call_answer_test.cpp
+++ b/tests/call_answer_test.cpp
@@ -133,7 +133,9 @@
 }
 
 TEST_CASE("a replica's run that is answered by no answer is not known to have run or not") {
-    for (auto const& text : broken_answers) {
+    auto texts = broken_answers;
+    texts.push_back(head_of("409", "Transfer-Encoding: chunked\r\n") + "d\r\n{\"ran\":false}\r\nzz\r\n");
+    for (auto const& text : texts) {
         INFO(text);
         CHECK(run_against(text).end == TryEnd::unknown_before);
     }
