What comes before a replica's answer is waited through until the deadline and no longer

Seen by callers: a replica that goes on sending interim answers (1xx), or answers to other requests, held its request past the deadline for as long as it went on: 2.0 s where 0.3 s were left.

Cause: each further head got a time limit of its own, at least a millisecond, and reading bytes that are there never meets it. For bodies the deadline is looked at between pieces; between heads it was not.

Change: it is, after each head that is not the answer.

Evidence: both cases of the test ended after 2.0 s on, when the replica stopped; now within the bound of one second.

--- a/source/connection/replica_exchange.cpp
+++ b/source/connection/replica_exchange.cpp
@@ -91,9 +91,11 @@
     while (true) {
         if (connection.buffer.size() == 0) co_await send_on(until);
         if (auto const failure = co_await read_one_head(until); failure) co_return head_end_of(failure);
-        if (is_interim(parser->get().status)) continue;
-        if (is_own()) co_return HeadEnd::own_answer;
-        if (!co_await skip_stranger()) co_return HeadEnd::broke;
+        if (!is_interim(parser->get().status)) {
+            if (is_own()) co_return HeadEnd::own_answer;
+            if (!co_await skip_stranger()) co_return HeadEnd::broke;
+        }
+        if (clock_now() >= until) co_return HeadEnd::timed_out;  // also while more keeps coming
     }
 }
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -64,3 +64,24 @@
 }
 
 // Heads of interim answers, and answers to other requests, are waited through no longer than the request may wait.
+
+TEST_CASE("a replica that goes on and on before its answer is given up at the deadline") {
+    for (auto const& text : {std::string("HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"), answer_text("id-0", "other")}) {
+        INFO(text);
+        auto wire = Wire([text](Peer& peer) -> awaitable<void> {
+            co_await peer.until("bbbb");
+            auto const end = clock_now() + 2 * one_second;
+            auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+            while (clock_now() < end) {
+                co_await peer.say(text);
+                timer.expires_after(std::chrono::microseconds(100));
+                co_await timer.async_wait(use_tuple);
+            }
+        });
+        wire.limit = 300 * one_millisecond;
+        auto const began = clock_now();
+        CHECK(wire.ask("id-1").end == TryEnd::unknown_before);
+        CHECK(clock_now() - began < one_second);
+        CHECK(wire.pooled() == 0);
+    }
+}
