A 204 goes to its client without a length, whatever its replica's head says

Seen by callers: a replica's 204 with `Content-Length: 19` (and a body behind it) went on with that line. The body reached nobody and the connection was not used again, but a client that goes by the length waits for bytes that never come.

Cause: the length of the replica's head was told again for every answer without chunks.

Change: it is told only where the status may have one (RFC 9110, 8.6). An answer to HEAD keeps its length.

--- a/source/connection/message_grammar.hpp
+++ b/source/connection/message_grammar.hpp
@@ -14,6 +14,9 @@
 // RFC 9110, 15.2: the answer itself is still to come.
 constexpr auto is_interim(int status) -> bool { return status / 100 == 1; }
 
+// RFC 9110, 8.6: a head that ends its answer whatever it says tells no length.
+constexpr auto has_length(int status) -> bool { return !is_interim(status) && status != 204; }
+
 // RFC 9112, 6.1 and 6.3: by another transfer coding than chunked nobody can tell where the body ends, nor, where it is
 // chunked last, what the body is: the coding is this connection's own and is not passed on. HTTP/1.0 has none.
 inline auto has_known_coding(HeadFields const& fields, unsigned version) -> bool {
--- a/source/connection/relay_output.cpp
+++ b/source/connection/relay_output.cpp
@@ -93,8 +93,8 @@
 auto RelayTry::pass_success() -> awaitable<void> {
     auto& parser = *exchange->parser;
     auto const& message = parser.get();
-    auto const length = parser.content_length();
     auto const empty = without_body(request, message.status);
+    auto const length = has_length(message.status) ? parser.content_length() : boost::none;
     facts.received = answer.head_sent ? Received::cut_after_output : Received::cut_before_output;
     if (!node.form->headers.stamp.empty() && message.fields.find(node.form->headers.stamp) == nullptr) {
         reason = "no-stamp";  // no replica's answer counts without it
--- a/tests/answer_grammar_test.cpp
+++ b/tests/answer_grammar_test.cpp
@@ -13,3 +13,13 @@
     CHECK(served.status == 200);
     CHECK(served.bytes.ends_with(body_mark));
 }
+
+TEST_CASE("a body where the grammar has none reaches nobody, and its connection is not used again") {
+    for (auto const* status : {"204", "304"}) {
+        auto const seen = seen_after(head_of(status, "Content-Length: 19\r\n") + body_mark);
+        INFO(seen.bytes);
+        CHECK(seen.status == std::stoi(status));
+        CHECK(seen.bytes.ends_with("\r\n\r\n"));
+        CHECK(seen.pooled == 0);
+    }
+}
