A success in a content coding is no success on the platform, whose clients take none

A proxy owes content codings to the ends (RFC 9110, 8.4) and does not undo them, so in general such an answer goes on as it is. Where clients take no coding, it is treated as a success without the stamp is: another try where the request may be repeated, 502 otherwise, and the connection is closed. Failures (which are no success to judge) go on as before.

Evidence: the test; without the field the same answer is passed on as a success (its first half), as on.

--- a/source/connection/relay_output.cpp
+++ b/source/connection/relay_output.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Microseconds silence_limit = 30 * one_second;
+constexpr auto content_encoding = std::string_view("Content-Encoding");
 constexpr Microseconds past_deadline = 200 * one_millisecond;  // an answer under way may still come whole
 
 }  // namespace
@@ -100,6 +101,10 @@
         reason = "no-stamp";  // no replica's answer counts without it
         co_return;
     }
+    if (!node.form->takes_content_codings && message.fields.find(content_encoding) != nullptr) {
+        reason = "content-coding";
+        co_return;
+    }
     if (answer.head_sent && !answer.chunked) {
         reason = "length-fixed";
         co_return;
--- a/source/process/form.hpp
+++ b/source/process/form.hpp
@@ -78,6 +78,7 @@
 struct RelayForm {
     std::string name;
     HeaderNames headers;
+    bool takes_content_codings = true;  // false: a success in a content coding is not the body that clients asked for
     std::string ready_path;
     std::string configuration_path;
     std::string weights_path;
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -85,3 +85,14 @@
         CHECK(wire.pooled() == 0);
     }
 }
+
+TEST_CASE("a success in a content coding is no success where clients take none") {
+    auto const text = answer_text("id-1", body_mark, "200 OK", "Stamp: s\r\nContent-Encoding: gzip\r\n");
+    auto coded = Wire(saying(text, false, false));
+    CHECK(coded.ask("id-1").end == TryEnd::answered);
+    auto plain = Wire(saying(text, false, false));
+    plain.form.takes_content_codings = false;
+    CHECK(plain.ask("id-1").end == TryEnd::unknown_before);
+    CHECK(plain.seen_by_client().empty());
+    CHECK(plain.pooled() == 0);
+}
