A call that got no answer says so by a type of its own, not by a status of 0

`HttpAnswer::status` of 0 meant "no answer", and `sent` told whether anything was written. `CallEnd` now says: not sent, no answer, answered; the four callers that asked for 0 ask for that: reports, orders, the forwarded call, the operators' command line. No behaviour is changed.

--- a/programs/dockrock_control.cpp
+++ b/programs/dockrock_control.cpp
@@ -50,7 +50,7 @@
 };
 
 auto print(HttpAnswer const& answer) -> int {
-    if (answer.status == 0) {
+    if (answer.end != CallEnd::answered) {
         std::cerr << "no answer from the node\n";
         return 3;
     }
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -83,7 +83,7 @@
     if (!co_await open_to(address, limit)) co_return answer;
     used = true;
     auto const request = make_request(wanted, address);
-    answer.sent = true;
+    answer.end = CallEnd::no_answer;  // until there is one
     if (auto const [failure, size] = co_await http::async_write(stream, request, use_tuple); failure) {
         close();
         co_return answer;
@@ -94,6 +94,7 @@
         co_return answer;
     }
     auto& message = parser->get();
+    answer.end = CallEnd::answered;
     answer.status = message.status;
     answer.content_type = std::string(message[http::field::content_type]);
     answer.etag = std::string(message[http::field::etag]);
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -46,12 +46,17 @@
     call.body = std::move(body);
     return call;
 }
+enum class CallEnd : int {
+    not_sent,   // nothing was written
+    no_answer,  // silence, a broken connection, or what is no answer: the call may have been taken
+    answered,
+};
 struct HttpAnswer {
-    int status = 0;  // 0: no answer
+    CallEnd end = CallEnd::not_sent;
+    int status = 0;  // where it was answered
     std::string body;
     std::string content_type;
     std::string etag;
-    bool sent = false;  // anything may have been written
 };
 
 auto endpoint_of(std::string const& address) -> std::optional<tcp::endpoint>;
--- a/source/connection/session.cpp
+++ b/source/connection/session.cpp
@@ -191,9 +191,9 @@
     call.headers.emplace_back("Tenant", verdict.ticket.tenant_path);
     auto const address = current->list.application->address;
     auto const result = co_await http_call(address, call, 5 * one_second);
-    if (result.status == 0) {
+    if (result.end != CallEnd::answered) {
         auto facts = TryFacts();
-        if (result.sent) facts.written = BytesWritten::whole;
+        if (result.end == CallEnd::no_answer) facts.written = BytesWritten::whole;
         auto limits = RetryLimits();
         limits.tries_left = 0;  // one application, asked once
         if (retry::decide(retry::end_of(facts), RetryRequest{}, limits) == RetryDecision::refused)
--- a/source/process/node_polls.cpp
+++ b/source/process/node_polls.cpp
@@ -101,7 +101,7 @@
             auto const guard = std::lock_guard(table.lock);
             table.granting.burden.take_report(name, report, asked_at);
             if (table.granting.waiting_count() > 0) match_locked(clock_now());
-        } else if (answer.status == 0 && !answer.sent) {
+        } else if (answer.end == CallEnd::not_sent) {
             auto const guard = std::lock_guard(table.lock);
             table.granting.burden.report_failed(name, clock_now());
         }
--- a/source/process/node_weights.cpp
+++ b/source/process/node_weights.cpp
@@ -17,8 +17,8 @@
 constexpr Microseconds holder_margin = 200 * one_millisecond;  // on top of the time between two holders' orders
 
 auto end_of(HttpAnswer const& answer) -> OrderEnd {
+    if (answer.end == CallEnd::not_sent) return OrderEnd::unreachable;
     switch (answer.status) {
-        case 0: return answer.sent ? OrderEnd::unknown : OrderEnd::unreachable;
         case 200: return OrderEnd::holds;
         case 202: return OrderEnd::taken;
         case 400: return OrderEnd::refused;
--- a/tests/call_answer_test.cpp
+++ b/tests/call_answer_test.cpp
@@ -104,8 +104,7 @@
     for (auto const& text : broken_answers) {
         INFO(text);
         auto const seen = called(text);
-        CHECK(seen.answer.status == 0);
-        CHECK(seen.answer.sent);
+        CHECK(seen.answer.end == CallEnd::no_answer);
         CHECK(seen.answer.body.empty());
         CHECK_FALSE(seen.kept);
     }
@@ -116,7 +115,7 @@
     CHECK(seen.answer.status == 200);
     CHECK(seen.answer.body == body);
     CHECK(seen.kept);
-    CHECK(called(early_hints).answer.status == 0);
+    CHECK(called(early_hints).answer.end == CallEnd::no_answer);
 }
 
 TEST_CASE("a call whose interim answers go on and on ends at its limit") {
@@ -128,7 +127,9 @@
     auto connection = HttpConnection(wire.context.get_executor());
     auto const ask = http_ask(http::verb::get, "/list");
     auto const began = clock_now();
-    CHECK(outcome_of(wire.context, connection.call(address_of(wire), ask, 300 * one_millisecond)).status == 0);
+    CHECK(
+        outcome_of(wire.context, connection.call(address_of(wire), ask, 300 * one_millisecond)).end ==
+        CallEnd::no_answer);
     CHECK(clock_now() - began < one_second);
 }
 
