Stand-ins: replicas that give spoiled answers, a stricter client, a scenario, a soak shape

Why the incident was missed: stand-in replicas cut, reset, doubled and garbled their answers, and none gave one that the HTTP library reads though HTTP does not have it. Clients of the stand-ins read through that library too, and a garbled answer that was passed on was excused as the replica's own doing.

Change: nine spoiled answers, each with the request's id and a seal (status 000, with a promise too, 600, names with a blank or a control byte, three codings, a promise whose chunks break off); clients judge status and framing by the grammar; who passes on what is no answer is excused no more (`garble` too: the expectation in stand_in_test is stricter). A shape of soaks has 16 nets instead of 20, to leave room.

Each spoiled answer that reaches a client breaks MIXED (stand_in_test).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -89,8 +89,8 @@
 net=101
 for scenario in calm replica_crash drain revoke walls config_race weights weights_unbegun \
   kill_edges kill_leader total_kill cut_answers \
-  late_answers term_edge planted idle_reuse reset_midway early_answer late_second unframed_ends \
-  planted_resend planted_promise planted_reuse planted_smuggle; do
+  late_answers term_edge planted idle_reuse reset_midway early_answer late_second unframed_ends spoiled_answers \
+  planted_resend planted_promise planted_reuse planted_smuggle planted_spoiled; do
   day $scenario $net
   net=$((net + 1))
 done
@@ -110,6 +110,7 @@
 soak mixed --shape mixed --seed 1 --seconds 25
 soak losses --shape losses --seed 0 --seconds 25
 soak limits --shape losses --seed 7 --seconds 25 --long-bodies --hasty
+soak answers --shape answers --seed 6 --seconds 25
 soak weights --shape weights --seed 2 --seconds 50
 soak configuration-10 --shape configuration --seed 10 --seconds 45
 soak planted-stale --planted stale --seed 2 --seconds 25
--- a/tests/platform/day_scenarios_requests.py
+++ b/tests/platform/day_scenarios_requests.py
@@ -79,6 +79,16 @@
     finish(day)
 
 
+def spoiled_answers(day, seconds):
+    """Answers that are none by the grammar, promises in them, bodies in a coding that nobody asked for."""
+    traffic(day, seconds)
+    faults(day, spoiled=0.1)
+    wait_for(seconds)
+    faults(day, spoiled=0)
+    seen(day, "spoiled")
+    finish(day)
+
+
 def weights_unbegun(day, seconds):
     """Replicas take no order, and stand still from before the margin until after the bound: what lies there then
     must not begin once they go on."""
@@ -99,7 +109,7 @@
 
 REQUESTS = {
     work.__name__: work
-    for work in (idle_reuse, reset_midway, early_answer, late_second, unframed_ends, weights_unbegun)
+    for work in (idle_reuse, reset_midway, early_answer, late_second, unframed_ends, spoiled_answers, weights_unbegun)
 }
 MUST_JUDGE_REQUESTS = {name: ["TWICE", "MIXED", "UNASKED"] for name in REQUESTS}
 MUST_JUDGE_REQUESTS["weights_unbegun"] += ["VERSION", "ONE"]
@@ -109,5 +119,6 @@
     "planted_resend": ("resend", "reset_midway", {"TWICE"}, "ran more than once"),
     "planted_promise": ("promise", "reset_midway", {"REFUSED"}, "503 and a run"),
     "planted_reuse": ("reuse", "late_second", {"MIXED"}, "the answer of"),
+    "planted_spoiled": ("none", "spoiled_answers", {"MIXED"}, "no answer"),
     "planted_smuggle": ("smuggle", "early_answer", {"UNASKED"}, "other bytes in place of its body"),
 }
--- a/tests/platform/stand_in_test.cpp
+++ b/tests/platform/stand_in_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "platform/stand_ins/platform.hpp"
+#include "platform/stand_ins/spoiled_answers.hpp"
 
 using namespace dockrock::platform_stand_in;
 
@@ -136,11 +137,24 @@
     CHECK(faulty(R"("cut":1)", "stream", false) == "failed served");
     CHECK(faulty(R"("cut":1)", "mutating", false) == "failed served");
     CHECK(faulty(R"("cut":1)", "stream", true) == "failed served");  // each try gets on by some events, none to the end
-    CHECK(faulty(R"("garble":1)", "mutating", false) == "failed failed");
+    CHECK(faulty(R"("garble":1)", "mutating", false) == "failed failed MIXED");
     CHECK(faulty(R"("reset":1)", "stream", false) == "failed failed");
     CHECK(faulty(R"("fail":1)", "mutating", false) == "failed failed");
 }
 
+// Without a node between, clients get each as it is.
+TEST_CASE("each spoiled answer that reaches a client is found out") {
+    for (auto place = std::size_t{0}; place < spoiled_answers.size(); ++place) {
+        INFO(spoiled_answers[place].status << " " << spoiled_answers[place].fields);
+        auto day = Day();
+        day.replica->faults.spoiled = 1.0;
+        day.replica->faults.spoiled_by = static_cast<std::int64_t>(place);
+        CHECK(day.ask_kind("mutating") != "");
+        CHECK(day.replica->spoiled > 0);
+        CHECK(day.broken().contains("MIXED"));
+    }
+}
+
 TEST_CASE("a client goes on with a stream from its last event") {
     auto day = Day();
     day.replica->faults.cut = 0.6;
--- a/tests/platform/stand_ins/http.cpp
+++ b/tests/platform/stand_ins/http.cpp
@@ -1,5 +1,7 @@
 #include "http.hpp"
 
+#include "answer_grammar.hpp"
+
 namespace dockrock::platform_stand_in {
 
 namespace {
@@ -16,6 +18,17 @@
     return Failure::cut;
 }
 
+// By the grammar, beyond what the library asks of a head.
+auto is_sound(http::response<http::string_body> const& answer) -> bool {
+    auto framing = dockrock::testing::grammar::Framing();
+    for (auto const& item : answer)
+        framing.take(
+            lower({item.name_string().data(), item.name_string().size()}),
+            std::string_view(item.value().data(), item.value().size()));
+    auto const status = std::to_string(answer.result_int());
+    return status.size() == 3 && status[0] >= '1' && status[0] <= '5' && framing.judge(status).empty();
+}
+
 auto serve_connection(tcp::socket socket, Handler handler) -> awaitable<void> {
     auto stream = beast::tcp_stream(std::move(socket));
     auto buffer = beast::flat_buffer();
@@ -103,6 +116,7 @@
     }
     if (parser.is_done()) reply.failure = Failure::none;
     if (parser.is_done() && line->buffer.size() > 0) reply.extra = true;
+    if (parser.is_header_done() && !is_sound(parser.get())) reply.failure = Failure::malformed;
     co_return reply;
 }
 
--- a/tests/platform/stand_ins/judge_answers.cpp
+++ b/tests/platform/stand_ins/judge_answers.cpp
@@ -78,8 +78,9 @@
         auto const& name = sent.identity;
         auto const runs = court.by_sent.find(name);
         auto const ran = runs != court.by_sent.end();
-        auto const broke =
-            ran && std::any_of(runs->second.begin(), runs->second.end(), [](auto const* run) { return run->broke; });
+        auto const broke = ran && std::any_of(runs->second.begin(), runs->second.end(), [](auto const* run) {
+                               return run->broke && !run->spoiled;
+                           });
         if (answer.extra) court.judge(Rule::mixed, false, name + ": more after its answer");
         if (answer.malformed) court.judge(Rule::mixed, broke, name + ": bytes that are no answer");
         if (answer.status == 0) continue;
--- a/tests/platform/stand_ins/platform.cpp
+++ b/tests/platform/stand_ins/platform.cpp
@@ -174,6 +174,9 @@
     auto forgotten = std::int64_t{0};
     for (auto const& replica : platform.replicas) forgotten += replica->forgotten;
     object["forgotten"] = forgotten;
+    auto spoiled = std::int64_t{0};
+    for (auto const& replica : platform.replicas) spoiled += replica->spoiled;
+    object["spoiled"] = spoiled;
     co_return Answered{200, object};
 }
 auto do_trouble(Platform& platform, json::object call) -> awaitable<Answered> {
--- a/tests/platform/stand_ins/record.hpp
+++ b/tests/platform/stand_ins/record.hpp
@@ -40,7 +40,8 @@
     bool key_seen = false;
     std::int64_t last_event = 0, version = 0, status = 200;
     std::vector<UsedPart> used;
-    bool broke = false;  // the replica itself cut or spoiled its answer
+    bool broke = false;    // the replica itself cut or spoiled its answer
+    bool spoiled = false;  // by what is no answer: whoever passes that on is not excused
 };
 struct Arrival {  // a request as it reached a replica, run or not
     std::string identity, replica, service;
--- a/tests/platform/stand_ins/replica.hpp
+++ b/tests/platform/stand_ins/replica.hpp
@@ -31,30 +31,32 @@
     field("kvToks", &KeptOptions::tokens), field("events", &KeptOptions::events),
     field("eventsLagMs", &KeptOptions::events_lag), field("eventsLost", &KeptOptions::events_lost));
 
-struct Faults {                 // shares of the answers, 0 to 1
-    double cut = 0.0;           // ends in the middle
-    double reset = 0.0;         // ran, and the connection is reset before the head
-    double garble = 0.0;        // bytes that form no answer
-    double extra = 0.0;         // more bytes at once after a complete answer
-    double late = 0.0;          // one answer more, where the next is due
-    double fail = 0.0;          // its own 500
-    double closing = 0.0;       // Connection: close now and then
-    double early = 0.0;         // a long request is turned away before its body is in; the body is read later
-    double unframed = 0.0;      // no length: the answer ends with its connection, at times in its middle by a reset
-    double forget = 0.0;        // a rested connection is forgotten: what comes on it is reset
-    Milliseconds rested = 400;  // how long a connection has been idle to be forgotten
-    double slow = 1.0;          // times as long
-    double lost_orders = 0.0;   // taken, and no answer comes
-    double late_orders = 0.0;   // taken, and the answer comes late
-    double busy_orders = 0.0;   // not taken: another one is said to be under way
+struct Faults {                    // shares of the answers, 0 to 1
+    double cut = 0.0;              // ends in the middle
+    double reset = 0.0;            // ran, and the connection is reset before the head
+    double garble = 0.0;           // bytes that form no answer
+    double spoiled = 0.0;          // an answer that is none, or is not what it seems (spoiled_answers.hpp)
+    double extra = 0.0;            // more bytes at once after a complete answer
+    double late = 0.0;             // one answer more, where the next is due
+    std::int64_t spoiled_by = -1;  // the place of the one in the table; -1: any of them
+    double fail = 0.0;             // its own 500
+    double closing = 0.0;          // Connection: close now and then
+    double early = 0.0;            // a long request is turned away before its body is in; the body is read later
+    double unframed = 0.0;         // no length: the answer ends with its connection, at times in its middle by a reset
+    double forget = 0.0;           // a rested connection is forgotten: what comes on it is reset
+    Milliseconds rested = 400;     // how long a connection has been idle to be forgotten
+    double slow = 1.0;             // times as long
+    double lost_orders = 0.0;      // taken, and no answer comes
+    double late_orders = 0.0;      // taken, and the answer comes late
+    double busy_orders = 0.0;      // not taken: another one is said to be under way
     bool silent = false, unwell = false, no_events = false;
 };
 constexpr auto fault_fields = std::tuple(
     field("cut", &Faults::cut), field("reset", &Faults::reset), field("garble", &Faults::garble),
-    field("extra", &Faults::extra), field("late", &Faults::late), field("fail", &Faults::fail),
-    field("closing", &Faults::closing), field("early", &Faults::early), field("unframed", &Faults::unframed),
-    field("forget", &Faults::forget), field("restedMs", &Faults::rested), field("slow", &Faults::slow),
-    field("lostOrders", &Faults::lost_orders), field("lateOrders", &Faults::late_orders),
+    field("spoiled", &Faults::spoiled), field("extra", &Faults::extra), field("late", &Faults::late),
+    field("fail", &Faults::fail), field("closing", &Faults::closing), field("early", &Faults::early),
+    field("unframed", &Faults::unframed), field("forget", &Faults::forget), field("restedMs", &Faults::rested),
+    field("slow", &Faults::slow), field("lostOrders", &Faults::lost_orders), field("lateOrders", &Faults::late_orders),
     field("busyOrders", &Faults::busy_orders), field("silent", &Faults::silent), field("unwell", &Faults::unwell),
     field("noEvents", &Faults::no_events));
 
@@ -95,6 +97,7 @@
     Kept kept;
     bool alive = true, draining = false, loading = false;
     std::int64_t version = 1, sequence = 0, active = 0, inflight = 0, waited = 0, runs = 0, sheds = 0;
+    std::int64_t spoiled = 0;                    // answers
     std::int64_t forgotten = 0;                  // connections that were reset as they were used again
     std::map<std::string, std::int64_t> fences;  // highest seen, by model
     std::list<std::shared_ptr<Waiting>> waiting;
--- a/tests/platform/stand_ins/replica_run.cpp
+++ b/tests/platform/stand_ins/replica_run.cpp
@@ -1,5 +1,6 @@
 // One request at a replica: turned away, or run.
 #include "replica.hpp"
+#include "spoiled_answers.hpp"
 
 namespace dockrock::platform_stand_in {
 
@@ -162,6 +163,20 @@
     if (ending.unframed && ending.cut) replica->reset(connection);  // a mere end would pass for the whole
     co_return sent && !ending.cut && !ending.unframed;
 }
+
+auto send_spoiled(
+    ReplicaPointer replica, ConnectionPointer connection, Parsed const& head, std::string run, bool closing)
+    -> awaitable<bool> {
+    ++replica->spoiled;
+    auto const body = event_data(run, 1, 1) + std::string(200, '.');
+    auto const lines =
+        common_lines(*replica, head.identity, closing) + "Seal: " + seal_of_body(run, 200, body) + "\r\n";
+    auto const given = replica->faults.spoiled_by;
+    auto const place = given >= 0 ? static_cast<std::size_t>(given)
+                                  : static_cast<std::size_t>(replica->around.random() % spoiled_answers.size());
+    auto text = spoiled_text(spoiled_answers.at(place), lines, body);
+    co_return co_await send_text(connection, std::move(text));
+}
 }  // namespace
 
 auto run_request(ReplicaPointer replica, ConnectionPointer connection, Request request) -> awaitable<bool> {
@@ -198,7 +213,9 @@
         replica->hit(faults.unframed)};
     auto const reset = replica->hit(faults.reset), garble = replica->hit(faults.garble);
     run.status = replica->hit(faults.fail) ? 500 : 200;
-    run.broke = ending.cut || reset || garble;
+    auto const spoiled = faults.spoiled > 0 && replica->hit(faults.spoiled);
+    run.spoiled = garble || spoiled;
+    run.broke = ending.cut || reset || run.spoiled;
     auto const place = replica->around.record.runs.size();
     replica->around.record.runs.push_back(run);  // it has begun: from here on it has run
     co_await read_prompt(replica, head, request, run);
@@ -209,6 +226,8 @@
     } else if (replica->alive && garble) {
         auto garbage = std::string("%%% no answer at all %%%\r\n\r\n");
         co_await send_text(connection, std::move(garbage));
+    } else if (replica->alive && spoiled) {
+        keep = co_await send_spoiled(replica, connection, head, run.name, ending.closing);
     } else if (replica->alive && now() > until) {
         replica->around.record.runs[place].status = 504;
         auto const lines = common_lines(*replica, head.identity, ending.closing);
--- a/tests/soak/addresses.py
+++ b/tests/soak/addresses.py
@@ -5,7 +5,7 @@
 
 # Apart from those of other live tests.
 FIRST_NET = 140
-NETS_OF_A_SHAPE = 20
+NETS_OF_A_SHAPE = 16
 FIRST_PLANTED_NET = FIRST_NET + NETS_OF_A_SHAPE * len(SHAPES)
 LAST_NET = 250  # 251 is of links_test.py
 
--- a/tests/soak/course.py
+++ b/tests/soak/course.py
@@ -26,6 +26,9 @@
     "configuration": {"cut_edges": 4, "one_way_to_edge": 3, "one_way_from_edge": 2, "kill_edge": 2, "kill_herd": 2,
                       "pause_edge": 1, "moved_seeds": 2, "lossy_edge": 1, "overload": 2, "kill_core": 1,
                       "pause_leader": 0.5, "lost_acknowledgements": 1},
+    "answers": {"broken_answers": 5, "late_answers": 2, "slow_replicas": 1, "crash_replica": 2, "leaving_replicas": 2,
+                "kill_edge": 2, "pause_edge": 1, "stop_edge": 2, "new_settings": 2, "kill_leader": 1, "overload": 1,
+                "lost_acknowledgements": 1},
     "core": {**dict.fromkeys(CORE, 2.0), "pause_holder": 2, "cut_edges": 1, "lost_acknowledgements": 2,
              "lost_orders": 1, "kill_edge": 1},
     "losses": {**dict.fromkeys(LOSSES, 1.5), **dict.fromkeys(STOPS, 1.5), "new_settings": 2, "full_disk": 2.5,
@@ -67,7 +70,7 @@
         if fits(kind, storm):
             storm.append(kind)
         if storm and len(storm) == 1 and kind in PLANNED and chance.random() < PLANNED_ALONE:
-            weights = {name: weights[name] for name in PLANNED}
+            weights = {name: weights[name] for name in PLANNED if name in weights}
     return storm
 
 
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -15,7 +15,7 @@
 CHANGE_EVERY = (0.5, 1.4)
 READ_EVERY = 0.12
 NAMES = {"weights": (4, (0.8, 2.5), (9, 14)), "mixed": (2, (0.5, 2.0), (6, 12)), "core": (2, (0.5, 2.0), (5, 9)),
-         "configuration": (1, (1.0, 1.0), (12, 18)),
+         "configuration": (1, (1.0, 1.0), (12, 18)), "answers": (2, (0.5, 2.0), (6, 12)),
          "losses": (1, (1.0, 1.0), (8, 14))}  # names in a row, seconds between them, seconds of rest
 REVOKED_PROBES, REVOKED_EVERY = 12, 0.7
 PROBE_DEADLINE = 2500
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -13,6 +13,7 @@
     "races": ("none", "core", "CONFIG", "two acknowledged on top of one"),
     "old_weights": ("none", "weights", "VERSION", "begun on 1"),
     "forgets": ("forgets", "core", "LOST", "acknowledged"),
+    "passes_on": ("none", "answers", "MIXED", "no answer"),
     "hangs_up": ("hangs_up", "losses", "ENDS", "with -1"),
     "drops": ("none", "losses", "LOST", "by the planned stop of"),
     "lingers": ("lingers", "losses", "STOPS", "after SIGTERM with None"),
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -9,7 +9,8 @@
 
 BACK_FAULTS = {
     "lost_orders": {"lostOrders": 0.6}, "late_orders": {"lateOrders": 0.6}, "slow_replicas": {"slow": 2.5},
-    "late_answers": {"late": 0.15, "extra": 0.1}, "broken_answers": {"cut": 0.1, "reset": 0.06, "garble": 0.04},
+    "late_answers": {"late": 0.15, "extra": 0.1},
+    "broken_answers": {"cut": 0.1, "reset": 0.06, "garble": 0.04, "spoiled": 0.08},
 }  # fmt: skip
 LOST_ACKNOWLEDGEMENTS = 0.5
 LOSSY = 0.15
