--- a/tests/answer_grammar_test.cpp
+++ b/tests/answer_grammar_test.cpp
@@ -53,6 +53,7 @@
                  "chunked"}) {
             INFO(status << " " << line);
             check_no_answer(head_of(status, line + "\r\nContent-Length: 19\r\n") + body_mark);
+            check_no_answer(head_of(status, line + "\r\n") + body_mark, true);
         }
         for (auto const& word : {"\x01", "a\rz", "\x7f"}) {
             INFO(status << " " << word);
