Stand-ins: more bytes follow whole answers alone, as the users' pages say

An answer drawn as cut and as followed by more was sent as a part of its body with another answer's text right behind it: by its length that is a whole answer, and nobody on the way can tell. Without any node between, clients meet the same (the new line in stand_in_test failed: "served served MIXED"). By the pages a replica may "send more after a complete answer". Ruled out: a late answer to the same request (its body would be whole).

Change: more follows an answer that is neither cut nor ended by its connection.

--- a/tests/platform/stand_in_test.cpp
+++ b/tests/platform/stand_in_test.cpp
@@ -136,6 +136,7 @@
     CHECK(faulty(R"("late":1)", "stream", false) == "served served MIXED");
     CHECK(faulty(R"("cut":1)", "stream", false) == "failed served");
     CHECK(faulty(R"("cut":1)", "mutating", false) == "failed served");
+    CHECK(faulty(R"("cut":1,"extra":1)", "mutating", false) == "failed served");  // more follows whole answers alone
     CHECK(faulty(R"("cut":1)", "stream", true) == "failed served");  // each try gets on by some events, none to the end
     CHECK(faulty(R"("garble":1)", "mutating", false) == "failed failed MIXED");
     CHECK(faulty(R"("reset":1)", "stream", false) == "failed failed");
--- a/tests/platform/stand_ins/replica_run.cpp
+++ b/tests/platform/stand_ins/replica_run.cpp
@@ -157,7 +157,8 @@
     if (ending.unframed) answer = "HTTP/1.1 " + std::to_string(status) + " Unframed\r\n" + lines + "\r\n" + body;
     if (ending.cut) answer = answer.substr(0, answer.size() - body.size() / 2);
     auto const more = whole_answer(200, lines, body);
-    if (ending.extra) answer += more;
+    // More follows a whole answer alone: behind a part of one it would pass for the rest of its body.
+    if (ending.extra && !ending.cut && !ending.unframed) answer += more;
     if (ending.late) connection->owed = more;
     auto const sent = co_await send_text(connection, std::move(answer));
     if (ending.unframed && ending.cut) replica->reset(connection);  // a mere end would pass for the whole
